--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them is a test."""
--- /dev/null
+++ b/src/dragonflyrock/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/dragonflyrock/consensus/election.py
@@ -0,0 +1,201 @@
+"""Elections: pre-vote, votes, the first election of a group, and stepping down."""
+
+from __future__ import annotations
+
+from .log import encode_configuration
+from .models import (
+    Configuration,
+    EntryKind,
+    JoinRequest,
+    Member,
+    Role,
+    TakeOver,
+    VoteAnswer,
+    VoteRequest,
+)
+from .replica import (
+    PeerProgress,
+    Replica,
+    append_own,
+    become_follower,
+    reset_election,
+    save_hard,
+    send,
+)
+
+__all__ = ["on_take_over", "on_vote_answer", "on_vote_request", "tick_election"]
+
+
+def tick_election(replica: Replica, now: float) -> None:
+    """Stand for election when no leader was heard, or step down without a quorum."""
+    if replica.role == Role.LEADER:
+        _check_quorum(replica, now)
+        return
+    if now < replica.election_at:
+        return
+    reset_election(replica, now)
+    if replica.is_new:
+        _start_forming(replica, now)
+    elif replica.configuration.has_voter(replica.me.name):
+        _start_election(replica, now, pre=True, transfer=False)
+
+
+def _check_quorum(replica: Replica, now: float) -> None:
+    """Step down when a quorum has been silent for the longest election time."""
+    silent = replica.lease_until(now) + replica.timing.election_max
+    settled = replica.became_leader_at + replica.timing.election_max
+    if now > max(silent, settled):
+        become_follower(replica, replica.hard.term, "", now)
+
+
+def _start_forming(replica: Replica, now: float) -> None:
+    """Ask for the first vote, or where the group exists, say that we wait."""
+    for name in replica.initial_voters:
+        if name != replica.me.name:
+            send(replica, name, JoinRequest(replica.me.identity))
+    if replica.me.name in replica.initial_voters:
+        _start_election(replica, now, pre=True, transfer=False)
+
+
+def _start_election(replica: Replica, now: float, *, pre: bool, transfer: bool) -> None:
+    """Become a candidate and ask the others."""
+    replica.role = Role.CANDIDATE
+    replica.leader = ""
+    replica.pre = pre
+    replica.forming = replica.is_new
+    replica.votes = {replica.me.name: replica.me}
+    if not pre:
+        save_hard(replica, replica.hard.term + 1, replica.me.name)
+    request = VoteRequest(
+        replica.hard.term + (1 if pre else 0),
+        replica.log.last_index,
+        replica.log.last_term,
+        pre,
+        replica.forming,
+        transfer,
+    )
+    for name in _electors(replica):
+        if name != replica.me.name:
+            send(replica, name, request)
+    _count_votes(replica, now)
+
+
+def _electors(replica: Replica) -> tuple[str, ...]:
+    """Return the names of all whose votes count."""
+    if replica.is_new:
+        return replica.initial_voters
+    return tuple(voter.name for voter in replica.configuration.voters)
+
+
+def _count_votes(replica: Replica, now: float) -> None:
+    """Go on to the real election, or lead, when enough votes are in.
+
+    A group is formed by all of its first voters: an empty log proves nothing,
+    so a wiped member and a new one must not make up a majority.
+    """
+    if replica.forming:
+        needed = len(replica.initial_voters)
+    else:
+        needed = replica.configuration.quorum
+    if len(replica.votes) < needed:
+        return
+    if replica.pre:
+        _start_election(replica, now, pre=False, transfer=False)
+    else:
+        _become_leader(replica, now)
+
+
+def _become_leader(replica: Replica, now: float) -> None:
+    """Lead, with an entry of the own term that commits all before it."""
+    replica.role = Role.LEADER
+    replica.leader = replica.me.name
+    replica.became_leader_at = now
+    if replica.forming:
+        voters = tuple(replica.votes[name] for name in replica.initial_voters)
+        payload = encode_configuration(Configuration(voters))
+        index = append_own(replica, EntryKind.CONFIGURATION, payload)
+    else:
+        index = append_own(replica, EntryKind.NOOP, b"")
+    replica.term_start_index = index
+    replica.forming = False
+    replica.peers = {name: PeerProgress(index) for name in replica.others}
+
+
+def on_vote_request(
+    replica: Replica, sender: Member, request: VoteRequest, now: float
+) -> None:
+    """Grant or refuse a vote."""
+    if not request.pre and request.term > replica.hard.term:
+        if not _may_vote(replica, sender, request, now):
+            _answer(replica, sender, request, granted=False)
+            return
+        become_follower(replica, request.term, "", now)
+    granted = _may_vote(replica, sender, request, now)
+    if granted and not request.pre:
+        granted = replica.hard.voted_for in ("", sender.name)
+        granted = granted and request.term == replica.hard.term
+        if granted:
+            save_hard(replica, request.term, sender.name)
+            reset_election(replica, now)
+    _answer(replica, sender, request, granted=granted)
+
+
+def _answer(
+    replica: Replica, sender: Member, request: VoteRequest, *, granted: bool
+) -> None:
+    """Send the answer to a vote request."""
+    term = request.term if granted else replica.hard.term
+    answer = VoteAnswer(term, granted, request.pre, request.forming)
+    send(replica, sender.name, answer)
+
+
+def _may_vote(
+    replica: Replica, sender: Member, request: VoteRequest, now: float
+) -> bool:
+    """Return whether the candidate's log and our promises allow a vote."""
+    if request.term < replica.hard.term:
+        return False
+    if request.forming:
+        return replica.is_new and sender.name in replica.initial_voters
+    # A voter that has not yet received the first configuration cannot check the
+    # candidate, but the candidate checks the voter's identity against its own.
+    if not replica.is_new and replica.configuration.find(sender.name) != sender:
+        return False
+    promised = replica.heard_at + replica.timing.election_min
+    if now < promised and not request.transfer:
+        return False
+    if replica.role == Role.LEADER and request.pre:
+        return False
+    ours = (replica.log.last_term, replica.log.last_index)
+    return (request.last_term, request.last_index) >= ours
+
+
+def on_vote_answer(
+    replica: Replica, sender: Member, answer: VoteAnswer, now: float
+) -> None:
+    """Count a vote, or follow a newer term."""
+    if not answer.granted and answer.term > replica.hard.term:
+        become_follower(replica, answer.term, "", now)
+        return
+    if replica.role != Role.CANDIDATE or not answer.granted:
+        return
+    asked = replica.hard.term + (1 if replica.pre else 0)
+    if (answer.term, answer.pre, answer.forming) != (
+        asked,
+        replica.pre,
+        replica.forming,
+    ):
+        return
+    if not replica.forming and replica.configuration.find(sender.name) != sender:
+        return
+    if sender.name in _electors(replica):
+        replica.votes[sender.name] = sender
+        _count_votes(replica, now)
+
+
+def on_take_over(replica: Replica, message: TakeOver, now: float) -> None:
+    """Stand for election at once, since the leader asked for it."""
+    if message.term != replica.hard.term or replica.role == Role.LEADER:
+        return
+    if replica.configuration.has_voter(replica.me.name):
+        _start_election(replica, now, pre=False, transfer=True)
--- /dev/null
+++ b/src/dragonflyrock/consensus/group.py
@@ -0,0 +1,212 @@
+"""One member of a replicated group: replica, data folder and state machine."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Final, NamedTuple, Protocol
+
+from .log import Log
+from .models import (
+    EntryKind,
+    JoinRequest,
+    Member,
+    Message,
+    Role,
+    SnapshotImage,
+    Timing,
+    VoteAnswer,
+    VoteRequest,
+)
+from .replica import Replica, make_replica, take_output
+from .replication import propose, replicate
+from .step import receive, tick
+from .storage import Storage, open_storage
+
+__all__ = ["Group", "Outgoing", "StateMachine", "open_group"]
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_SNAPSHOT_ENTRIES: Final = 400
+
+
+class StateMachine(Protocol):
+    """What a group replicates; it must be deterministic."""
+
+    def apply(self, index: int, payload: bytes) -> object:
+        """Carry out the command of the entry at ``index`` and return its result."""
+
+    def dump(self) -> bytes:
+        """Return an image of the state."""
+
+    def load(self, payload: bytes) -> None:
+        """Replace the state by an image; empty bytes stand for the first state."""
+
+
+class Outgoing(NamedTuple):
+    """A message to a member; an empty identity addresses whoever has the name."""
+
+    peer: str
+    identity: str
+    message: Message
+
+
+class Waiter(NamedTuple):
+    """Who waits for the result of the entry that was proposed in ``term``."""
+
+    term: int
+    notify: Callable[[object], None]
+
+
+class Group:
+    """Drive a replica: persist before sending, apply in order, snapshot."""
+
+    def __init__(
+        self,
+        name: str,
+        replica: Replica,
+        storage: Storage,
+        machine: StateMachine,
+        snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES,
+    ) -> None:
+        """Restore the state machine from the log's snapshot."""
+        self.name = name
+        self.replica = replica
+        self.machine = machine
+        self.applied = replica.log.snapshot.log_index
+        self._storage = storage
+        self._snapshot_entries = snapshot_entries
+        self._waiters: dict[int, Waiter] = {}
+        machine.load(replica.log.snapshot.payload)
+
+    @property
+    def sync_count(self) -> int:
+        """Return how many times the log was synced since the start."""
+        return self._storage.sync_count
+
+    def is_settled_leader(self, now: float) -> bool:
+        """Return whether the state machine here is current and ours to act on."""
+        replica = self.replica
+        settled = self.applied >= replica.term_start_index
+        return settled and replica.is_settled_leader(now)
+
+    def receive(
+        self, sender: Member, identity: str, message: Message, now: float
+    ) -> None:
+        """Take a message, unless it is meant for an earlier data folder."""
+        if identity not in ("", self.replica.me.identity):
+            return
+        receive(self.replica, sender, message, now)
+
+    def propose(self, payload: bytes, notify: Callable[[object], None]) -> bool:
+        """Propose a command; ``notify`` gets its result, or None when it is lost."""
+        index = propose(self.replica, payload)
+        if index is None:
+            return False
+        self._waiters[index] = Waiter(self.replica.hard.term, notify)
+        return True
+
+    def tick(self, now: float) -> None:
+        """Let time pass."""
+        tick(self.replica, now)
+
+    def flush(self, now: float) -> list[Outgoing]:
+        """Persist all that has come together, apply, and return what to send."""
+        replicate(self.replica, now)
+        output = take_output(self.replica)
+        self._storage.write(output)
+        if output.snapshot is not None:
+            self._install(output.snapshot)
+        self._apply()
+        self._drop_lost_waiters()
+        self._compact()
+        return [
+            Outgoing(item.peer, self._identity(item.peer, item.message), item.message)
+            for item in output.messages
+        ]
+
+    def close(self) -> None:
+        """Close the data folder."""
+        self._storage.close()
+
+    def _identity(self, peer: str, message: Message) -> str:
+        """Return the identity that the peer must have to take the message."""
+        match message:
+            case JoinRequest():
+                return ""
+            case VoteRequest(forming=True) | VoteAnswer(forming=True):
+                return ""
+        member = self.replica.configuration.find(peer)
+        return member.identity if member else ""
+
+    def _install(self, snapshot: SnapshotImage) -> None:
+        """Replace the state by a leader's snapshot."""
+        _LOGGER.info("%s: installed snapshot %d", self.name, snapshot.log_index)
+        self.machine.load(snapshot.payload)
+        self.applied = snapshot.log_index
+
+    def _apply(self) -> None:
+        """Apply what is committed and tell whoever waits for it."""
+        log = self.replica.log
+        while self.applied < self.replica.commit:
+            entry = log.entries_from(self.applied + 1, 1)[0]
+            result: object = None
+            if entry.kind == EntryKind.COMMAND:
+                result = self.machine.apply(entry.log_index, entry.payload)
+            self.applied = entry.log_index
+            waiter = self._waiters.pop(entry.log_index, None)
+            if waiter is not None:
+                waiter.notify(result if waiter.term == entry.term else None)
+
+    def _drop_lost_waiters(self) -> None:
+        """Tell waiters when leadership was lost; their entries may still commit."""
+        if self.replica.role == Role.LEADER or not self._waiters:
+            return
+        lost = list(self._waiters.values())
+        self._waiters.clear()
+        for waiter in lost:
+            waiter.notify(None)
+
+    def _compact(self) -> None:
+        """Take a snapshot every few hundred entries."""
+        log = self.replica.log
+        if self.applied - log.snapshot.log_index < self._snapshot_entries:
+            return
+        term = log.term_at(self.applied)
+        assert term is not None
+        configuration = log.configuration_at(self.applied)
+        image = SnapshotImage(self.applied, term, configuration, self.machine.dump())
+        kept = log.entries_from(self.applied + 1, log.last_index)
+        self._storage.save_snapshot(image, kept)
+        log.compact(image)
+        _LOGGER.debug("%s: snapshot at %d", self.name, image.log_index)
+
+
+def open_group(
+    name: str,
+    host: str,
+    folder: Path,
+    initial_voters: tuple[str, ...],
+    timing: Timing,
+    random: Random,
+    machine: StateMachine,
+    now: float,
+    snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES,
+) -> Group:
+    """Open the data folder of a group and return its member on this host."""
+    storage, recovered = open_storage(folder)
+    if recovered.cut_bytes:
+        _LOGGER.warning("%s: cut a torn tail: %d bytes", name, recovered.cut_bytes)
+    log = Log(recovered.snapshot)
+    log.append(recovered.entries)
+    me = Member(host, recovered.identity)
+    replica = make_replica(me, initial_voters, timing, random, log, recovered.hard, now)
+    _LOGGER.info(
+        "%s: start from snapshot %d and %d entries",
+        name,
+        recovered.snapshot.log_index,
+        len(recovered.entries),
+    )
+    return Group(name, replica, storage, machine, snapshot_entries)
--- /dev/null
+++ b/src/dragonflyrock/consensus/log.py
@@ -0,0 +1,103 @@
+"""The log's entries in memory, above the snapshot that they follow."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from itertools import islice
+
+import msgspec
+
+from .models import Configuration, Entry, EntryKind, SnapshotImage
+
+__all__ = ["Log", "decode_configuration", "encode_configuration"]
+
+_DECODER = msgspec.msgpack.Decoder(Configuration)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return the payload of a configuration entry."""
+    return msgspec.msgpack.encode(configuration)
+
+
+def decode_configuration(payload: bytes) -> Configuration:
+    """Return the configuration in an entry's payload."""
+    return _DECODER.decode(payload)
+
+
+class Log:
+    """Entries after a snapshot, with the configuration in force at the end.
+
+    >>> log = Log(SnapshotImage())
+    >>> log.append([Entry(1, 1, EntryKind.NOOP, b"")])
+    >>> log.last_index, log.term_at(1), log.term_at(9)
+    (1, 1, None)
+    """
+
+    def __init__(self, snapshot: SnapshotImage) -> None:
+        """Start right after a snapshot."""
+        self.snapshot = snapshot
+        self._entries: list[Entry] = []
+        self._configurations = [(snapshot.log_index, snapshot.configuration)]
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._entries[-1].log_index if self._entries else self.snapshot.log_index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the latest configuration, committed or not."""
+        return self._configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """Return the index of the latest configuration."""
+        return self._configurations[-1][0]
+
+    def configuration_at(self, index: int) -> Configuration:
+        """Return the configuration that was in force at an index."""
+        return next(c for at, c in reversed(self._configurations) if at <= index)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where the log has none."""
+        if index == self.snapshot.log_index:
+            return self.snapshot.term
+        offset = index - self.snapshot.log_index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def entries_from(self, index: int, limit: int) -> tuple[Entry, ...]:
+        """Return up to ``limit`` entries that begin at an index."""
+        offset = index - self.snapshot.log_index - 1
+        return tuple(islice(self._entries, offset, offset + limit))
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            self._entries.append(entry)
+            if entry.kind == EntryKind.CONFIGURATION:
+                configuration = decode_configuration(entry.payload)
+                self._configurations.append((entry.log_index, configuration))
+
+    def truncate(self, index: int) -> None:
+        """Drop the entry at an index and all after it."""
+        del self._entries[index - self.snapshot.log_index - 1 :]
+        self._configurations = [c for c in self._configurations if c[0] < index]
+
+    def compact(self, snapshot: SnapshotImage) -> None:
+        """Replace the entries up to a snapshot's index by the snapshot."""
+        if self.term_at(snapshot.log_index) == snapshot.term:
+            del self._entries[: snapshot.log_index - self.snapshot.log_index]
+        else:
+            self._entries.clear()
+        kept = [c for c in self._configurations if c[0] > snapshot.log_index]
+        if not self._entries:
+            kept = []
+        self._configurations = [(snapshot.log_index, snapshot.configuration), *kept]
+        self.snapshot = snapshot
--- /dev/null
+++ b/src/dragonflyrock/consensus/membership.py
@@ -0,0 +1,102 @@
+"""Changes of a group's members, one at a time, by way of a learner."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..errors import Reason, Refusal, Step
+from .log import encode_configuration
+from .models import Configuration, EntryKind, JoinRequest, Member, Role, TakeOver
+from .replica import Replica, append_own, become_follower, send
+
+__all__ = [
+    "add_learner",
+    "hand_over_leadership",
+    "on_join_request",
+    "remove_member",
+    "tick_membership",
+]
+
+PROMOTION_GAP_ENTRIES: Final = 64
+
+
+def on_join_request(replica: Replica, sender: Member, request: JoinRequest) -> None:
+    """Remember a member with an empty log, for an operator to add."""
+    if replica.configuration.find(sender.name) != sender:
+        replica.waiting[sender.name] = Member(sender.name, request.identity)
+
+
+def _change(replica: Replica, configuration: Configuration) -> int | Refusal:
+    """Append a configuration unless another one is still uncommitted."""
+    if replica.role != Role.LEADER or replica.commit < replica.term_start_index:
+        return Refusal(Reason.NOT_LEADER, Step.COMMIT, replica.leader)
+    if replica.log.configuration_index > replica.commit:
+        return Refusal(Reason.IN_PROGRESS, Step.COMMIT, detail="a member is changing")
+    payload = encode_configuration(configuration)
+    return append_own(replica, EntryKind.CONFIGURATION, payload)
+
+
+def add_learner(replica: Replica, name: str) -> int | Refusal:
+    """Add a waiting member; it is promoted once it has caught up."""
+    if replica.configuration.find(name) is not None:
+        detail = f"{name} is a member; remove it first"
+        return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, name, detail)
+    if name not in replica.waiting:
+        detail = f"{name} has not asked to join with an empty data folder"
+        return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, detail)
+    voters, learners = replica.configuration
+    changed = Configuration(voters, (*learners, replica.waiting[name]))
+    return _change(replica, changed)
+
+
+def remove_member(replica: Replica, name: str) -> int | Refusal:
+    """Remove a voter or learner; the last voter cannot be removed."""
+    member = replica.configuration.find(name)
+    if member is None:
+        return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, f"{name} is no member")
+    if name == replica.me.name:
+        detail = f"{name} leads; hand leadership over first"
+        return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, name, detail)
+    voters = tuple(m for m in replica.configuration.voters if m != member)
+    learners = tuple(m for m in replica.configuration.learners if m != member)
+    return _change(replica, Configuration(voters, learners))
+
+
+def tick_membership(replica: Replica) -> None:
+    """Promote a learner that has caught up."""
+    if replica.role != Role.LEADER:
+        return
+    for learner in replica.configuration.learners:
+        progress = replica.peers.get(learner.name)
+        if progress is None or not progress.match_index:
+            continue
+        if replica.log.last_index - progress.match_index > PROMOTION_GAP_ENTRIES:
+            continue
+        voters, learners = replica.configuration
+        rest = tuple(member for member in learners if member != learner)
+        _change(replica, Configuration((*voters, learner), rest))
+        replica.waiting.pop(learner.name, None)
+        return
+
+
+def hand_over_leadership(replica: Replica, now: float) -> bool:
+    """Ask the most advanced voter to take over; return whether one was asked.
+
+    The successor's voters are released from their promise to this leader, so
+    it gives up its lease by following at once.
+    """
+    if replica.role != Role.LEADER:
+        return False
+    candidates = [
+        (replica.peers[voter.name].match_index, voter.name)
+        for voter in replica.configuration.voters
+        if voter.name in replica.peers
+    ]
+    if not candidates:
+        return False
+    match_index, name = max(candidates)
+    if match_index < replica.log.last_index:
+        return False
+    send(replica, name, TakeOver(replica.hard.term))
+    become_follower(replica, replica.hard.term, "", now)
+    return True
--- /dev/null
+++ b/src/dragonflyrock/consensus/replica.py
@@ -0,0 +1,201 @@
+"""A member of a replicated log, without I/O: messages in, output to carry out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, NamedTuple
+
+from .log import Log
+from .models import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    Message,
+    Role,
+    SnapshotImage,
+    Timing,
+)
+
+__all__ = [
+    "Addressed",
+    "Output",
+    "PeerProgress",
+    "Replica",
+    "append_own",
+    "become_follower",
+    "make_replica",
+    "send",
+    "take_output",
+]
+
+NEVER: Final = float("-inf")
+
+
+class Addressed(NamedTuple):
+    """A message and the name of the member that it goes to."""
+
+    peer: str
+    message: Message
+
+
+@dataclass(slots=True)
+class Output:
+    """What the caller must do, in this order.
+
+    Install the snapshot, truncate the log, append the entries, save the hard
+    state, sync, and only then send the messages and apply up to ``commit``.
+    """
+
+    snapshot: SnapshotImage | None = None
+    truncate_from: int = 0
+    entries: list[Entry] = field(default_factory=list)
+    hard: HardState | None = None
+    messages: list[Addressed] = field(default_factory=list)
+
+    @property
+    def needs_sync(self) -> bool:
+        """Return whether anything must reach the disk before sending."""
+        return bool(self.entries or self.hard or self.truncate_from or self.snapshot)
+
+
+@dataclass(slots=True)
+class PeerProgress:
+    """What the leader knows of a peer; times in seconds of its own clock."""
+
+    next_index: int
+    match_index: int = 0
+    acked_sent_at: float = NEVER
+    sent_at: float = NEVER
+    snapshot_sent_at: float = NEVER
+
+
+@dataclass(slots=True)
+class Replica:
+    """The state of one member of a group."""
+
+    me: Member
+    initial_voters: tuple[str, ...]
+    timing: Timing
+    random: Random
+    log: Log
+    hard: HardState
+    role: Role = Role.FOLLOWER
+    leader: str = ""
+    commit: int = 0
+    heard_at: float = 0.0
+    election_at: float = 0.0
+    became_leader_at: float = NEVER
+    term_start_index: int = 0
+    pre: bool = False
+    forming: bool = False
+    votes: dict[str, Member] = field(default_factory=dict)
+    peers: dict[str, PeerProgress] = field(default_factory=dict)
+    waiting: dict[str, Member] = field(default_factory=dict)
+    output: Output = field(default_factory=Output)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the latest configuration in the log."""
+        return self.log.configuration
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether this member has never been part of a formed group."""
+        return self.log.last_index == 0
+
+    @property
+    def others(self) -> list[str]:
+        """Return the names of all other members."""
+        members = self.configuration.voters + self.configuration.learners
+        return [member.name for member in members if member.name != self.me.name]
+
+    def lease_until(self, now: float) -> float:
+        """Return until when no other member can have been elected.
+
+        It counts from when the heartbeats that a quorum answered were sent.
+        """
+        if self.role != Role.LEADER:
+            return NEVER
+        acked = [
+            now if voter.name == self.me.name else self.peers[voter.name].acked_sent_at
+            for voter in self.configuration.voters
+        ]
+        acked.sort(reverse=True)
+        heard = acked[self.configuration.quorum - 1]
+        return heard + self.timing.election_min * (1 - self.timing.drift)
+
+    def is_settled_leader(self, now: float) -> bool:
+        """Return whether this leader may answer from its state and give orders."""
+        if self.role != Role.LEADER or self.commit < self.term_start_index:
+            return False
+        return now < self.lease_until(now)
+
+
+def make_replica(
+    me: Member,
+    initial_voters: tuple[str, ...],
+    timing: Timing,
+    random: Random,
+    log: Log,
+    hard: HardState,
+    now: float,
+) -> Replica:
+    """Return a follower that has just started with what its disk held.
+
+    It counts as having heard a leader just now: it may have acknowledged a
+    heartbeat right before it stopped, and that promise must be kept.
+    """
+    replica = Replica(me, initial_voters, timing, random, log, hard)
+    replica.commit = log.snapshot.log_index
+    replica.heard_at = now
+    reset_election(replica, now)
+    return replica
+
+
+def reset_election(replica: Replica, now: float) -> None:
+    """Draw the time of the next election."""
+    timing = replica.timing
+    wait = replica.random.uniform(timing.election_min, timing.election_max)
+    replica.election_at = now + wait
+
+
+def send(replica: Replica, peer: str, message: Message) -> None:
+    """Queue a message."""
+    replica.output.messages.append(Addressed(peer, message))
+
+
+def take_output(replica: Replica) -> Output:
+    """Return what is to be done and start a new output."""
+    output, replica.output = replica.output, Output()
+    return output
+
+
+def save_hard(replica: Replica, term: int, voted_for: str) -> None:
+    """Change the term or the vote, to be saved before anything is sent."""
+    hard = HardState(term, voted_for)
+    if hard != replica.hard:
+        replica.hard = hard
+        replica.output.hard = hard
+
+
+def become_follower(replica: Replica, term: int, leader: str, now: float) -> None:
+    """Follow a leader, known or not, in a term that is not older than ours."""
+    if term > replica.hard.term:
+        save_hard(replica, term, "")
+    if replica.role != Role.FOLLOWER:
+        reset_election(replica, now)
+    replica.role = Role.FOLLOWER
+    replica.leader = leader
+    replica.votes.clear()
+
+
+def append_own(replica: Replica, kind: EntryKind, payload: bytes) -> int:
+    """Append an entry as leader and return its index."""
+    index = replica.log.last_index + 1
+    entry = Entry(index, replica.hard.term, kind, payload)
+    replica.log.append([entry])
+    replica.output.entries.append(entry)
+    return index
--- /dev/null
+++ b/src/dragonflyrock/consensus/replication.py
@@ -0,0 +1,222 @@
+"""Replication: appending to followers, committing, and catch-up by snapshot."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from .models import (
+    AppendAnswer,
+    AppendRequest,
+    EntryKind,
+    Member,
+    Role,
+    SnapshotRequest,
+)
+from .replica import (
+    PeerProgress,
+    Replica,
+    append_own,
+    become_follower,
+    reset_election,
+    send,
+)
+
+__all__ = [
+    "on_append_answer",
+    "on_append_request",
+    "on_snapshot_request",
+    "propose",
+    "replicate",
+    "tick_replication",
+]
+
+MAX_ENTRIES_PER_MESSAGE: Final = 512
+SNAPSHOT_RESEND_HEARTBEATS: Final = 10
+
+
+def propose(replica: Replica, payload: bytes) -> int | None:
+    """Append a command as leader; return its index, or None when not leading."""
+    if replica.role != Role.LEADER:
+        return None
+    return append_own(replica, EntryKind.COMMAND, payload)
+
+
+def tick_replication(replica: Replica, now: float) -> None:
+    """Send heartbeats that are due."""
+    if replica.role != Role.LEADER:
+        return
+    for name in replica.others:
+        progress = progress_of(replica, name)
+        if now - progress.sent_at >= replica.timing.heartbeat:
+            _send_append(replica, name, progress, now)
+    advance_commit(replica)
+
+
+def replicate(replica: Replica, now: float) -> None:
+    """Send new entries to every follower that has acknowledged all before."""
+    if replica.role != Role.LEADER:
+        return
+    for name in replica.others:
+        progress = progress_of(replica, name)
+        if progress.next_index <= replica.log.last_index:
+            _send_append(replica, name, progress, now)
+    advance_commit(replica)
+
+
+def progress_of(replica: Replica, name: str) -> PeerProgress:
+    """Return what is known of a peer, which may just have been added."""
+    if name not in replica.peers:
+        replica.peers[name] = PeerProgress(replica.log.last_index + 1)
+    return replica.peers[name]
+
+
+def _send_append(
+    replica: Replica, name: str, progress: PeerProgress, now: float
+) -> None:
+    """Send the peer what follows its last known entry."""
+    previous = progress.next_index - 1
+    term = replica.log.term_at(previous)
+    progress.sent_at = now
+    if term is None:
+        _send_snapshot(replica, name, progress, now)
+        return
+    entries = replica.log.entries_from(progress.next_index, MAX_ENTRIES_PER_MESSAGE)
+    request = AppendRequest(
+        replica.hard.term, previous, term, entries, replica.commit, now
+    )
+    # The peer is taken to have received them; a rejection sets this back.
+    progress.next_index += len(entries)
+    send(replica, name, request)
+
+
+def _send_snapshot(
+    replica: Replica, name: str, progress: PeerProgress, now: float
+) -> None:
+    """Send the snapshot, not more often than a transfer may take."""
+    wait = replica.timing.heartbeat * SNAPSHOT_RESEND_HEARTBEATS
+    if now - progress.snapshot_sent_at < wait:
+        return
+    progress.snapshot_sent_at = now
+    snapshot = replica.log.snapshot
+    send(replica, name, SnapshotRequest(replica.hard.term, snapshot, now))
+
+
+def on_append_request(
+    replica: Replica, sender: Member, request: AppendRequest, now: float
+) -> None:
+    """Store entries that fit, and acknowledge them."""
+    if not _accept_leader(replica, sender, request.term, request.sent_at, now):
+        return
+    if replica.log.term_at(request.previous_index) != request.previous_term:
+        hint = min(replica.log.last_index, request.previous_index - 1)
+        floor = max(hint, replica.commit)
+        _acknowledge(replica, sender, request.sent_at, success=False, match=floor)
+        return
+    _store(replica, request)
+    match = request.previous_index + len(request.entries)
+    replica.commit = max(replica.commit, min(request.commit, match))
+    _acknowledge(replica, sender, request.sent_at, success=True, match=match)
+
+
+def _accept_leader(
+    replica: Replica, sender: Member, term: int, sent_at: float, now: float
+) -> bool:
+    """Follow the sender unless its term is old or it is not a member we know."""
+    if term < replica.hard.term:
+        _acknowledge(replica, sender, sent_at, success=False, match=0)
+        return False
+    known = replica.configuration.find(sender.name)
+    if known is not None and known != sender:
+        return False
+    become_follower(replica, term, sender.name, now)
+    replica.heard_at = now
+    reset_election(replica, now)
+    return True
+
+
+def _acknowledge(
+    replica: Replica, sender: Member, sent_at: float, *, success: bool, match: int
+) -> None:
+    """Answer the leader."""
+    answer = AppendAnswer(replica.hard.term, success, match, sent_at)
+    send(replica, sender.name, answer)
+
+
+def _store(replica: Replica, request: AppendRequest) -> None:
+    """Append what is new, after dropping entries that conflict."""
+    for position, entry in enumerate(request.entries):
+        term = replica.log.term_at(entry.log_index)
+        if term == entry.term or entry.log_index <= replica.log.snapshot.log_index:
+            continue
+        if term is not None:
+            replica.log.truncate(entry.log_index)
+            _truncate_output(replica, entry.log_index)
+        fresh = request.entries[position:]
+        replica.log.append(fresh)
+        replica.output.entries.extend(fresh)
+        return
+
+
+def _truncate_output(replica: Replica, index: int) -> None:
+    """Drop entries that were to be written in this same output."""
+    output = replica.output
+    output.entries = [entry for entry in output.entries if entry.log_index < index]
+    earlier = output.truncate_from or index
+    output.truncate_from = min(earlier, index)
+
+
+def on_append_answer(
+    replica: Replica, sender: Member, answer: AppendAnswer, now: float
+) -> None:
+    """Note a follower's progress, or set it back."""
+    if answer.term > replica.hard.term:
+        become_follower(replica, answer.term, "", now)
+        return
+    if replica.role != Role.LEADER or answer.term != replica.hard.term:
+        return
+    if replica.configuration.find(sender.name) != sender:
+        return
+    progress = progress_of(replica, sender.name)
+    progress.acked_sent_at = max(progress.acked_sent_at, answer.sent_at)
+    if not answer.success:
+        progress.next_index = max(progress.match_index, answer.match_index) + 1
+        return
+    progress.match_index = max(progress.match_index, answer.match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    advance_commit(replica)
+
+
+def advance_commit(replica: Replica) -> None:
+    """Commit the highest entry of this term that a quorum holds."""
+    matches = sorted(
+        (
+            replica.log.last_index
+            if voter.name == replica.me.name
+            else progress_of(replica, voter.name).match_index
+            for voter in replica.configuration.voters
+        ),
+        reverse=True,
+    )
+    index = matches[replica.configuration.quorum - 1]
+    if index > replica.commit and replica.log.term_at(index) == replica.hard.term:
+        replica.commit = index
+
+
+def on_snapshot_request(
+    replica: Replica, sender: Member, request: SnapshotRequest, now: float
+) -> None:
+    """Install a snapshot that is ahead of what is committed here."""
+    if not _accept_leader(replica, sender, request.term, request.sent_at, now):
+        return
+    snapshot = request.snapshot
+    if snapshot.log_index > replica.commit:
+        replica.log.compact(snapshot)
+        replica.commit = snapshot.log_index
+        replica.output.snapshot = snapshot
+        # The log file restarts too, so what is kept in memory is written again.
+        kept = replica.log.entries_from(snapshot.log_index + 1, replica.log.last_index)
+        replica.output.entries = list(kept)
+        replica.output.truncate_from = 0
+    _acknowledge(
+        replica, sender, request.sent_at, success=True, match=snapshot.log_index
+    )
--- /dev/null
+++ b/src/dragonflyrock/control/commands.py
@@ -0,0 +1,209 @@
+"""Commands of the control log and their results."""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from ..codec import Codec
+from ..errors import Refusal
+from ..models import Contract, RangeRef, ServerRow
+
+__all__ = [
+    "COMMANDS",
+    "RESULTS",
+    "AbsolveRequest",
+    "BeginMoves",
+    "CancelMoves",
+    "CancelStop",
+    "Command",
+    "DeclareService",
+    "Done",
+    "FinishMoves",
+    "ForgetServer",
+    "LiftQuarantine",
+    "MergeRanges",
+    "Move",
+    "MoveRef",
+    "PlanStop",
+    "PutContract",
+    "RegisterServer",
+    "Result",
+    "SplitRange",
+    "StrikeRequest",
+]
+
+
+class DeclareService(NamedTuple):
+    """Divide the key space of a service into equal ranges without an owner."""
+
+    service: str
+    range_count: int
+
+
+class RegisterServer(NamedTuple):
+    """Add a backend server, or a later incarnation or address of it."""
+
+    server: ServerRow
+
+
+class ForgetServer(NamedTuple):
+    """Drop a server that has been gone for long and owns nothing."""
+
+    holder: str
+
+
+class Move(NamedTuple):
+    """Give a range, still at ``epoch``, to another holder.
+
+    ``lost`` tells that the owner's grant has run out.
+    """
+
+    service: str
+    low: int
+    epoch: int
+    target: str
+    lost: bool
+
+
+class MoveRef(NamedTuple):
+    """A move under way, named by the revision at which it began."""
+
+    service: str
+    low: int
+    revision: int
+
+    @property
+    def ref(self) -> RangeRef:
+        """Return the name of the range."""
+        return RangeRef(self.service, self.low)
+
+
+class BeginMoves(NamedTuple):
+    """Stop dispatching ranges, in order to change their owners."""
+
+    moves: tuple[Move, ...]
+
+
+class FinishMoves(NamedTuple):
+    """Give ranges to the targets of their moves, under a new epoch."""
+
+    moves: tuple[MoveRef, ...]
+
+
+class CancelMoves(NamedTuple):
+    """Leave ranges with their owners, under the old epoch."""
+
+    moves: tuple[MoveRef, ...]
+
+
+class SplitRange(NamedTuple):
+    """Split an active range so that a new one begins at ``middle``."""
+
+    service: str
+    low: int
+    middle: int
+
+
+class MergeRanges(NamedTuple):
+    """Join an active range with its next neighbour of the same owner."""
+
+    service: str
+    low: int
+
+
+class PutContract(NamedTuple):
+    """Create or change a contract if its version is the expected one (0: none)."""
+
+    change_id: str
+    operator: str
+    expected_version: int
+    contract: Contract
+
+
+class PlanStop(NamedTuple):
+    """Move all ranges away from a server that is going to stop."""
+
+    change_id: str
+    operator: str
+    server: str
+
+
+class CancelStop(NamedTuple):
+    """Let a server keep and get ranges again."""
+
+    change_id: str
+    operator: str
+    server: str
+
+
+class StrikeRequest(NamedTuple):
+    """Note that a server was lost while a request was in flight to it."""
+
+    fingerprint: str
+    customer: str
+    method: str
+    target: str
+    holder: str
+    now_ms: int
+
+
+class AbsolveRequest(NamedTuple):
+    """Note that a suspect request has run without harm."""
+
+    fingerprint: str
+
+
+class LiftQuarantine(NamedTuple):
+    """Let a quarantined request run again."""
+
+    change_id: str
+    operator: str
+    fingerprint: str
+
+
+class Done(NamedTuple):
+    """A command that was carried out; ``version`` is a contract's, or 0."""
+
+    revision: int
+    version: int = 0
+
+
+Command = (
+    DeclareService
+    | RegisterServer
+    | ForgetServer
+    | BeginMoves
+    | FinishMoves
+    | CancelMoves
+    | SplitRange
+    | MergeRanges
+    | PutContract
+    | PlanStop
+    | CancelStop
+    | StrikeRequest
+    | AbsolveRequest
+    | LiftQuarantine
+)
+
+Result = Done | Refusal
+
+COMMANDS: Final = Codec(
+    [
+        DeclareService,
+        RegisterServer,
+        ForgetServer,
+        BeginMoves,
+        FinishMoves,
+        CancelMoves,
+        SplitRange,
+        MergeRanges,
+        PutContract,
+        PlanStop,
+        CancelStop,
+        StrikeRequest,
+        AbsolveRequest,
+        LiftQuarantine,
+    ]
+)
+
+RESULTS: Final = Codec([Done, Refusal])
--- /dev/null
+++ b/src/dragonflyrock/control/const.py
@@ -0,0 +1,11 @@
+"""Limits of the control state."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_REMEMBERED_CHANGES: Final = 10_000
+MAX_SUSPECTS: Final = 1_000
+SUSPECT_MS: Final = 60_000
+QUARANTINE_STRIKES: Final = 2
+QUARANTINE_MS: Final = 3_600_000
--- /dev/null
+++ b/src/dragonflyrock/control/member.py
@@ -0,0 +1,327 @@
+"""A member of the control group and of the ledger groups, in a daemon."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Final, NamedTuple
+
+from ..codec import Codec, CodecError
+from ..consensus import Group, Member, Role, membership
+from ..errors import Reason, Refusal, Step
+from ..ledger.commands import LEDGER_COMMANDS, LEDGER_RESULTS
+from ..observe import EventRing
+from ..observe.metrics import Metrics
+from ..transport.messages import (
+    CONSENSUS,
+    CallAnswer,
+    CallRequest,
+    ConsensusMessage,
+    HostRenew,
+    LinkMessage,
+)
+from . import calls
+from . import commands as c
+from .leader import (
+    ControlLeader,
+    Effect,
+    ProposeCommand,
+    PushGrants,
+    PushUpdate,
+    ServicePolicy,
+)
+from .pusher import GrantPusher
+from .reports import list_contracts, read_status
+from .state import ControlState
+from .tables import LeaderTiming
+
+__all__ = ["CONTROL_GROUP", "ControlMember", "MemberConfig"]
+
+_LOGGER = logging.getLogger(__name__)
+
+CONTROL_GROUP: Final = "control"
+
+Send = Callable[[str, LinkMessage], object]
+Post = Callable[[Callable[[], None]], None]
+
+
+class MemberConfig(NamedTuple):
+    """What a member needs of the settings."""
+
+    name: str
+    services: Mapping[str, ServicePolicy]
+    timing: LeaderTiming
+
+
+class ControlMember:
+    """Groups on this host, and the leader's duties while it leads control."""
+
+    def __init__(
+        self,
+        config: MemberConfig,
+        groups: dict[str, Group],
+        state: ControlState,
+        events: EventRing,
+        metrics: Metrics,
+        send: Send,
+        post: Post,
+        clock: Callable[[], float],
+    ) -> None:
+        """Take the opened groups, of which one is control."""
+        self._config = config
+        self._groups = groups
+        self._control = groups[CONTROL_GROUP]
+        self._state = state
+        self._events = events
+        self._metrics = metrics
+        self._send = send
+        self._clock = clock
+        self._leader: ControlLeader | None = None
+        self._pushed_revision = 0
+        self._pusher = GrantPusher(
+            lambda holder, revision: post(partial(self._acknowledge, holder, revision)),
+            lambda: self._control.is_settled_leader(clock()),
+        )
+
+    # Messages
+
+    def receive_consensus(
+        self, sender: str, message: ConsensusMessage, now: float
+    ) -> None:
+        """Take a message of a group."""
+        group = self._groups.get(message.group)
+        if group is None:
+            return
+        try:
+            body = CONSENSUS.decode(message.body)
+        except CodecError as error:
+            self._metrics.dropped_frames.inc()
+            _LOGGER.warning("step=consensus peer=%s: dropped: %s", sender, error)
+            return
+        member = Member(sender, message.sender_identity)
+        group.receive(member, message.target_identity, body, now)
+
+    def receive_renew(self, renew: HostRenew, now: float) -> None:
+        """Renew an entry host's lease, if this member leads."""
+        leader = self._settled_leader(now)
+        if leader is None:
+            return
+        update = leader.renew_host(renew, self._control.applied, now)
+        self._send(renew.host, update)
+
+    def receive_call(self, sender: str, request: CallRequest, now: float) -> None:
+        """Answer a call, or tell who leads the group."""
+        group = self._groups.get(request.group)
+        if group is None or not group.is_settled_leader(now):
+            leader = group.replica.leader if group else ""
+            self._send(sender, CallAnswer(request.call_id, True, leader, b""))
+            return
+        answer = partial(self._answer, sender, request.call_id)
+        try:
+            body = calls.CALLS.decode(request.body)
+        except CodecError as error:
+            refusal = Refusal(Reason.BAD_REQUEST, Step.PARSE, sender, str(error))
+            answer(calls.CALLS.encode(refusal))
+            return
+        if isinstance(body, calls.Propose):
+            self._propose(group, body.command, sender, request.call_id)
+        elif isinstance(body, calls.Announcement):
+            answer(calls.CALLS.encode(self._announce(body, now)))
+        else:
+            answer(calls.CALLS.encode(self._carry_out(group, body, now)))
+
+    def _answer(self, sender: str, call_id: int, body: bytes) -> None:
+        """Send an answer."""
+        self._send(sender, CallAnswer(call_id, False, self._config.name, body))
+
+    def _propose(self, group: Group, command: bytes, sender: str, call_id: int) -> None:
+        """Commit a command and answer with its result."""
+        codec = RESULT_CODECS.get(group.name, LEDGER_RESULTS)
+        try:
+            _check_command(group.name, command)
+        except CodecError as error:
+            refusal = Refusal(Reason.BAD_REQUEST, Step.COMMIT, sender, str(error))
+            self._answer(sender, call_id, codec.encode(refusal))
+            return
+
+        def notify(result: object) -> None:
+            if result is None:
+                # Whether it is committed is open; the caller sends it again.
+                self._send(sender, CallAnswer(call_id, True, "", b""))
+            else:
+                self._answer(sender, call_id, codec.encode(result))
+
+        group.propose(command, notify)
+
+    def _announce(
+        self, announcement: calls.Announcement, now: float
+    ) -> calls.GrantSet | Refusal:
+        """Answer a backend server's announcement."""
+        leader = self._settled_leader(now)
+        if leader is None:
+            return Refusal(Reason.NO_LEADER, Step.ANNOUNCE, self._config.name)
+        answer, effects = leader.announce(announcement, now)
+        self._run(effects)
+        return answer
+
+    def _carry_out(self, group: Group, body: object, now: float) -> object:
+        """Answer the calls that change no state machine."""
+        replica = group.replica
+        match body:
+            case calls.ReadStatus() if self._leader is not None:
+                return read_status(group, self._state, self._leader, now)
+            case calls.ListContracts(customer) if self._leader is not None:
+                hosts = self._leader.live_hosts(now)
+                return list_contracts(self._state, customer, hosts)
+            case calls.ListRanges(service):
+                return calls.RangeList(tuple(self._state.ranges.of_service(service)))
+            case calls.ListQuarantines():
+                return calls.QuarantineList(tuple(self._state.quarantines.values()))
+            case calls.AddMember(name):
+                return _member_changed(membership.add_learner(replica, name))
+            case calls.RemoveMember(name):
+                return _member_changed(membership.remove_member(replica, name))
+            case calls.HandOverLeadership():
+                asked = membership.hand_over_leadership(replica, now)
+                if asked:
+                    return calls.MemberChanged(replica.log.last_index)
+                detail = "no other voter has caught up"
+                return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, detail=detail)
+        return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail="not a call")
+
+    def _acknowledge(self, holder: str, revision: int) -> None:
+        """Note that a pushed grant arrived."""
+        if self._leader is not None:
+            self._leader.acknowledge(holder, revision)
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Let time pass for the groups and the leader's duties."""
+        for group in self._groups.values():
+            group.tick(now)
+            leading = group.replica.role == Role.LEADER
+            self._metrics.leading.labels(group.name).set(leading)
+        leader = self._settled_leader(now)
+        if leader is not None:
+            self._run(leader.tick(now))
+
+    def flush(self, now: float) -> None:
+        """Persist, send and apply; then tell the entry hosts what changed."""
+        for group in self._groups.values():
+            for item in group.flush(now):
+                message = ConsensusMessage(
+                    group.name,
+                    group.replica.me.identity,
+                    item.identity,
+                    CONSENSUS.encode(item.message),
+                )
+                self._send(item.peer, message)
+        leader = self._settled_leader(now)
+        if leader is not None and self._state.revision > self._pushed_revision:
+            self._pushed_revision = self._state.revision
+            self._run(leader.push_updates(self._control.applied, now))
+            self._run(leader.tick(now))
+
+    def hand_over(self, now: float) -> None:
+        """Hand over the leadership of every group before a stop."""
+        for group in self._groups.values():
+            membership.hand_over_leadership(group.replica, now)
+
+    def close(self) -> None:
+        """Close the groups' data folders."""
+        self._pusher.close()
+        for group in self._groups.values():
+            self._metrics.log_syncs.labels(group.name).set(group.sync_count)
+            group.close()
+
+    def _settled_leader(self, now: float) -> ControlLeader | None:
+        """Return the duties while this member leads with a live lease."""
+        replica = self._control.replica
+        if replica.role != Role.LEADER:
+            self._leader = None
+            return None
+        if not self._control.is_settled_leader(now):
+            return None
+        term = replica.hard.term
+        if self._leader is None or self._leader.term != term:
+            self._events.add("leader-elected", detail=f"term {term}")
+            _LOGGER.info("leads control in term %d", term)
+            self._leader = ControlLeader(
+                self._config.name,
+                term,
+                self._state,
+                self._config.services,
+                self._config.timing,
+                self._events,
+                now,
+            )
+            self._pushed_revision = 0
+        return self._leader
+
+    def _run(self, effects: list[Effect]) -> None:
+        """Carry out what the duties ask for."""
+        for effect in effects:
+            match effect:
+                case ProposeCommand(command):
+                    self._propose_own(command)
+                case PushUpdate(host, update):
+                    self._send(host, update)
+                case PushGrants(server, grants):
+                    self._pusher.push(server, grants)
+
+    def _propose_own(self, command: c.Command) -> None:
+        """Commit a command of the leader's own."""
+        leader = self._leader
+        assert leader is not None
+        self._note_moves(command)
+
+        def notify(result: object) -> None:
+            leader.settle(ControlLeader.name_proposal(command))
+            if isinstance(result, Refusal):
+                _LOGGER.info("refused: %s: %s", command, result.detail)
+
+        if not self._control.propose(c.COMMANDS.encode(command), notify):
+            leader.settle(ControlLeader.name_proposal(command))
+
+    def _note_moves(self, command: c.Command) -> None:
+        """Show moves in the time line and the metrics."""
+        match command:
+            case c.BeginMoves(moves):
+                for move in moves:
+                    cause = "lost" if move.lost else "planned"
+                    self._metrics.moves.labels(move.service, cause).inc()
+                    self._events.add(
+                        "move-begun",
+                        service=move.service,
+                        range_low=move.low,
+                        server=move.target,
+                        detail=cause,
+                    )
+            case c.FinishMoves(moves) | c.CancelMoves(moves):
+                finished = isinstance(command, c.FinishMoves)
+                kind = "move-finished" if finished else "move-cancelled"
+                for ref in moves:
+                    self._events.add(kind, service=ref.service, range_low=ref.low)
+
+
+RESULT_CODECS: Final[dict[str, Codec]] = {CONTROL_GROUP: c.RESULTS}
+
+
+def _check_command(group: str, payload: bytes) -> None:
+    """Refuse what the state machine could not decode or a caller may not send."""
+    if group != CONTROL_GROUP:
+        LEDGER_COMMANDS.decode(payload)
+        return
+    match c.COMMANDS.decode(payload):
+        case c.PutContract() | c.PlanStop() | c.CancelStop() | c.LiftQuarantine():
+            return
+        case c.StrikeRequest() | c.AbsolveRequest():
+            return
+    raise CodecError("only the leader may propose this command")
+
+
+def _member_changed(result: int | Refusal) -> calls.MemberChanged | Refusal:
+    """Return the answer to a change of members."""
+    return calls.MemberChanged(result) if isinstance(result, int) else result
--- /dev/null
+++ b/src/dragonflyrock/control/pusher.py
@@ -0,0 +1,81 @@
+"""Pushing grants to backend servers over HTTP."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+import msgspec
+import urllib3
+
+from ..models import ServerRow
+from .calls import GrantSet
+
+__all__ = ["GrantPusher", "encode_grants"]
+
+_LOGGER = logging.getLogger(__name__)
+
+PUSH_TIMEOUT_SECONDS: Final = 0.5
+PUSH_THREADS: Final = 16
+
+Acknowledge = Callable[[str, int], None]
+
+
+def encode_grants(grants: GrantSet) -> bytes:
+    """Return the JSON object that a backend server gets.
+
+    Its fields are those of ``GrantSet``; ``ranges`` is an array of objects.
+    """
+    fields = grants._asdict()
+    fields["ranges"] = [item._asdict() for item in grants.ranges]
+    return msgspec.json.encode(fields)
+
+
+class GrantPusher:
+    """Send grants in threads; an acknowledgement is reported with its revision.
+
+    ``may_send`` is asked right before each push, so that a leader whose lease
+    has ended sends nothing that it had queued before.
+    """
+
+    def __init__(self, acknowledge: Acknowledge, may_send: Callable[[], bool]) -> None:
+        """Start the threads."""
+        self._acknowledge = acknowledge
+        self._may_send = may_send
+        self._threads = ThreadPoolExecutor(PUSH_THREADS, "grant-push")
+        self._pool = urllib3.PoolManager(
+            num_pools=PUSH_THREADS * 16, maxsize=1, retries=False
+        )
+
+    def push(self, server: ServerRow, grants: GrantSet) -> None:
+        """Queue the grants of a server."""
+        self._threads.submit(self._put, server, grants)
+
+    def close(self) -> None:
+        """Stop the threads and close the connections."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+        self._pool.clear()
+
+    def _put(self, server: ServerRow, grants: GrantSet) -> None:
+        """Send the grants and report whether the server took them."""
+        if not self._may_send():
+            return
+        try:
+            answer = self._pool.request(
+                "PUT",
+                f"http://{server.address}/grants",
+                body=encode_grants(grants),
+                headers={"Content-Type": "application/json"},
+                timeout=PUSH_TIMEOUT_SECONDS,
+                redirect=False,
+            )
+            held = json.loads(answer.data).get("revision", 0)
+        except (urllib3.exceptions.HTTPError, ValueError, AttributeError) as error:
+            # The next announcement carries the grants again.
+            _LOGGER.debug("step=grant peer=%s: %s", server.holder, error)
+            return
+        if answer.status == 200 and isinstance(held, int):
+            self._acknowledge(server.holder, held)
--- /dev/null
+++ b/src/dragonflyrock/control/tables.py
@@ -0,0 +1,76 @@
+"""Rows that only the leader keeps; a new leader learns them anew."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from ..models import RangeRef, ServerRow
+from .calls import GrantedRange
+
+__all__ = ["NEVER", "GrantRow", "HostRow", "LeaderTables", "LeaderTiming", "LoadRow"]
+
+NEVER: Final = float("-inf")
+
+
+class LeaderTiming(NamedTuple):
+    """Leases and waits, in seconds; ``drift`` is a share of a lease."""
+
+    entry_lease: float = 1.5
+    grant: float = 1.5
+    announce: float = 0.4
+    drift: float = 0.02
+    drain_limit: float = 0.25
+    longest_deadline: float = 30.0
+    move_pause: float = 0.5
+    forget_server: float = 60.0
+
+    def outlast(self, lease: float) -> float:
+        """Return how long the giver of a lease must wait for its end."""
+        return lease * (1 + self.drift)
+
+
+class HostRow(NamedTuple):
+    """An entry host; ``lease_until`` is by the leader's clock, with the drift."""
+
+    name: str
+    zone: str
+    link: str
+    operators: str
+    lease_until: float
+    revision: int
+    draining: frozenset[RangeRef]
+
+
+class GrantRow(NamedTuple):
+    """What a holder was granted; a set is acknowledged by its revision."""
+
+    server: ServerRow
+    lease_until: float
+    heard_at: float
+    sequence: int
+    ready: bool
+    load: float
+    revision: int
+    acked_revision: int
+    ranges: tuple[GrantedRange, ...]
+
+
+class LoadRow(NamedTuple):
+    """The load of a range: busy milliseconds a second, smoothed."""
+
+    busy_ms: float
+    moved_at: float
+
+
+@dataclass(slots=True)
+class LeaderTables:
+    """Everything that a leader knows besides the replicated state."""
+
+    hosts: dict[str, HostRow] = field(default_factory=dict)
+    grants: dict[str, GrantRow] = field(default_factory=dict)
+    loads: dict[RangeRef, LoadRow] = field(default_factory=dict)
+    load_window: dict[RangeRef, float] = field(default_factory=dict)
+    window_started_at: float = NEVER
+    revoking: dict[RangeRef, int] = field(default_factory=dict)
+    move_started: dict[RangeRef, tuple[int, float]] = field(default_factory=dict)
--- /dev/null
+++ b/src/dragonflyrock/entry/agent.py
@@ -0,0 +1,89 @@
+"""The entry host's side of its lease: renewals, acknowledgements, loads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from ..transport.messages import HostRenew, HostUpdate
+from .gate import Gate
+
+__all__ = ["AgentConfig", "EntryAgent"]
+
+Send = Callable[[str, HostRenew], object]
+
+LEADER_SILENCE_RENEWALS: Final = 2
+DRAIN_POLL_SECONDS: Final = 0.05
+
+
+class AgentConfig(NamedTuple):
+    """Who this host is; ``renew`` is the time between renewals in seconds."""
+
+    host: str
+    zone: str
+    link: str
+    operators: str
+    voters: tuple[str, ...]
+    renew: float
+
+
+class EntryAgent:
+    """Renew the lease and tell the leader what has drained."""
+
+    def __init__(
+        self, config: AgentConfig, gate: Gate, send: Send, clock: Callable[[], float]
+    ) -> None:
+        """Renew at the first tick."""
+        self._config = config
+        self._gate = gate
+        self._send = send
+        self._clock = clock
+        self._leader = ""
+        self._heard_at = float("-inf")
+        self._renewed_at = float("-inf")
+        self._urgent = True
+        self._was_draining = False
+
+    def receive(self, update: HostUpdate, now: float) -> None:
+        """Apply an update, and acknowledge new rows at once."""
+        self._leader = update.leader
+        self._heard_at = now
+        if self._gate.apply(update):
+            self._urgent = True
+
+    def hurry(self) -> None:
+        """Renew at the next tick, since something has drained."""
+        self._urgent = True
+
+    def tick(self, now: float) -> None:
+        """Renew when it is due."""
+        pause = self._config.renew
+        if self._was_draining:
+            pause = min(pause, DRAIN_POLL_SECONDS)
+        if self._urgent or now - self._renewed_at >= pause:
+            self.renew(now, leaving=False)
+
+    def renew(self, now: float, *, leaving: bool) -> None:
+        """Send a renewal to the leader, or to all voters when none is known."""
+        self._urgent = False
+        self._renewed_at = now
+        draining = self._gate.draining()
+        self._was_draining = bool(draining)
+        config = self._config
+        message = HostRenew(
+            config.host,
+            config.zone,
+            config.link,
+            config.operators,
+            now,
+            self._gate.tables.revision,
+            draining,
+            self._gate.take_loads(),
+            leaving,
+        )
+        silence = LEADER_SILENCE_RENEWALS * config.renew
+        if self._leader and now - self._heard_at < silence:
+            self._send(self._leader, message)
+            return
+        for voter in config.voters:
+            self._send(voter, message)
--- /dev/null
+++ b/src/dragonflyrock/entry/callers.py
@@ -0,0 +1,303 @@
+"""The callers' port: parse, authenticate, admit, dispatch, answer."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+import threading
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+from urllib.parse import unquote
+
+from ..errors import Outcome, Reason, Refusal, Step
+from ..hashing import hash_key
+from ..models import ContractRow
+from ..observe.metrics import Metrics
+from .admission import Admission
+from .dispatch import Dispatcher
+from .forward import HOP_HEADERS, Answer
+from .gate import Gate
+from .problem import Environ, StartResponse, problem_answer, status_line
+from .request import CallerRequest, make_fingerprint
+from .reservation import Reservations
+
+__all__ = ["CallersApp", "CallersConfig"]
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_KEY_LENGTH: Final = 1024
+MAX_IDEMPOTENCY_KEY_LENGTH: Final = 256
+OWN_HEADERS: Final = frozenset(
+    (
+        "authorization",
+        "idempotency-key",
+        "x-request-timeout-ms",
+        "x-request-id",
+        "x-grant-epoch",
+    )
+)
+STOPPING_RETRY_MS: Final = 1000
+
+
+class CallersConfig(NamedTuple):
+    """What the port needs of the settings.
+
+    ``idempotent_methods`` is by service.
+    """
+
+    body_bytes: int
+    idempotent_methods: Mapping[str, frozenset[str]]
+
+
+class CallersApp:
+    """A WSGI application; each request runs in a thread of the server."""
+
+    def __init__(
+        self,
+        config: CallersConfig,
+        gate: Gate,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        reservations: Reservations,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        """Answer from the gate's tables."""
+        self._config = config
+        self._gate = gate
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._reservations = reservations
+        self._metrics = metrics
+        self._clock = clock
+        self._active = 0
+        self._stopping = False
+        self._idle = threading.Condition()
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        started = self._clock()
+        request_id = uuid.uuid4().hex
+        if not self._begin():
+            refusal = Refusal(
+                Reason.STOPPING, Step.PARSE, retry_after_ms=STOPPING_RETRY_MS
+            )
+            return problem_answer(refusal, start_response, request_id)
+        service = "unknown"
+        result: Answer | Refusal
+        try:
+            request = self._parse(environ, request_id, started)
+            if isinstance(request, Refusal):
+                result = request
+            else:
+                service = request.service
+                result = self._run(request)
+        except Exception:
+            _LOGGER.exception("step=answer request=%s: internal error", request_id)
+            result = Refusal(Reason.INTERNAL, Step.ANSWER, outcome=Outcome.UNKNOWN)
+        finally:
+            self._end()
+        self._measure(service, result, started)
+        return _answer(result, start_response, request_id)
+
+    def stop(self, timeout: float) -> bool:
+        """Take no new request; return whether all in flight ended in time."""
+        with self._idle:
+            self._stopping = True
+            return self._idle.wait_for(lambda: self._active == 0, timeout)
+
+    def _begin(self) -> bool:
+        """Count a request, unless this host is stopping."""
+        with self._idle:
+            if self._stopping:
+                return False
+            self._active += 1
+            return True
+
+    def _end(self) -> None:
+        """Count a request out."""
+        with self._idle:
+            self._active -= 1
+            self._idle.notify_all()
+
+    def _measure(self, service: str, result: Answer | Refusal, started: float) -> None:
+        """Add an answer to the metrics."""
+        outcome, reason = Outcome.COMPLETED, ""
+        if isinstance(result, Refusal):
+            outcome, reason = result.outcome, result.reason
+        self._metrics.requests.labels(service, outcome, reason).inc()
+        elapsed = self._clock() - started
+        self._metrics.request_seconds.labels(service).observe(elapsed)
+
+    def _run(self, request: CallerRequest) -> Answer | Refusal:
+        """Admit a request and have it run, through the ledger where it has a key."""
+        held = self._gate.find_quarantine(request.fingerprint)
+        if held is not None and held.refused:
+            detail = f"fingerprint {held.fingerprint}"
+            return Refusal(Reason.QUARANTINED, Step.ADMIT, detail=detail)
+        refusal = self._admission.admit(request.contract)
+        if refusal is not None:
+            return refusal
+        try:
+            if request.idempotency_key:
+                return self._reservations.run(request, self._dispatcher.dispatch)
+            return self._dispatcher.dispatch(request)
+        finally:
+            self._admission.release(request.contract.contract.customer)
+
+    def _parse(
+        self, environ: Environ, request_id: str, started: float
+    ) -> CallerRequest | Refusal:
+        """Return a checked and authenticated request."""
+        row = self._authenticate(environ.get("HTTP_AUTHORIZATION", ""))
+        if isinstance(row, Refusal):
+            return row
+        target = environ["REQUEST_URI"]
+        parts = target.partition("?")[0].split("/")
+        if len(parts) < 3 or not parts[1] or not parts[2]:
+            return _bad_request("the path must be /{service}/{key}")
+        service, key = parts[1], unquote(parts[2])
+        if len(key) > MAX_KEY_LENGTH:
+            return _bad_request(f"the key is longer than {MAX_KEY_LENGTH}")
+        if service not in row.contract.services:
+            if not self._gate.has_service(service):
+                return Refusal(Reason.UNKNOWN_SERVICE, Step.LOCATE, detail=service)
+            return Refusal(Reason.SERVICE_NOT_IN_CONTRACT, Step.ADMIT, detail=service)
+        deadline = self._find_deadline(environ, row, started)
+        if isinstance(deadline, Refusal):
+            return deadline
+        body = self._read_body(environ, row)
+        if isinstance(body, Refusal):
+            return body
+        return self._make_request(
+            environ, request_id, row, service, key, target, body, deadline
+        )
+
+    def _make_request(
+        self,
+        environ: Environ,
+        request_id: str,
+        row: ContractRow,
+        service: str,
+        key: str,
+        target: str,
+        body: bytes,
+        deadline: float,
+    ) -> CallerRequest | Refusal:
+        """Put a request together."""
+        method = environ["REQUEST_METHOD"]
+        idempotency_key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        if len(idempotency_key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+            return _bad_request("Idempotency-Key is too long")
+        allowed = self._config.idempotent_methods.get(service, frozenset())
+        customer = row.contract.customer
+        return CallerRequest(
+            request_id,
+            service,
+            key,
+            hash_key(key),
+            method,
+            target,
+            _forwarded_headers(environ),
+            body,
+            idempotency_key,
+            method in allowed,
+            row,
+            make_fingerprint(customer, method, target, body),
+            deadline,
+        )
+
+    def _authenticate(self, header: str) -> ContractRow | Refusal:
+        """Return the contract of a bearer token."""
+        scheme, _, token = header.partition(" ")
+        if scheme.lower() != "bearer" or not token:
+            return Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
+        digest = hashlib.sha256(token.encode("latin-1", "replace")).hexdigest()
+        row = self._gate.tables.find_customer(digest)
+        if row is None:
+            if self._gate.lease_left() <= 0:
+                # A contract that this host has not yet heard of may exist.
+                return Refusal(
+                    Reason.LEASE_LAPSED,
+                    Step.AUTHENTICATE,
+                    retry_after_ms=STOPPING_RETRY_MS,
+                )
+            return Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
+        known = row.contract.token_sha256
+        if not any(hmac.compare_digest(digest, one) for one in known):
+            return Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
+        return row
+
+    @staticmethod
+    def _find_deadline(
+        environ: Environ, row: ContractRow, started: float
+    ) -> float | Refusal:
+        """Return the time by which the caller wants an answer."""
+        limit_ms = row.contract.deadline_ms
+        text = environ.get("HTTP_X_REQUEST_TIMEOUT_MS", "")
+        if not text:
+            return started + limit_ms / 1000
+        if not text.isascii() or not text.isdecimal() or not 0 < int(text[:12]) < 10**9:
+            return _bad_request("X-Request-Timeout-Ms must be milliseconds")
+        return started + min(int(text[:12]), limit_ms) / 1000
+
+    def _read_body(self, environ: Environ, row: ContractRow) -> bytes | Refusal:
+        """Read a body within the bounds of the contract and of this host."""
+        limit = min(row.contract.body_bytes, self._config.body_bytes)
+        text = environ.get("CONTENT_LENGTH", "")
+        chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+        if not text and not chunked:
+            return b""
+        if text and (not text.isascii() or not text.isdecimal()):
+            return _bad_request("Content-Length must be a number")
+        if text and int(text[:18]) > limit:
+            return _too_large(limit)
+        length = int(text) if text else limit + 1
+        body: bytes = environ["wsgi.input"].read(length)
+        if len(body) > limit:
+            return _too_large(limit)
+        if text and len(body) < length:
+            return _bad_request("the body is shorter than its length")
+        return body
+
+
+def _bad_request(detail: str) -> Refusal:
+    """Return a refusal of a malformed request."""
+    return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=detail)
+
+
+def _too_large(limit: int) -> Refusal:
+    """Return a refusal of a large body."""
+    return Refusal(Reason.BODY_TOO_LARGE, Step.ADMIT, detail=f"body_bytes {limit}")
+
+
+def _forwarded_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+    """Return the headers that go to the backend server."""
+    headers = []
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            header = name[5:].replace("_", "-").lower()
+            if header not in HOP_HEADERS and header not in OWN_HEADERS:
+                headers.append((header, value))
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("content-type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _answer(
+    result: Answer | Refusal, start_response: StartResponse, request_id: str
+) -> Iterable[bytes]:
+    """Answer the caller."""
+    if isinstance(result, Refusal):
+        return problem_answer(result, start_response, request_id)
+    own = ("x-outcome", "x-request-id", "date", "server")
+    headers = [item for item in result.headers if item[0].lower() not in own]
+    headers.append(("Content-Length", str(len(result.body))))
+    headers.append(("X-Request-Id", request_id))
+    headers.append(("X-Outcome", Outcome.COMPLETED.value))
+    start_response(status_line(result.status), headers)
+    return [result.body]
--- /dev/null
+++ b/src/dragonflyrock/entry/dispatch.py
@@ -0,0 +1,137 @@
+"""Dispatching a request: locate, forward, retry within bounds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from ..errors import Outcome, Reason, Refusal, Step
+from ..observe import EventRing
+from ..observe.metrics import Metrics
+from ..systems.retries import (
+    RetryBudget,
+    RetryPolicy,
+    find_backoff,
+    is_moved,
+    may_retry,
+)
+from .forward import Answer, Forwarder, ServerRequest
+from .gate import Flight, Gate
+from .request import CallerRequest
+
+__all__ = ["Dispatcher"]
+
+MAX_MOVED_ATTEMPTS: Final = 200
+
+
+class Dispatcher:
+    """Bring requests to the owners of their keys."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        forwarder: Forwarder,
+        events: EventRing,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        random: Random,
+        strike: Callable[[CallerRequest, str], None],
+        absolve: Callable[[CallerRequest], None],
+    ) -> None:
+        """Report requests that lost their server, and suspects that did not."""
+        self._gate = gate
+        self._forwarder = forwarder
+        self._events = events
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._strike = strike
+        self._absolve = absolve
+        self._policy = RetryPolicy()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def dispatch(self, request: CallerRequest) -> Answer | Refusal:
+        """Return the owner's answer, or why there is none, as soon as it is known."""
+        contract = request.contract.contract
+        budget = self._budgets.setdefault(contract.customer, RetryBudget())
+        budget.earn(contract.retry_percent)
+        attempt = 0
+        moved = 0
+        while True:
+            result = self._attempt(request)
+            if isinstance(result, Answer):
+                return result
+            if not may_retry(result, idempotent=request.idempotent):
+                return result
+            if is_moved(result):
+                moved += 1
+                allowed = moved < MAX_MOVED_ATTEMPTS
+            else:
+                attempt += 1
+                allowed = attempt < self._policy.max_attempts and budget.spend()
+            pause = find_backoff(result, attempt, self._policy, self._random)
+            if not allowed or self._clock() + pause >= request.deadline:
+                return result
+            self._metrics.retries.labels(request.service).inc()
+            time.sleep(pause)
+
+    def _attempt(self, request: CallerRequest) -> Answer | Refusal:
+        """Dispatch once."""
+        flight = self._gate.enter(
+            request.service, request.key_hash, request.fingerprint, request.deadline
+        )
+        if isinstance(flight, Refusal):
+            return flight
+        self._note("dispatched", request, flight, f"epoch {flight.epoch}")
+        result: Answer | Refusal = Refusal(
+            Reason.INTERNAL, Step.DISPATCH, outcome=Outcome.UNKNOWN
+        )
+        try:
+            result = self._forwarder.forward(flight, self._server_request(request))
+        finally:
+            unknown = isinstance(result, Refusal) and result.outcome == Outcome.UNKNOWN
+            self._gate.leave(flight, may_still_run=unknown)
+        if isinstance(result, Refusal):
+            self._note("dispatch-failed", request, flight, result.reason)
+            self._follow_up(request, flight, result)
+        else:
+            self._note("answered", request, flight, str(result.status))
+            if self._gate.find_quarantine(request.fingerprint) is not None:
+                self._absolve(request)
+        return result
+
+    def _follow_up(
+        self, request: CallerRequest, flight: Flight, refusal: Refusal
+    ) -> None:
+        """Cancel what is late, and report a server lost under a request."""
+        if refusal.reason == Reason.DEADLINE and refusal.outcome == Outcome.UNKNOWN:
+            self._forwarder.cancel(flight, request.request_id)
+        if refusal.reason == Reason.CONNECTION_LOST:
+            self._strike(request, flight.server.holder)
+
+    @staticmethod
+    def _server_request(request: CallerRequest) -> ServerRequest:
+        """Return the request as it goes to a backend server."""
+        return ServerRequest(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            request.request_id,
+        )
+
+    def _note(
+        self, kind: str, request: CallerRequest, flight: Flight, detail: str
+    ) -> None:
+        """Show a step in the time line."""
+        self._events.add(
+            kind,
+            request=request.request_id,
+            service=request.service,
+            key=request.key,
+            range_low=flight.ref.low,
+            server=flight.server.holder,
+            detail=detail,
+        )
--- /dev/null
+++ b/src/dragonflyrock/entry/gate.py
@@ -0,0 +1,244 @@
+"""The gate between callers' threads and the ownership table.
+
+A request passes only while this host's lease lives and its range is not moving,
+and is then counted as in flight until it leaves. Both happen under one lock, so
+a range that is reported as drained has nothing in flight and gets nothing new.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from ..errors import Reason, Refusal, Step
+from ..models import QuarantineRow, RangeRef, RangeState, ServerRow
+from ..systems.leases import has_lapsed
+from ..transport.messages import HostUpdate, RangeLoad
+from .tables import EntryTables
+
+__all__ = ["Flight", "Gate"]
+
+LEASE_RETRY_MS: Final = 500
+OWNER_RETRY_MS: Final = 1000
+SLOT_RETRY_MS: Final = 200
+
+
+@dataclass(slots=True, eq=False)
+class Flight:
+    """One dispatch to a backend server; ``deadline`` is by this host's clock."""
+
+    ref: RangeRef
+    server: ServerRow
+    epoch: int
+    fingerprint: str
+    started_at: float
+    deadline: float
+    cancelled: bool = False
+    close: Callable[[], None] | None = None
+
+
+@dataclass(slots=True)
+class _Load:
+    """Dispatches of a range since the last report."""
+
+    requests: int = 0
+    busy_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class _Flights:
+    """What is in flight, by range and by holder.
+
+    ``suspects`` has the one suspect request that each holder may run at a time.
+    ``lingering`` are requests that were given up while a server that does not
+    check grants may still run them, until their deadlines.
+    """
+
+    by_ref: defaultdict[RangeRef, set[Flight]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    by_holder: defaultdict[str, int] = field(default_factory=lambda: defaultdict(int))
+    suspects: dict[str, str] = field(default_factory=dict)
+    lingering: list[tuple[RangeRef, float]] = field(default_factory=list)
+
+
+class Gate:
+    """The tables of an entry host and the requests that pass through it."""
+
+    def __init__(
+        self, clock: Callable[[], float], lease: float, max_waiting: int
+    ) -> None:
+        """Start without a lease; ``lease`` is in seconds."""
+        self.tables = EntryTables()
+        self._clock = clock
+        self._lease = lease
+        self._max_waiting = max_waiting
+        self._waiting = 0
+        self._changed = threading.Condition()
+        self._flights = _Flights()
+        self._loads: defaultdict[RangeRef, _Load] = defaultdict(_Load)
+        self.on_drained: Callable[[], None] = lambda: None
+
+    # The runtime's side
+
+    def apply(self, update: HostUpdate) -> bool:
+        """Apply an update; cancel what is in flight to lost owners."""
+        now = self._clock()
+        with self._changed:
+            changed = self.tables.apply(update, self._lease, now)
+            self._changed.notify_all()
+            doomed = self._find_doomed() if changed else []
+        for flight in doomed:
+            if flight.close is not None:
+                flight.close()
+        return changed
+
+    def _find_doomed(self) -> list[Flight]:
+        """Mark the flights of ranges whose owner was lost."""
+        doomed = [
+            flight
+            for ref in self.tables.lost_refs()
+            for flight in self._flights.by_ref.get(ref, ())
+            if not flight.cancelled
+        ]
+        for flight in doomed:
+            flight.cancelled = True
+        return doomed
+
+    def draining(self) -> tuple[RangeRef, ...]:
+        """Return the moving ranges that still have requests with their owners."""
+        now = self._clock()
+        with self._changed:
+            flights = self._flights
+            flights.lingering = [item for item in flights.lingering if item[1] > now]
+            busy = {ref for ref, _ in flights.lingering}
+            moving = self.tables.ranges.moving()
+            return tuple(
+                row.ref
+                for row in moving
+                if row.ref in busy or flights.by_ref.get(row.ref)
+            )
+
+    def take_loads(self) -> tuple[RangeLoad, ...]:
+        """Return the loads since the last call."""
+        with self._changed:
+            loads, self._loads = self._loads, defaultdict(_Load)
+        return tuple(
+            RangeLoad(ref.service, ref.low, load.requests, load.busy_ms)
+            for ref, load in loads.items()
+        )
+
+    def in_flight(self) -> int:
+        """Return the number of requests in flight."""
+        with self._changed:
+            return sum(len(flights) for flights in self._flights.by_ref.values())
+
+    def lease_left(self) -> float:
+        """Return the time left of the lease in seconds, not below 0."""
+        return max(0.0, self.tables.lease_until - self._clock())
+
+    # The callers' side
+
+    def find_quarantine(self, fingerprint: str) -> QuarantineRow | None:
+        """Return the quarantine of a request."""
+        with self._changed:
+            return self.tables.quarantines.get(fingerprint)
+
+    def has_service(self, service: str) -> bool:
+        """Return whether a service is known."""
+        with self._changed:
+            return service in self.tables.ranges.services
+
+    def enter(
+        self, service: str, key_hash: int, fingerprint: str, deadline: float
+    ) -> Flight | Refusal:
+        """Wait until the key's owner may be sent a request, and count it."""
+        with self._changed:
+            if self._waiting >= self._max_waiting:
+                return _refuse(Reason.OVERLOADED, SLOT_RETRY_MS, "too many wait")
+            self._waiting += 1
+            try:
+                return self._wait(service, key_hash, fingerprint, deadline)
+            finally:
+                self._waiting -= 1
+
+    def _wait(
+        self, service: str, key_hash: int, fingerprint: str, deadline: float
+    ) -> Flight | Refusal:
+        """Try until the request passes, cannot pass, or is late."""
+        while True:
+            now = self._clock()
+            if has_lapsed(self.tables.lease_until, now):
+                return _refuse(Reason.LEASE_LAPSED, LEASE_RETRY_MS)
+            if now >= deadline:
+                return _refuse(Reason.DEADLINE, 0, "the key's range is moving")
+            found = self._try_enter(service, key_hash, fingerprint, deadline, now)
+            if found is not None:
+                return found
+            until = min(deadline, self.tables.lease_until)
+            self._changed.wait(max(0.0, until - now))
+
+    def _try_enter(
+        self,
+        service: str,
+        key_hash: int,
+        fingerprint: str,
+        deadline: float,
+        now: float,
+    ) -> Flight | Refusal | None:
+        """Enter if the owner may be sent the request now; None to wait."""
+        row = self.tables.ranges.find(service, key_hash)
+        if row is None:
+            return Refusal(Reason.UNKNOWN_SERVICE, Step.LOCATE, detail=service)
+        if row.state != RangeState.ACTIVE:
+            return None
+        server = self.tables.holders.get(row.owner)
+        if server is None:
+            return _refuse(Reason.NO_OWNER, OWNER_RETRY_MS)
+        if self._flights.by_holder[row.owner] >= self._connection_share(server):
+            return None
+        if fingerprint in self.tables.quarantines:
+            # Two suspects on one server could not be told apart if it were lost.
+            if row.owner in self._flights.suspects:
+                return None
+            self._flights.suspects[row.owner] = fingerprint
+        flight = Flight(row.ref, server, row.epoch, fingerprint, now, deadline)
+        self._flights.by_ref[row.ref].add(flight)
+        self._flights.by_holder[row.owner] += 1
+        return flight
+
+    def _connection_share(self, server: ServerRow) -> int:
+        """Return how many of a server's connections this host may use."""
+        return max(1, server.connections // max(1, len(self.tables.hosts)))
+
+    def leave(self, flight: Flight, *, may_still_run: bool) -> None:
+        """End a flight; ``may_still_run`` tells that the server was not heard."""
+        now = self._clock()
+        with self._changed:
+            flights = self._flights
+            flights.by_ref[flight.ref].discard(flight)
+            if not flights.by_ref[flight.ref]:
+                del flights.by_ref[flight.ref]
+            flights.by_holder[flight.server.holder] -= 1
+            if not flights.by_holder[flight.server.holder]:
+                del flights.by_holder[flight.server.holder]
+            if flights.suspects.get(flight.server.holder) == flight.fingerprint:
+                del flights.suspects[flight.server.holder]
+            if may_still_run and not flight.server.checks_grants:
+                flights.lingering.append((flight.ref, flight.deadline))
+            load = self._loads[flight.ref]
+            load.requests += 1
+            load.busy_ms += (now - flight.started_at) * 1000
+            row = self.tables.ranges.get(flight.ref)
+            drained = row is not None and row.state != RangeState.ACTIVE
+            self._changed.notify_all()
+        if drained:
+            self.on_drained()
+
+
+def _refuse(reason: Reason, retry_after_ms: int, detail: str = "") -> Refusal:
+    """Return a refusal of a request that was not dispatched."""
+    return Refusal(reason, Step.LOCATE, "", detail, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/src/dragonflyrock/entry/operators.py
@@ -0,0 +1,284 @@
+"""The operators' port: calls of the command-line tool, as JSON."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Callable, Iterable
+from typing import Any, Final, NamedTuple
+from urllib.parse import parse_qs
+
+import msgspec
+
+from ..control import calls
+from ..control.commands import (
+    COMMANDS,
+    RESULTS,
+    CancelStop,
+    Command,
+    LiftQuarantine,
+    PlanStop,
+    PutContract,
+)
+from ..control.member import CONTROL_GROUP
+from ..errors import Reason, Refusal, Step
+from ..models import Contract
+from ..observe import Event, EventFilter, EventRing
+from .problem import Environ, StartResponse, problem_answer, status_line
+from .web import read_json_body
+
+__all__ = ["ContractBody", "OperatorsApp", "StopBody"]
+
+Call = Callable[[str, bytes, float], bytes | None]
+
+MAX_BODY_BYTES: Final = 1024 * 1024
+CALL_SECONDS: Final = 5.0
+MAX_EVENTS: Final = 20_000
+RETRY_MS: Final = 1000
+
+
+class ContractFields(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The JSON object of a contract; see ``Contract``."""
+
+    customer: str
+    token_sha256: tuple[str, ...]
+    services: tuple[str, ...]
+    requests_per_second: float
+    burst_requests: int
+    concurrent_requests: int
+    body_bytes: int
+    deadline_ms: int
+    retry_percent: float = 10.0
+
+
+class ContractBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The JSON object that puts a contract."""
+
+    change_id: str
+    operator: str
+    expected_version: int
+    contract: ContractFields
+
+
+class StopBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The JSON object of a change that names only its subject."""
+
+    change_id: str
+    operator: str
+
+
+class EventList(NamedTuple):
+    """Events of one host, oldest first."""
+
+    host: str
+    events: tuple[Event, ...]
+
+
+class OperatorsApp:
+    """A WSGI application that needs an operator's token."""
+
+    def __init__(
+        self, call: Call, token_sha256: tuple[str, ...], events: EventRing
+    ) -> None:
+        """Reach the control leader by ``call``."""
+        self._call = call
+        self._token_sha256 = token_sha256
+        self._events = events
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        if not self._is_operator(environ.get("HTTP_AUTHORIZATION", "")):
+            refusal = Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
+            return problem_answer(refusal, start_response)
+        result = self._route(environ)
+        if isinstance(result, Refusal):
+            return problem_answer(result, start_response)
+        body = msgspec.json.encode(_as_objects(result))
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(status_line(200), headers)
+        return [body]
+
+    def _is_operator(self, header: str) -> bool:
+        """Return whether the header has an operator's token."""
+        token = header.partition(" ")[2].encode("latin-1", "replace")
+        digest = hashlib.sha256(token).hexdigest()
+        matches = [hmac.compare_digest(digest, one) for one in self._token_sha256]
+        return any(matches)
+
+    def _route(self, environ: Environ) -> object:
+        """Carry out a call."""
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        match method, path.split("/")[1:]:
+            case "GET", ["status"]:
+                return self._ask(calls.ReadStatus())
+            case "GET", ["events"]:
+                return self._select_events(environ.get("QUERY_STRING", ""))
+            case "GET", ["contracts"]:
+                return self._ask(calls.ListContracts())
+            case "GET", ["contracts", customer]:
+                return self._ask(calls.ListContracts(customer))
+            case "PUT", ["contracts", customer]:
+                return self._put_contract(customer, environ)
+            case "GET", ["ranges", service]:
+                return self._ask(calls.ListRanges(service))
+            case "GET", ["quarantines"]:
+                return self._ask(calls.ListQuarantines())
+            case "DELETE", ["quarantines", fingerprint]:
+                return self._change(LiftQuarantine, fingerprint, environ)
+            case "PUT", ["stops", server]:
+                return self._change(PlanStop, server, environ)
+            case "DELETE", ["stops", server]:
+                return self._change(CancelStop, server, environ)
+            case "PUT", ["members", name]:
+                return self._ask(calls.AddMember(name))
+            case "DELETE", ["members", name]:
+                return self._ask(calls.RemoveMember(name))
+            case "POST", ["leadership"]:
+                return self._ask(calls.HandOverLeadership())
+        return Refusal(Reason.NOT_FOUND, Step.PARSE, detail=f"{method} {path}")
+
+    def _ask(self, call: object) -> object:
+        """Call the control leader."""
+        answer = self._call(CONTROL_GROUP, calls.CALLS.encode(call), CALL_SECONDS)
+        if answer is None:
+            return _no_leader()
+        return calls.CALLS.decode(answer)
+
+    def _propose(self, command: Command) -> object:
+        """Commit a change."""
+        propose = calls.Propose(COMMANDS.encode(command))
+        answer = self._call(CONTROL_GROUP, calls.CALLS.encode(propose), CALL_SECONDS)
+        if answer is None:
+            return _no_leader()
+        return RESULTS.decode(answer)
+
+    def _put_contract(self, customer: str, environ: Environ) -> object:
+        """Create or change a contract."""
+        fields = _decode(environ, ContractBody)
+        if isinstance(fields, Refusal):
+            return fields
+        problem = _check_contract(customer, fields)
+        if problem:
+            return Refusal(Reason.BAD_REQUEST, Step.PARSE, customer, problem)
+        return self._propose(
+            PutContract(
+                fields.change_id,
+                fields.operator,
+                fields.expected_version,
+                Contract(**msgspec.structs.asdict(fields.contract)),
+            )
+        )
+
+    def _change(
+        self,
+        kind: type[PlanStop] | type[CancelStop] | type[LiftQuarantine],
+        subject: str,
+        environ: Environ,
+    ) -> object:
+        """Commit a change that names only its subject."""
+        fields = _decode(environ, StopBody)
+        if isinstance(fields, Refusal):
+            return fields
+        return self._propose(kind(fields.change_id, fields.operator, subject))
+
+    def _select_events(self, query: str) -> EventList | Refusal:
+        """Return this host's events that pass the filter in the query."""
+        fields: dict[str, Any] = {
+            key: value[-1] for key, value in parse_qs(query).items()
+        }
+        try:
+            wanted = msgspec.convert(fields, _FilterBody, strict=False)
+        except msgspec.ValidationError as error:
+            return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=str(error))
+        chosen = EventFilter(
+            wanted.request,
+            wanted.key,
+            wanted.range_low,
+            wanted.server,
+            wanted.host,
+            wanted.since_ms,
+            wanted.until_ms,
+        )
+        found = self._events.select(chosen, min(wanted.limit, MAX_EVENTS))
+        return EventList(self._events.host, tuple(found))
+
+
+class _FilterBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The query of a call for events."""
+
+    request: str = ""
+    key: str = ""
+    range_low: int = -1
+    server: str = ""
+    host: str = ""
+    since_ms: int = 0
+    until_ms: int = 0
+    limit: int = 1000
+
+
+def _no_leader() -> Refusal:
+    """Return the refusal when no leader answered; the change may be committed."""
+    detail = "the change may have been accepted: send it again with its change id"
+    return Refusal(
+        Reason.NO_LEADER, Step.COMMIT, detail=detail, retry_after_ms=RETRY_MS
+    )
+
+
+def _decode(environ: Environ, kind: type[Any]) -> Any:
+    """Return the decoded body, or a refusal."""
+    body = read_json_body(environ, MAX_BODY_BYTES)
+    if body is None:
+        detail = f"a body of at most {MAX_BODY_BYTES} bytes is needed"
+        return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=detail)
+    try:
+        fields = msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=str(error))
+    if not fields.change_id or not fields.operator:
+        detail = "change_id and operator must not be empty"
+        return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=detail)
+    return fields
+
+
+def _check_contract(customer: str, fields: ContractBody) -> str:
+    """Return what is wrong with a contract, or an empty text."""
+    contract = fields.contract
+    if contract.customer != customer:
+        return f"contract.customer: found {contract.customer!r}; allowed: {customer!r}"
+    positive = (
+        ("requests_per_second", contract.requests_per_second),
+        ("burst_requests", contract.burst_requests),
+        ("concurrent_requests", contract.concurrent_requests),
+        ("deadline_ms", contract.deadline_ms),
+    )
+    for name, value in positive:
+        if not 0 < value < 10**9:
+            return f"contract.{name}: found {value!r}; allowed: more than 0"
+    if not 0 <= contract.body_bytes < 2**40:
+        return f"contract.body_bytes: found {contract.body_bytes!r}; allowed: 0 or more"
+    if not 0 <= contract.retry_percent <= 100:
+        found = contract.retry_percent
+        return f"contract.retry_percent: found {found!r}; allowed: 0 to 100"
+    if fields.expected_version < 0:
+        return f"expected_version: found {fields.expected_version}; allowed: 0 or more"
+    for token in contract.token_sha256:
+        if len(token) != 64 or not set(token) <= set("0123456789abcdef"):
+            return f"contract.token_sha256: found {token!r}; allowed: 64 hex digits"
+    return ""
+
+
+def _as_objects(record: object) -> object:
+    """Return records as JSON objects, named tuples within them too."""
+    if isinstance(record, tuple):
+        names = getattr(record, "_fields", None)
+        if names is None:
+            return [_as_objects(item) for item in record]
+        return {
+            name: _as_objects(value) for name, value in zip(names, record, strict=True)
+        }
+    return record
--- /dev/null
+++ b/src/dragonflyrock/entry/problem.py
@@ -0,0 +1,94 @@
+"""HTTP answers of the router itself: RFC 9457 problems."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, Final, TypedDict
+
+import msgspec
+
+from ..errors import Reason, Refusal
+
+__all__ = ["Environ", "Problem", "StartResponse", "problem_answer", "status_line"]
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+STATUSES: Final = {
+    Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    Reason.UNKNOWN_TOKEN: HTTPStatus.UNAUTHORIZED,
+    Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Reason.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Reason.SERVICE_NOT_IN_CONTRACT: HTTPStatus.FORBIDDEN,
+    Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.RATE_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.CONCURRENCY_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
+    Reason.BAD_ANSWER: HTTPStatus.BAD_GATEWAY,
+    Reason.IN_PROGRESS: HTTPStatus.CONFLICT,
+    Reason.NOT_RUN_AGAIN: HTTPStatus.CONFLICT,
+    Reason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.VERSION_CONFLICT: HTTPStatus.CONFLICT,
+    Reason.NOT_ALLOWED: HTTPStatus.CONFLICT,
+    Reason.OLD_INCARNATION: HTTPStatus.CONFLICT,
+    Reason.QUARANTINED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+class Problem(TypedDict):
+    """The JSON object of a problem."""
+
+    type: str
+    title: str
+    status: int
+    reason: str
+    outcome: str
+    step: str
+    peer: str
+    detail: str
+
+
+def status_line(status: int) -> str:
+    """Return the status with its phrase.
+
+    >>> status_line(404)
+    '404 Not Found'
+    """
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def problem_answer(
+    refusal: Refusal, start_response: StartResponse, request_id: str = ""
+) -> Iterable[bytes]:
+    """Answer a refusal, with Retry-After in whole seconds where waiting helps."""
+    status = STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    problem = Problem(
+        type="about:blank",
+        title=refusal.reason.replace("-", " "),
+        status=int(status),
+        reason=refusal.reason,
+        outcome=refusal.outcome,
+        step=refusal.step,
+        peer=refusal.peer,
+        detail=refusal.detail,
+    )
+    body = msgspec.json.encode(problem)
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        ("Content-Length", str(len(body))),
+        ("X-Outcome", refusal.outcome.value),
+    ]
+    if request_id:
+        headers.append(("X-Request-Id", request_id))
+    if refusal.retry_after_ms:
+        headers.append(("Retry-After", str(-(-refusal.retry_after_ms // 1000))))
+    if status == HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    start_response(status_line(status), headers)
+    return [body]
--- /dev/null
+++ b/src/dragonflyrock/entry/tables.py
@@ -0,0 +1,98 @@
+"""The rows of an entry host: its copy of the control state, and its lease."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from ..models import (
+    ContractRow,
+    Delta,
+    QuarantineRow,
+    RangeRef,
+    RangeState,
+    ServerRow,
+)
+from ..systems.leases import extend_held
+from ..tables import RangeTable
+from ..transport.messages import HostUpdate
+
+__all__ = ["EntryTables"]
+
+NEVER: Final = float("-inf")
+
+
+@dataclass(slots=True)
+class EntryTables:
+    """What an entry host knows; it never goes back to an earlier revision."""
+
+    revision: int = 0
+    lease_until: float = NEVER
+    leader: str = ""
+    hosts: tuple[str, ...] = ()
+    hosts_changed_at: float = NEVER
+    ranges: RangeTable = field(default_factory=RangeTable)
+    servers: dict[str, ServerRow] = field(default_factory=dict)
+    holders: dict[str, ServerRow] = field(default_factory=dict)
+    contracts: dict[str, ContractRow] = field(default_factory=dict)
+    customers: dict[str, str] = field(default_factory=dict)
+    quarantines: dict[str, QuarantineRow] = field(default_factory=dict)
+
+    def apply(self, update: HostUpdate, lease: float, now: float) -> bool:
+        """Apply an update; return whether rows changed.
+
+        An update that leaves a gap is ignored whole, its lease too: a lease must
+        not be held with rows that are older than it.
+        """
+        delta = update.delta
+        if not delta.full and delta.base > self.revision:
+            return False
+        changed = delta.revision > self.revision
+        if changed:
+            self._apply_rows(delta)
+        if update.lease_ms:
+            self.lease_until = extend_held(self.lease_until, update.sent_at, lease)
+        if update.hosts != self.hosts:
+            self.hosts = update.hosts
+            self.hosts_changed_at = now
+        self.leader = update.leader
+        return changed
+
+    def lost_refs(self) -> set[RangeRef]:
+        """Return the ranges whose owner was lost."""
+        moving = self.ranges.moving()
+        return {row.ref for row in moving if row.state == RangeState.LOST}
+
+    def find_customer(self, token_sha256: str) -> ContractRow | None:
+        """Return the contract that a token's hash belongs to."""
+        customer = self.customers.get(token_sha256)
+        return self.contracts.get(customer) if customer is not None else None
+
+    def _apply_rows(self, delta: Delta) -> None:
+        """Take over the rows of a delta."""
+        if delta.full:
+            self.ranges.clear()
+            self.servers.clear()
+            self.contracts.clear()
+            self.quarantines.clear()
+        for row in delta.ranges:
+            self.ranges.put(row)
+        for server in delta.servers:
+            self.servers[server.name] = server
+        for name in delta.removed_servers:
+            self.servers.pop(name, None)
+        for contract in delta.contracts:
+            self.contracts[contract.contract.customer] = contract
+        for quarantine in delta.quarantines:
+            self.quarantines[quarantine.fingerprint] = quarantine
+        for fingerprint in delta.lifted:
+            self.quarantines.pop(fingerprint, None)
+        if delta.full or delta.servers or delta.removed_servers:
+            self.holders = {row.holder: row for row in self.servers.values()}
+        if delta.full or delta.contracts:
+            self.customers = {
+                token: customer
+                for customer, row in self.contracts.items()
+                for token in row.contract.token_sha256
+            }
+        self.revision = delta.revision
--- /dev/null
+++ b/src/dragonflyrock/errors.py
@@ -0,0 +1,91 @@
+"""Errors as values: a reason, with the step and the peer at which it arose."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["DragonflyrockError", "Outcome", "Reason", "Refusal", "Step"]
+
+
+class Outcome(StrEnum):
+    """What is known of a request's execution on a backend server."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Step(StrEnum):
+    """The step of a request or an order at which an error arose."""
+
+    PARSE = "parse"
+    AUTHENTICATE = "authenticate"
+    ADMIT = "admit"
+    LOCATE = "locate"
+    RESERVE = "reserve"
+    DISPATCH = "dispatch"
+    ANSWER = "answer"
+    RECORD = "record"
+    COMMIT = "commit"
+    ANNOUNCE = "announce"
+
+
+class Reason(StrEnum):
+    """Why something was refused or failed."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_TOKEN = "unknown-token"
+    UNKNOWN_SERVICE = "unknown-service"
+    SERVICE_NOT_IN_CONTRACT = "service-not-in-contract"
+    BODY_TOO_LARGE = "body-too-large"
+    RATE_LIMIT = "rate-limit"
+    CONCURRENCY_LIMIT = "concurrency-limit"
+    LEASE_LAPSED = "lease-lapsed"
+    NO_OWNER = "no-owner"
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    REFUSED_BY_SERVER = "refused-by-server"
+    CONNECTION_FAILED = "connection-failed"
+    CONNECTION_LOST = "connection-lost"
+    BAD_ANSWER = "bad-answer"
+    IN_PROGRESS = "in-progress"
+    NOT_RUN_AGAIN = "not-run-again"
+    KEY_REUSED = "idempotency-key-reused"
+    LEDGER_UNAVAILABLE = "ledger-unavailable"
+    LEDGER_FULL = "ledger-full"
+    QUARANTINED = "quarantined"
+    NO_LEADER = "no-leader"
+    NOT_LEADER = "not-leader"
+    TIMEOUT = "timeout"
+    VERSION_CONFLICT = "version-conflict"
+    NOT_FOUND = "not-found"
+    NOT_ALLOWED = "not-allowed"
+    OLD_INCARNATION = "old-incarnation"
+    INTERNAL = "internal"
+
+
+class Refusal(NamedTuple):
+    """A failed step as a value.
+
+    ``outcome`` says whether the request may have run; ``retry_after_ms`` is 0
+    where coming back does not help.
+    """
+
+    reason: Reason
+    step: Step
+    peer: str = ""
+    detail: str = ""
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_ms: int = 0
+
+
+class DragonflyrockError(Exception):
+    """An error that ends a start or a command, with its step and its peer."""
+
+    def __init__(self, detail: str, step: str = "", peer: str = "") -> None:
+        """Keep the step and the peer beside the text."""
+        super().__init__(detail)
+        self.step = step
+        self.peer = peer
--- /dev/null
+++ b/src/dragonflyrock/models.py
@@ -0,0 +1,134 @@
+"""Rows that the roles share: servers, ranges of keys, contracts, quarantines."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = [
+    "Contract",
+    "ContractRow",
+    "Delta",
+    "QuarantineRow",
+    "RangeRef",
+    "RangeRow",
+    "RangeState",
+    "ServerRow",
+]
+
+
+class RangeState(StrEnum):
+    """How the requests of a range are treated."""
+
+    ACTIVE = "active"
+    MOVING = "moving"
+    LOST = "lost"
+
+
+class RangeRef(NamedTuple):
+    """The name of a range: its service and its lowest hash."""
+
+    service: str
+    low: int
+
+
+class RangeRow(NamedTuple):
+    """A range of hashes, both ends included, and who owns it.
+
+    ``owner`` and ``target`` are holders (see ``ServerRow.holder``), empty for
+    nobody. ``epoch`` is the log index at which the owner was given the range.
+    """
+
+    service: str
+    low: int
+    high: int
+    owner: str
+    epoch: int
+    state: RangeState
+    target: str
+    revision: int
+
+    @property
+    def ref(self) -> RangeRef:
+        """Return the name of the range."""
+        return RangeRef(self.service, self.low)
+
+
+class ServerRow(NamedTuple):
+    """A backend server as it announced itself."""
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    incarnation: int
+    slots: int
+    connections: int
+    checks_grants: bool
+    stopping: bool = False
+    revision: int = 0
+
+    @property
+    def holder(self) -> str:
+        """Return the name of this run of the server, which grants are given to."""
+        return f"{self.name}@{self.incarnation}"
+
+
+class Contract(NamedTuple):
+    """Everything that limits a customer, as totals over all entry hosts.
+
+    ``retry_percent`` bounds retries to a share of the customer's requests.
+    """
+
+    customer: str
+    token_sha256: tuple[str, ...]
+    services: tuple[str, ...]
+    requests_per_second: float
+    burst_requests: int
+    concurrent_requests: int
+    body_bytes: int
+    deadline_ms: int
+    retry_percent: float = 10.0
+
+
+class ContractRow(NamedTuple):
+    """A contract with its version, which grows by one with each change."""
+
+    contract: Contract
+    version: int
+    operator: str
+    revision: int
+
+
+class QuarantineRow(NamedTuple):
+    """A request in flight to servers that were lost, until ``until_ms`` (wall).
+
+    It is a suspect after the first server; after the second one it is refused
+    everywhere.
+    """
+
+    fingerprint: str
+    customer: str
+    method: str
+    target: str
+    holders: tuple[str, ...]
+    refused: bool
+    until_ms: int
+    revision: int
+
+
+class Delta(NamedTuple):
+    """Rows that changed after ``base``; a full one replaces all rows.
+
+    A receiver at a revision before ``base`` must not apply a partial delta.
+    """
+
+    base: int
+    revision: int
+    full: bool
+    ranges: tuple[RangeRow, ...] = ()
+    servers: tuple[ServerRow, ...] = ()
+    removed_servers: tuple[str, ...] = ()
+    contracts: tuple[ContractRow, ...] = ()
+    quarantines: tuple[QuarantineRow, ...] = ()
+    lifted: tuple[str, ...] = ()
--- /dev/null
+++ b/src/dragonflyrock/observe/__init__.py
@@ -0,0 +1,15 @@
+"""What a process shows of itself: stamps, events and metrics."""
+
+from __future__ import annotations
+
+from .events import Event, EventFilter, EventRing, merge_events
+from .stamps import HybridClock, Stamp
+
+__all__ = [
+    "Event",
+    "EventFilter",
+    "EventRing",
+    "HybridClock",
+    "Stamp",
+    "merge_events",
+]
--- /dev/null
+++ b/src/dragonflyrock/observe/stamps.py
@@ -0,0 +1,58 @@
+"""Hybrid logical clock: stamps near wall time that respect cause and effect.
+
+Source: Kulkarni, Demirbas, Madappa, Avva, Leone, "Logical Physical Clocks",
+OPODIS 2014.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+__all__ = ["HybridClock", "Stamp"]
+
+
+class Stamp(NamedTuple):
+    """Wall time in milliseconds, then a counter that orders equal times."""
+
+    wall_ms: int
+    counter: int
+
+
+class HybridClock:
+    """A clock whose stamps grow, also past every stamp it has seen.
+
+    >>> clock = HybridClock(lambda: 1.0)
+    >>> clock.stamp(), clock.stamp()
+    (Stamp(wall_ms=1000, counter=0), Stamp(wall_ms=1000, counter=1))
+    >>> clock.witness(Stamp(2000, 4))
+    >>> clock.stamp()
+    Stamp(wall_ms=2000, counter=6)
+    """
+
+    def __init__(self, wall: Callable[[], float] = time.time) -> None:
+        """Read wall time in seconds from ``wall``."""
+        self._wall = wall
+        self._last = Stamp(0, -1)
+        self._lock = threading.Lock()
+
+    def stamp(self) -> Stamp:
+        """Return a stamp that is later than all before it."""
+        with self._lock:
+            return self._advance(self._last)
+
+    def witness(self, seen: Stamp) -> None:
+        """Take note of another process's stamp."""
+        with self._lock:
+            self._advance(max(self._last, seen))
+
+    def _advance(self, after: Stamp) -> Stamp:
+        """Move past a stamp."""
+        wall_ms = int(self._wall() * 1000)
+        if wall_ms > after.wall_ms:
+            self._last = Stamp(wall_ms, 0)
+        else:
+            self._last = Stamp(after.wall_ms, after.counter + 1)
+        return self._last
--- /dev/null
+++ b/src/dragonflyrock/systems/leases.py
@@ -0,0 +1,36 @@
+"""Leases: how long a promise lasts for its holder and for its giver.
+
+A holder counts from when it sent the request for the lease. The giver counts
+from when it answered, which is later, and adds the largest drift of two clocks.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+__all__ = ["NEVER", "extend_held", "extend_given", "has_lapsed"]
+
+NEVER: Final = float("-inf")
+
+
+def extend_held(until: float, sent_at: float, lease: float) -> float:
+    """Return until when the holder may rely on a renewed lease, in seconds.
+
+    >>> extend_held(NEVER, 10.0, 1.5)
+    11.5
+    """
+    return max(until, sent_at + lease)
+
+
+def extend_given(until: float, answered_at: float, lease: float, drift: float) -> float:
+    """Return until when the giver must honour a renewed lease, in seconds.
+
+    >>> extend_given(NEVER, 10.0, 1.0, 0.5)
+    11.5
+    """
+    return max(until, answered_at + lease * (1 + drift))
+
+
+def has_lapsed(until: float, now: float) -> bool:
+    """Return whether a lease is over."""
+    return now >= until
--- /dev/null
+++ b/src/dragonflyrock/tables/__init__.py
@@ -0,0 +1,8 @@
+"""Tables of entities, without I/O."""
+
+from __future__ import annotations
+
+from .journal import ChangedRow, ChangeJournal
+from .ranges import RangeTable
+
+__all__ = ["ChangeJournal", "ChangedRow", "RangeTable"]
--- /dev/null
+++ b/src/dragonflyrock/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between daemons, and the links that carry them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/dragonflyrock/transport/messages.py
@@ -0,0 +1,162 @@
+"""Messages between daemons."""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from ..codec import Codec
+from ..consensus import models as consensus
+from ..models import Delta, RangeRef
+from ..observe.stamps import Stamp
+
+__all__ = [
+    "CONSENSUS",
+    "MESSAGES",
+    "CallAnswer",
+    "CallRequest",
+    "ConsensusMessage",
+    "Envelope",
+    "HostRenew",
+    "HostUpdate",
+    "LinkMessage",
+    "RangeLoad",
+    "RateDemand",
+    "RateGrant",
+]
+
+
+class Envelope(NamedTuple):
+    """What travels in one frame: the sender's name, its clock and a message."""
+
+    sender: str
+    stamp: Stamp
+    body: bytes
+
+
+class ConsensusMessage(NamedTuple):
+    """A message of a replicated group, for a member's data folder."""
+
+    group: str
+    sender_identity: str
+    target_identity: str
+    body: bytes
+
+
+class RangeLoad(NamedTuple):
+    """Requests of a range that a host dispatched since its last report."""
+
+    service: str
+    low: int
+    requests: int
+    busy_ms: float
+
+
+class HostRenew(NamedTuple):
+    """Ask the control leader to renew an entry host's lease.
+
+    ``sent_at`` is the host's clock in seconds; the lease counts from it.
+    ``draining`` are ranges that are moving while requests of them are still in
+    flight here or may still run.
+    """
+
+    host: str
+    zone: str
+    link: str
+    operators: str
+    sent_at: float
+    revision: int
+    draining: tuple[RangeRef, ...]
+    loads: tuple[RangeLoad, ...]
+    leaving: bool = False
+
+
+class HostUpdate(NamedTuple):
+    """Rows for an entry host, and its lease when it answers a renewal.
+
+    ``sent_at`` echoes the renewal's clock and is 0 in an unasked update.
+    ``hosts`` are the entry hosts whose leases are live.
+    """
+
+    term: int
+    leader: str
+    sent_at: float
+    lease_ms: int
+    delta: Delta
+    hosts: tuple[str, ...]
+
+
+class CallRequest(NamedTuple):
+    """A call to the leader of a group; the answer carries the same id."""
+
+    call_id: int
+    group: str
+    body: bytes
+
+
+class CallAnswer(NamedTuple):
+    """The answer to a call; ``leader`` is a hint where it was ``moved``."""
+
+    call_id: int
+    moved: bool
+    leader: str
+    body: bytes
+
+
+class RateDemand(NamedTuple):
+    """What an entry host wants of a customer's limits, for its limiter host.
+
+    ``requests_per_second`` is what arrived; ``concurrent`` what is wanted now.
+    """
+
+    customer: str
+    version: int
+    requests_per_second: float
+    concurrent: int
+    sent_at: float
+
+
+class RateGrant(NamedTuple):
+    """A share of a customer's limits, for ``lease_ms`` from ``sent_at`` on."""
+
+    customer: str
+    version: int
+    requests_per_second: float
+    concurrent: int
+    sent_at: float
+    lease_ms: int
+
+
+LinkMessage = (
+    ConsensusMessage
+    | HostRenew
+    | HostUpdate
+    | CallRequest
+    | CallAnswer
+    | RateDemand
+    | RateGrant
+)
+
+MESSAGES: Final = Codec(
+    [
+        Envelope,
+        ConsensusMessage,
+        HostRenew,
+        HostUpdate,
+        CallRequest,
+        CallAnswer,
+        RateDemand,
+        RateGrant,
+    ]
+)
+
+CONSENSUS: Final = Codec(
+    [
+        consensus.VoteRequest,
+        consensus.VoteAnswer,
+        consensus.AppendRequest,
+        consensus.AppendAnswer,
+        consensus.SnapshotRequest,
+        consensus.JoinRequest,
+        consensus.TakeOver,
+    ]
+)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the order of the source tree."""
