Wake requests whose owner is lost, and wait for the new owner

And a killed server's keys were refused until the handover, although most callers' deadlines allowed waiting for the new owner. Change: the socket is shut down instead; owner-lost is a reason of its own; a retry is decided by match on GiveUp, AwaitOwner and BackOff, and AwaitOwner wakes as soon as the key has a new epoch.

--- a/src/dragonflyrock/entry/dispatch.py
+++ b/src/dragonflyrock/entry/dispatch.py
@@ -5,17 +5,17 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Final
 
 from ..errors import Outcome, Reason, Refusal, Step
 from ..observe import EventRing
 from ..observe.metrics import Metrics
 from ..systems.retries import (
+    AwaitOwner,
+    BackOff,
+    Decision,
     RetryBudget,
     RetryPolicy,
-    find_backoff,
-    is_moved,
-    may_retry,
+    decide_retry,
 )
 from .forward import Answer, Forwarder, ServerRequest
 from .gate import Flight, Gate
@@ -23,8 +23,6 @@
 
 __all__ = ["Dispatcher"]
 
-MAX_MOVED_ATTEMPTS: Final = 200
-
 
 class Dispatcher:
     """Bring requests to the owners of their keys."""
@@ -58,32 +56,48 @@
         budget = self._budgets.setdefault(contract.customer, RetryBudget())
         budget.earn(contract.retry_percent)
         attempt = 0
-        moved = 0
         while True:
-            result = self._attempt(request)
+            result, epoch = self._attempt(request)
             if isinstance(result, Answer):
                 return result
-            if not may_retry(result, idempotent=request.idempotent):
-                return result
-            if is_moved(result):
-                moved += 1
-                allowed = moved < MAX_MOVED_ATTEMPTS
-            else:
-                attempt += 1
-                allowed = attempt < self._policy.max_attempts and budget.spend()
-            pause = find_backoff(result, attempt, self._policy, self._random)
-            if not allowed or self._clock() + pause >= request.deadline:
+            attempt += 1
+            decision = decide_retry(
+                result,
+                attempt,
+                self._policy,
+                self._random,
+                idempotent=request.idempotent,
+            )
+            if not self._pause(request, decision, epoch, budget):
                 return result
             self._metrics.retries.labels(request.service).inc()
-            time.sleep(pause)
 
-    def _attempt(self, request: CallerRequest) -> Answer | Refusal:
-        """Dispatch once."""
+    def _pause(
+        self,
+        request: CallerRequest,
+        decision: Decision,
+        epoch: int,
+        budget: RetryBudget,
+    ) -> bool:
+        """Wait as was decided; return whether to try again."""
+        now = self._clock()
+        match decision:
+            case AwaitOwner(pause) if now < request.deadline:
+                until = min(request.deadline, now + pause)
+                self._gate.await_change(request.service, request.key_hash, epoch, until)
+                return self._clock() < request.deadline
+            case BackOff(pause) if now + pause < request.deadline and budget.spend():
+                time.sleep(pause)
+                return True
+        return False
+
+    def _attempt(self, request: CallerRequest) -> tuple[Answer | Refusal, int]:
+        """Dispatch once; return the result and the owner's epoch."""
         flight = self._gate.enter(
             request.service, request.key_hash, request.fingerprint, request.deadline
         )
         if isinstance(flight, Refusal):
-            return flight
+            return flight, 0
         self._note("dispatched", request, flight, f"epoch {flight.epoch}")
         result: Answer | Refusal = Refusal(
             Reason.INTERNAL, Step.DISPATCH, outcome=Outcome.UNKNOWN
@@ -100,7 +114,7 @@
             self._note("answered", request, flight, str(result.status))
             if self._gate.find_quarantine(request.fingerprint) is not None:
                 self._absolve(request)
-        return result
+        return result, flight.epoch
 
     def _follow_up(
         self, request: CallerRequest, flight: Flight, refusal: Refusal
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 from http.client import HTTPException
 from typing import Final, NamedTuple
 
@@ -95,10 +98,10 @@
         except (OSError, HTTPError) as error:
             connection.close()
             return Refusal(Reason.CONNECTION_FAILED, Step.DISPATCH, peer, str(error))
-        flight.close = connection.close
+        flight.close = partial(_interrupt, connection.sock)
         if flight.cancelled:
             connection.close()
-            return Refusal(Reason.CONNECTION_FAILED, Step.DISPATCH, peer, "owner lost")
+            return Refusal(Reason.OWNER_LOST, Step.DISPATCH, peer)
         return self._exchange(connection, flight, request)
 
     def _exchange(
@@ -171,7 +174,7 @@
         """Return why an answer did not come; the request may have run."""
         peer = flight.server.holder
         if flight.cancelled:
-            return _unknown(Reason.CONNECTION_LOST, Step.ANSWER, peer, "owner lost")
+            return _unknown(Reason.OWNER_LOST, Step.ANSWER, peer, "")
         if self._clock() >= flight.deadline or isinstance(error, TimeoutError):
             return _unknown(Reason.DEADLINE, Step.ANSWER, peer, "")
         detail = f"{type(error).__name__}: {error}"
@@ -226,6 +229,12 @@
                 connection.close()
 
 
+def _interrupt(sock: socket.socket) -> None:
+    """Wake the thread that waits on a socket; closing alone would not."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def _end_to_end(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
     """Return the headers that concern the caller."""
     return tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -210,6 +210,18 @@
         self._flights.by_holder[row.owner] += 1
         return flight
 
+    def await_change(
+        self, service: str, key_hash: int, epoch: int, until: float
+    ) -> None:
+        """Wait until a key's owner is another than under ``epoch``, at most so long."""
+        with self._changed:
+            while True:
+                row = self.tables.ranges.find(service, key_hash)
+                now = self._clock()
+                if row is None or row.epoch != epoch or now >= until:
+                    return
+                self._changed.wait(until - now)
+
     def _connection_share(self, server: ServerRow) -> int:
         """Return how many of a server's connections this host may use."""
         return max(1, server.connections // max(1, len(self.tables.hosts)))
--- a/src/dragonflyrock/errors.py
+++ b/src/dragonflyrock/errors.py
@@ -49,6 +49,7 @@
     REFUSED_BY_SERVER = "refused-by-server"
     CONNECTION_FAILED = "connection-failed"
     CONNECTION_LOST = "connection-lost"
+    OWNER_LOST = "owner-lost"
     BAD_ANSWER = "bad-answer"
     IN_PROGRESS = "in-progress"
     NOT_RUN_AGAIN = "not-run-again"
--- a/src/dragonflyrock/systems/retries.py
+++ b/src/dragonflyrock/systems/retries.py
@@ -8,18 +8,56 @@
 
 from ..errors import Outcome, Reason, Refusal
 
-__all__ = ["RetryBudget", "RetryPolicy", "find_backoff", "may_retry"]
+__all__ = [
+    "AwaitOwner",
+    "BackOff",
+    "Decision",
+    "GiveUp",
+    "RetryBudget",
+    "RetryPolicy",
+    "decide_retry",
+]
 
 MOVED_DETAILS: Final = frozenset(("not-granted", "old-epoch"))
 
 
 class RetryPolicy(NamedTuple):
-    """Bounds of one request's attempts; times in seconds."""
+    """Bounds of one request's attempts; times in seconds.
+
+    ``owner_wait`` and ``moved_wait`` bound how long a request waits for word of a
+    new owner before it tries the present one again.
+    """
 
     max_attempts: int = 3
     first_backoff: float = 0.01
     max_backoff: float = 0.25
-    moved_backoff: float = 0.005
+    owner_wait: float = 0.1
+    moved_wait: float = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller with the refusal, at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitOwner:
+    """Try again when the key has a new owner, or after a pause in seconds.
+
+    Nothing that can be overloaded was reached, so no budget is spent.
+    """
+
+    pause: float
+
+
+@dataclass(frozen=True, slots=True)
+class BackOff:
+    """Try again after a pause in seconds, out of the retry budget."""
+
+    pause: float
+
+
+Decision = GiveUp | AwaitOwner | BackOff
 
 
 @dataclass(slots=True)
@@ -48,33 +86,35 @@
         return True
 
 
-def is_moved(refusal: Refusal) -> bool:
-    """Return whether a server refused because the key has another owner."""
-    by_server = refusal.reason == Reason.REFUSED_BY_SERVER
-    return by_server and refusal.detail in MOVED_DETAILS
-
-
-def may_retry(refusal: Refusal, *, idempotent: bool) -> bool:
-    """Return whether a failed attempt may be followed by another.
+def decide_retry(
+    refusal: Refusal,
+    attempt: int,
+    policy: RetryPolicy,
+    random: Random,
+    *,
+    idempotent: bool,
+) -> Decision:
+    """Return what follows a failed attempt, of which ``attempt`` were made.
 
     What may have run is tried again only if it is idempotent.
-    """
-    match refusal.reason:
-        case Reason.REFUSED_BY_SERVER | Reason.CONNECTION_FAILED:
-            return True
-        case Reason.CONNECTION_LOST | Reason.BAD_ANSWER:
-            return idempotent or refusal.outcome == Outcome.NOT_RUN
-    return False
-
 
-def find_backoff(
-    refusal: Refusal, attempt: int, policy: RetryPolicy, random: Random
-) -> float:
-    """Return the pause before the next attempt in seconds, with full jitter.
-
-    A key that has just moved is not overload, so its pause does not grow.
+    >>> lost = Refusal(Reason.OWNER_LOST, Step.ANSWER, outcome=Outcome.UNKNOWN)
+    >>> decide_retry(lost, 1, RetryPolicy(), Random(1), idempotent=False)
+    GiveUp()
+    >>> decide_retry(lost, 1, RetryPolicy(), Random(1), idempotent=True)
+    AwaitOwner(pause=0.1)
     """
-    if is_moved(refusal):
-        return policy.moved_backoff
-    bound = min(policy.max_backoff, policy.first_backoff * 2**attempt)
-    return random.uniform(0, bound)
+    if refusal.outcome != Outcome.NOT_RUN and not idempotent:
+        return GiveUp()
+    match refusal.reason:
+        case Reason.CONNECTION_FAILED | Reason.OWNER_LOST:
+            return AwaitOwner(policy.owner_wait)
+        case Reason.REFUSED_BY_SERVER if refusal.detail in MOVED_DETAILS:
+            return AwaitOwner(policy.moved_wait)
+        case Reason.REFUSED_BY_SERVER | Reason.CONNECTION_LOST | Reason.BAD_ANSWER:
+            if attempt >= policy.max_attempts:
+                return GiveUp()
+            # Full jitter, so that callers who failed together part.
+            bound = min(policy.max_backoff, policy.first_backoff * 2**attempt)
+            return BackOff(random.uniform(0, bound))
+    return GiveUp()
