--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,348 @@
+"""Slopes of state, messages, processor time and memory, for docs/CAPACITY.md.
+
+``python -m benchmarks.capacity [--json FILE]``. Each slope is the difference of two
+sizes over the difference of their counts, so that fixed costs fall out.
+"""
+
+from __future__ import annotations
+
+import gc
+import json as json_module
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import defopt
+
+from dragonflyrock.consensus import Timing, open_group
+from dragonflyrock.control import calls
+from dragonflyrock.control import commands as c
+from dragonflyrock.control.leader import ControlLeader, ServicePolicy
+from dragonflyrock.control.state import ControlState
+from dragonflyrock.control.tables import LeaderTiming
+from dragonflyrock.entry.tables import EntryTables
+from dragonflyrock.ledger import Ledger
+from dragonflyrock.ledger.commands import (
+    LEDGER_COMMANDS,
+    Complete,
+    RecordedAnswer,
+    Reserve,
+)
+from dragonflyrock.models import Contract
+from dragonflyrock.observe import EventRing, HybridClock
+from dragonflyrock.systems.placement import PlacementPolicy
+from dragonflyrock.transport.messages import MESSAGES, CallRequest, Envelope, HostRenew
+
+SERVICE = "finder"
+SMALL, LARGE = 1000, 4000
+
+
+class Slope(NamedTuple):
+    """A measured slope and its unit."""
+
+    name: str
+    value: float
+    unit: str
+
+
+def run_capacity(*, json: Path | None = None) -> int:
+    """Print the slopes.
+
+    :param json: also write them to a file
+    """
+    slopes = [
+        *measure_state(),
+        *measure_leader(),
+        *measure_messages(),
+        *measure_ledger(),
+        *measure_log(),
+    ]
+    for slope in slopes:
+        print(f"{slope.name:52}  {slope.value:12.3f}  {slope.unit}")
+    if json is not None:
+        json.write_text(json_module.dumps([s._asdict() for s in slopes], indent=1))
+    return 0
+
+
+# State
+
+
+def make_state(ranges: int, servers: int, contracts: int) -> ControlState:
+    """Return a control state of a size, with every range owned."""
+    state = ControlState()
+    apply(state, c.DeclareService(SERVICE, ranges))
+    for number in range(servers):
+        announcement = make_announcement(number, 1)
+        row = ControlLeader._row_of(announcement, make_policy())  # noqa: SLF001
+        apply(state, c.RegisterServer(row))
+    for number in range(contracts):
+        contract = Contract(
+            f"c{number}", (f"{number:064x}",), (SERVICE,), 1, 1, 1, 1, 1
+        )
+        apply(state, c.PutContract(f"id{number}", "operator", 0, contract))
+    moves = [
+        c.Move(SERVICE, row.low, 0, f"server-{i % max(1, servers)}@1", True)
+        for i, row in enumerate(state.ranges)
+    ]
+    if servers:
+        apply(state, c.BeginMoves(tuple(moves)))
+        begun = tuple(c.MoveRef(SERVICE, row.low, row.revision) for row in state.ranges)
+        apply(state, c.FinishMoves(begun))
+    return state
+
+
+def apply(state: ControlState, command: c.Command) -> None:
+    """Apply a command as the next entry."""
+    state.apply(state.revision + 1, c.COMMANDS.encode(command))
+
+
+def make_policy() -> ServicePolicy:
+    """Return a service's policy."""
+    return ServicePolicy(64, PlacementPolicy())
+
+
+def make_announcement(number: int, sequence: int) -> calls.Announcement:
+    """Return a server's announcement."""
+    return calls.Announcement(
+        f"server-{number}",
+        SERVICE,
+        f"10.0.{number // 250}.{number % 250}:8000",
+        "zone-1",
+        1,
+        sequence,
+        2,
+        130,
+        0.5,
+        True,
+        True,
+        0,
+    )
+
+
+def memory_of(make: Callable[[], object]) -> float:
+    """Return the bytes that a new object keeps."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def time_of(run: Callable[[], object], repeat: int = 5) -> float:
+    """Return the least processor time of a few runs in seconds."""
+    best = float("inf")
+    for _ in range(repeat):
+        started = time.process_time()
+        run()
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def slope(small: float, large: float) -> float:
+    """Return the cost of one more row."""
+    return (large - small) / (LARGE - SMALL)
+
+
+def measure_state() -> list[Slope]:
+    """Measure the control state and an entry host's copy of it."""
+    found = []
+    for name, sizes in (
+        ("range", lambda n: (n, 1, 0)),
+        ("backend server", lambda n: (1, n, 0)),
+        ("contract", lambda n: (1, 1, n)),
+    ):
+        small, large = (make_state(*sizes(n)) for n in (SMALL, LARGE))
+        memory = [
+            memory_of(lambda n=n, sizes=sizes: make_state(*sizes(n)))  # type: ignore[misc]
+            for n in (SMALL, LARGE)
+        ]
+        found.append(Slope(f"control state: memory per {name}", slope(*memory), "B"))
+        dumped = [len(state.dump()) for state in (small, large)]
+        found.append(Slope(f"snapshot: bytes per {name}", slope(*dumped), "B"))
+        entry = [memory_of(lambda s=s: make_entry(s)) for s in (small, large)]  # type: ignore[misc]
+        found.append(Slope(f"entry copy: memory per {name}", slope(*entry), "B"))
+        times = [time_of(state.dump) for state in (small, large)]
+        found.append(Slope(f"snapshot: time per {name}", slope(*times) * 1e6, "us"))
+    return found
+
+
+def make_entry(state: ControlState) -> EntryTables:
+    """Return an entry host's copy, decoded from the wire."""
+    tables = EntryTables()
+    leader = make_leader(state)
+    update = leader.renew_host(make_renew("e", 0), state.revision, 0.0)
+    tables.apply(MESSAGES.decode(MESSAGES.encode(update)), 1.5, 0.0)
+    return tables
+
+
+# The leader's duties
+
+
+def make_leader(state: ControlState) -> ControlLeader:
+    """Return a leader whose waiting time is over at time 10."""
+    events = EventRing("leader", HybridClock())
+    return ControlLeader(
+        "leader", 1, state, {SERVICE: make_policy()}, LeaderTiming(), events, 0.0
+    )
+
+
+def make_renew(host: str, revision: int) -> HostRenew:
+    """Return an entry host's renewal."""
+    return HostRenew(host, "zone-1", "10.0.0.1:1", "10.0.0.1:2", 1.0, revision, (), ())
+
+
+def measure_leader() -> list[Slope]:
+    """Measure what announcements, renewals, ticks and moves cost a leader."""
+    found = []
+    announce, renew, tick_servers, tick_ranges, decide = [], [], [], [], []
+    for count in (SMALL, LARGE):
+        state = make_state(64, count, 0)
+        leader = make_leader(state)
+        listed = [make_announcement(i, 2) for i in range(count)]
+
+        def hear(leader: ControlLeader = leader, listed: list = listed) -> None:  # type: ignore[type-arg]
+            for item in listed:
+                leader.announce(item, 10.0)
+
+        announce.append(time_of(hear))
+        hosts = [make_renew(f"host-{i}", state.revision) for i in range(count)]
+
+        def renew_all(
+            leader: ControlLeader = leader,
+            hosts: list = hosts,  # type: ignore[type-arg]
+            revision: int = state.revision,
+        ) -> None:
+            for item in hosts:
+                leader.renew_host(item, revision, 10.0)
+
+        started = time.process_time()
+        renew_all()
+        renew.append(time.process_time() - started)
+        tick_servers.append(time_of(lambda leader=leader: leader.tick(10.0)))  # type: ignore[misc]
+        state = make_state(count, 8, 0)
+        leader = make_leader(state)
+        for number in range(8):
+            leader.announce(make_announcement(number, 2), 10.0)
+        tick_ranges.append(time_of(lambda leader=leader: leader.tick(10.0)))  # type: ignore[misc]
+        moves = tuple(
+            c.Move(SERVICE, row.low, row.epoch, "server-0@1", True)
+            for row in state.ranges
+        )
+        apply(state, c.BeginMoves(moves))
+        decide.append(time_of(lambda leader=leader: leader.tick(10.1), 1))  # type: ignore[misc]
+    found.append(Slope("leader: time per announcement", slope(*announce) * 1e6, "us"))
+    found.append(Slope("leader: time per renewal", slope(*renew) * 1e6, "us"))
+    found.append(Slope("leader: tick per server", slope(*tick_servers) * 1e6, "us"))
+    found.append(Slope("leader: tick per range", slope(*tick_ranges) * 1e6, "us"))
+    found.append(Slope("leader: move per lost range", slope(*decide) * 1e6, "us"))
+    return found
+
+
+# Messages
+
+
+def measure_messages() -> list[Slope]:
+    """Measure messages on the links, with their envelopes."""
+    clock = HybridClock()
+
+    def frame(message: object) -> int:
+        body = MESSAGES.encode(message)
+        return len(MESSAGES.encode(Envelope("gulberg-1", clock.stamp(), body)))
+
+    state = make_state(64, 16, 8)
+    leader = make_leader(state)
+    renew = make_renew("host-1", state.revision)
+    idle = leader.renew_host(renew, state.revision, 10.0)
+    contract = state.contracts["c1"].contract
+    before = state.revision
+    apply(state, c.PutContract("x", "operator", 1, contract))
+    changed = leader.renew_host(make_renew("host-1", before), state.revision, 10.0)
+    call = CallRequest(1, "control", calls.CALLS.encode(make_announcement(1, 2)))
+    grants, _ = leader.announce(make_announcement(1, 3), 10.0)
+    encoded = MESSAGES.encode(changed)
+    return [
+        Slope("link: renewal", frame(renew), "B"),
+        Slope("link: answer without changes", frame(idle), "B"),
+        Slope("link: contract in an update", frame(changed) - frame(idle), "B"),
+        Slope("link: announcement", frame(call), "B"),
+        Slope("link: grants of 4 ranges", len(calls.CALLS.encode(grants)), "B"),
+        Slope(
+            "link: decode an update",
+            time_of(lambda: [MESSAGES.decode(encoded) for _ in range(1000)]) * 1e3,
+            "us",
+        ),
+    ]
+
+
+# Ledger and log
+
+
+def measure_ledger() -> list[Slope]:
+    """Measure the request ledger."""
+    answer = RecordedAnswer(200, (("Content-Type", "application/json"),), b"x" * 200)
+
+    def fill(count: int) -> Ledger:
+        ledger = Ledger(10**6, 10**9)
+        for number in range(count):
+            reserve = Reserve(f"customer/{number}", "f" * 64, f"{number:032x}", number)
+            ledger.apply(1, LEDGER_COMMANDS.encode(reserve))
+            complete = Complete(reserve.key, reserve.request_id, answer)
+            ledger.apply(1, LEDGER_COMMANDS.encode(complete))
+        return ledger
+
+    memory = [memory_of(lambda n=n: fill(n)) for n in (SMALL, LARGE)]  # type: ignore[misc]
+    dumped = [len(fill(n).dump()) for n in (SMALL, LARGE)]
+    times = [time_of(lambda n=n: fill(n), 2) for n in (SMALL, LARGE)]  # type: ignore[misc]
+    return [
+        Slope("ledger: memory per key (answer of 200 B)", slope(*memory), "B"),
+        Slope("ledger: snapshot per key", slope(*dumped), "B"),
+        Slope("ledger: time per key", slope(*times) * 1e6, "us"),
+    ]
+
+
+def measure_log() -> list[Slope]:
+    """Measure commits of one voter, with and without sharing a sync."""
+    with tempfile.TemporaryDirectory() as folder:
+        group = open_group(
+            "control",
+            "a",
+            Path(folder),
+            ("a",),
+            Timing(),
+            Random(1),
+            ControlState(),
+            0.0,
+        )
+        now = 1.0
+        group.tick(now)
+        group.flush(now)
+        group.flush(now)
+        command = c.COMMANDS.encode(c.CancelMoves(()))
+        found = []
+        for batch in (1, 100):
+            started, cpu = time.perf_counter(), time.process_time()
+            count = 400
+            for _ in range(count // batch):
+                for _ in range(batch):
+                    group.propose(command, lambda result: None)
+                group.flush(now)
+            elapsed = (time.perf_counter() - started) / count
+            used = (time.process_time() - cpu) / count
+            found.append(
+                Slope(f"log: commit in batches of {batch}", elapsed * 1e6, "us")
+            )
+            found.append(Slope(f"log: processor, batches of {batch}", used * 1e6, "us"))
+        group.close()
+    return found
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run_capacity))
--- /dev/null
+++ b/benchmarks/forwarder.py
@@ -0,0 +1,41 @@
+"""A bare forwarder of cheroot and urllib3, the baseline of the route benchmark."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+import urllib3
+import xxhash
+
+from dragonflyrock.entry.problem import Environ, StartResponse
+from dragonflyrock.entry.web import WebServer
+
+THREADS = 64
+
+
+def main() -> None:
+    """Forward each request to the server of its key: ``LISTEN ADDRESS...``."""
+    addresses = sys.argv[2:]
+    pool = urllib3.PoolManager(num_pools=64, maxsize=THREADS, retries=False)
+
+    def forward(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        raw = environ["REQUEST_URI"]
+        target = raw.decode() if isinstance(raw, bytes) else raw
+        number = xxhash.xxh3_64_intdigest(target.encode()) % len(addresses)
+        answer: Any = pool.request(
+            environ["REQUEST_METHOD"], f"http://{addresses[number]}{target}"
+        )
+        headers = [("Content-Length", str(len(answer.data)))]
+        start_response(f"{answer.status} OK", headers)
+        return [answer.data]
+
+    server = WebServer("forwarder", sys.argv[1], forward, THREADS)
+    server.start()
+    sys.stdin.read()
+    server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/route.py
@@ -0,0 +1,97 @@
+"""Routed requests against a bare forwarder, in one run.
+
+``python -m benchmarks.route [--seconds 4] [--daemons 1]``
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import defopt
+
+from dragonflyrock.trial import SINGLE, Fleet, ServicePlan
+
+from .load import LoadResult, measure_load
+
+FIRST_PORT = 9000
+FORWARDER_PORT = 9990
+SERVERS = 4
+CALLER_COUNTS = (1, 8, 32)
+
+
+def run_route(*, seconds: float = 4.0, hosts: int = 1) -> int:
+    """Print rates and latencies, and their ratios to the forwarder's.
+
+    :param seconds: how long each measurement takes
+    :param hosts: how many daemons, and as many forwarders
+    """
+    plan = SINGLE._replace(
+        hosts=hosts,
+        first_port=FIRST_PORT,
+        slots=64,
+        service_ms=0.0,
+        services=(ServicePlan("finder", SERVERS, checks_grants=False),),
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(plan, Path(folder))
+        forwarders: list[subprocess.Popen[bytes]] = []
+        try:
+            fleet.start_hosts()
+            fleet.start_servers()
+            fleet.wait_ready()
+            fleet.put_contract("bench", "bench")
+            servers = fleet.operate("GET", "/status")["servers"]
+            addresses = [server["address"] for server in servers]
+            listens = [f"127.0.0.1:{FORWARDER_PORT + i}" for i in range(hosts)]
+            forwarders += [_start_forwarder(listen, addresses) for listen in listens]
+            routed_at = [fleet.callers_address(i) for i in range(hosts)]
+            caller = fleet.caller("bench")
+            fleet.wait_for(
+                "contract", lambda: caller.call("GET", "/finder/k").status == 200
+            )
+            _compare(listens, routed_at, seconds)
+        finally:
+            for forwarder in forwarders:
+                forwarder.kill()
+                forwarder.wait()
+            fleet.close()
+    return 0
+
+
+def _start_forwarder(listen: str, addresses: list[str]) -> subprocess.Popen[bytes]:
+    """Start a bare forwarder."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.forwarder", listen, *addresses],
+        stdin=subprocess.PIPE,
+    )
+
+
+def _compare(listens: list[str], routed_at: list[str], seconds: float) -> None:
+    """Measure both and print a table."""
+    print("callers  what       rate/s  p50 ms  p99 ms  failed  rate ratio  p99 ratio")
+    for callers in CALLER_COUNTS:
+        measure_load(listens, "/finder", callers, 0.5)
+        base = measure_load(listens, "/finder", callers, seconds)
+        measure_load(routed_at, "/finder", callers, 0.5)
+        routed = measure_load(routed_at, "/finder", callers, seconds)
+        _print(callers, "forwarder", base, base)
+        _print(callers, "routed", routed, base)
+
+
+def _print(callers: int, what: str, result: LoadResult, base: LoadResult) -> None:
+    """Print one row; a failed answer makes the figures worthless."""
+    if result.failed:
+        raise RuntimeError(f"{what}: {result.failed} calls failed")
+    print(
+        f"{callers:7}  {what:9}  {result.rate:6.0f}  {result.p50_ms:6.2f}"
+        f"  {result.p99_ms:6.2f}  {result.failed:6}"
+        f"  {result.rate / base.rate:10.2f}  {result.p99_ms / base.p99_ms:9.2f}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run_route))
