--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -223,9 +223,7 @@
             for item in hosts:
                 leader.renew_host(item, revision, 10.0)
 
-        started = time.process_time()
-        renew_all()
-        renew.append(time.process_time() - started)
+        renew.append(time_of(renew_all))
         tick_servers.append(time_of(lambda leader=leader: leader.tick(10.0)))  # type: ignore[misc]
         state = make_state(count, 8, 0)
         leader = make_leader(state)
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -50,7 +50,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-GRANT_REVISIONS_PER_TERM: Final = 1 << 32
+VERSIONS_PER_TERM: Final = 1 << 32
 LOAD_SMOOTHING: Final = 0.3
 LOAD_WINDOW: Final = 1.0
 HOST_MEMORY_DEADLINES: Final = 2
@@ -123,6 +123,9 @@
         self._grant_counter = 0
         self._pending: set[str] = set()
         self._refreshed = (-1, -1)
+        self._host_names: tuple[str, ...] = ()
+        self._hosts_counter = 0
+        self._hosts_version = 0
         longest = max(timing.entry_lease, timing.grant)
         self.hold_until = now + timing.outlast(longest)
         self._unchecked_hold = self.hold_until + timing.longest_deadline
@@ -156,18 +159,32 @@
             until,
             renew.revision,
             frozenset(renew.draining),
+            renew.hosts_version,
         )
         self._add_loads(renew.loads)
         lease_ms = 0 if renew.leaving else int(self._timing.entry_lease * 1000)
-        return self._update(renew.revision, renew.sent_at, lease_ms, applied, now)
+        row = self.tables.hosts[renew.host]
+        return self._update(row, renew.sent_at, lease_ms, applied)
 
     def _update(
-        self, revision: int, sent_at: float, lease_ms: int, applied: int, now: float
+        self, row: HostRow, sent_at: float, lease_ms: int, applied: int
     ) -> HostUpdate:
-        """Return an update from a revision on."""
-        delta = self._state.delta_after(revision, applied)
-        hosts = tuple(sorted(host.name for host in self.live_hosts(now)))
-        return HostUpdate(self.term, self.name, sent_at, lease_ms, delta, hosts)
+        """Return an update with what a host lacks."""
+        delta = self._state.delta_after(row.revision, applied)
+        version = self._hosts_version
+        hosts = None if row.hosts_version == version else self._host_names
+        return HostUpdate(
+            self.term, self.name, sent_at, lease_ms, delta, version, hosts
+        )
+
+    def _list_hosts(self, now: float) -> None:
+        """Give the list of live hosts a new version if it changed."""
+        names = tuple(sorted(host.name for host in self.live_hosts(now)))
+        if names == self._host_names:
+            return
+        self._host_names = names
+        self._hosts_counter += 1
+        self._hosts_version = self.term * VERSIONS_PER_TERM + self._hosts_counter
 
     def live_hosts(self, now: float) -> list[HostRow]:
         """Return the entry hosts that may be dispatching."""
@@ -183,7 +200,7 @@
         for host in self.live_hosts(now):
             if host.revision >= self._state.revision:
                 continue
-            update = self._update(host.revision, 0.0, 0, applied, now)
+            update = self._update(host, 0.0, 0, applied)
             effects.append(PushUpdate(host.name, update))
         return effects
 
@@ -288,7 +305,7 @@
         if row.revision and ranges == row.ranges:
             return row
         self._grant_counter += 1
-        revision = self.term * GRANT_REVISIONS_PER_TERM + self._grant_counter
+        revision = self.term * VERSIONS_PER_TERM + self._grant_counter
         return row._replace(revision=revision, ranges=ranges)
 
     def _ranges_of(self, holder: str) -> tuple[calls.GrantedRange, ...]:
@@ -344,6 +361,7 @@
         effects += self._declare_services()
         self._forget_old_grants()
         self._forget_old_hosts(now)
+        self._list_hosts(now)
         self._smooth_loads(now)
         if now >= self.hold_until:
             effects += self._advance_handovers(now)
@@ -385,7 +403,7 @@
         """Drop the rows of incarnations that own nothing and are superseded."""
         for holder in list(self.tables.grants):
             superseded = self._state.find_holder(holder) is None
-            if superseded and not self._state.ranges.owned_by(holder):
+            if superseded and not self._state.ranges.owns_any(holder):
                 del self.tables.grants[holder]
 
     def _forget_old_hosts(self, now: float) -> None:
--- a/src/dragonflyrock/control/state.py
+++ b/src/dragonflyrock/control/state.py
@@ -265,7 +265,7 @@
     def _forget_server(self, holder: str) -> c.Result:
         """Drop a server that owns nothing."""
         server = self.find_holder(holder)
-        if server is None or self.ranges.owned_by(holder):
+        if server is None or self.ranges.owns_any(holder):
             return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, holder, "still in use")
         del self.servers[server.name]
         self._journal.record(self.revision, ChangedRow("servers", server.name))
--- a/src/dragonflyrock/control/tables.py
+++ b/src/dragonflyrock/control/tables.py
@@ -40,6 +40,7 @@
     lease_until: float
     revision: int
     draining: frozenset[RangeRef]
+    hosts_version: int
 
 
 class GrantRow(NamedTuple):
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -79,6 +79,7 @@
             self._gate.tables.revision,
             draining,
             self._gate.take_loads(),
+            self._gate.tables.hosts_version,
             leaving,
         )
         silence = LEADER_SILENCE_RENEWALS * config.renew
--- a/src/dragonflyrock/entry/tables.py
+++ b/src/dragonflyrock/entry/tables.py
@@ -30,6 +30,7 @@
     lease_until: float = NEVER
     leader: str = ""
     hosts: tuple[str, ...] = ()
+    hosts_version: int = 0
     hosts_changed_at: float = NEVER
     ranges: RangeTable = field(default_factory=RangeTable)
     servers: dict[str, ServerRow] = field(default_factory=dict)
@@ -52,9 +53,11 @@
             self._apply_rows(delta)
         if update.lease_ms:
             self.lease_until = extend_held(self.lease_until, update.sent_at, lease)
-        if update.hosts != self.hosts:
-            self.hosts = update.hosts
-            self.hosts_changed_at = now
+        if update.hosts is not None:
+            self.hosts_version = update.hosts_version
+            if update.hosts != self.hosts:
+                self.hosts = update.hosts
+                self.hosts_changed_at = now
         self.leader = update.leader
         return changed
 
--- a/src/dragonflyrock/systems/retries.py
+++ b/src/dragonflyrock/systems/retries.py
@@ -98,6 +98,7 @@
 
     What may have run is tried again only if it is idempotent.
 
+    >>> from dragonflyrock.errors import Step
     >>> lost = Refusal(Reason.OWNER_LOST, Step.ANSWER, outcome=Outcome.UNKNOWN)
     >>> decide_retry(lost, 1, RetryPolicy(), Random(1), idempotent=False)
     GiveUp()
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -67,6 +67,7 @@
     revision: int
     draining: tuple[RangeRef, ...]
     loads: tuple[RangeLoad, ...]
+    hosts_version: int = 0
     leaving: bool = False
 
 
@@ -74,7 +75,8 @@
     """Rows for an entry host, and its lease when it answers a renewal.
 
     ``sent_at`` echoes the renewal's clock and is 0 in an unasked update.
-    ``hosts`` are the entry hosts whose leases are live.
+    ``hosts`` are the entry hosts whose leases are live; None where the receiver
+    has the list of this version.
     """
 
     term: int
@@ -82,7 +84,8 @@
     sent_at: float
     lease_ms: int
     delta: Delta
-    hosts: tuple[str, ...]
+    hosts_version: int
+    hosts: tuple[str, ...] | None
 
 
 class CallRequest(NamedTuple):
