Prove the replicated log on a paused clock, and forget a replaced voter

Cause: the log carries every other guarantee. A test that replaces a wiped voter found that a new member of an old name inherited what the old one had acknowledged: it was promoted at once, with an empty log, and counted towards commits. Ruled out: the storage, whose records were whole. Before: the learner voted with no entry, and a commit after the loss of a second voter was gone.

--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -32,6 +32,10 @@
         return Refusal(Reason.NOT_LEADER, Step.COMMIT, replica.leader)
     if replica.log.configuration_index > replica.commit:
         return Refusal(Reason.IN_PROGRESS, Step.COMMIT, detail="a member is changing")
+    # A new member must not inherit what an earlier one of its name acknowledged.
+    for member in replica.configuration.voters + replica.configuration.learners:
+        if configuration.find(member.name) != member:
+            replica.peers.pop(member.name, None)
     payload = encode_configuration(configuration)
     return append_own(replica, EntryKind.CONFIGURATION, payload)
 
--- /dev/null
+++ b/tests/consensus/common.py
@@ -0,0 +1,255 @@
+"""Members of a group on a paused clock, with links that fail and disks that last."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, NamedTuple
+
+from dragonflyrock.consensus import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Log,
+    Member,
+    Message,
+    Replica,
+    Role,
+    SnapshotImage,
+    Timing,
+    make_replica,
+    propose,
+    receive,
+    replicate,
+    take_output,
+    tick,
+)
+from dragonflyrock.consensus.models import JoinRequest, VoteAnswer, VoteRequest
+
+TICK: Final = 0.02
+
+
+@dataclass(slots=True)
+class Disk:
+    """What a member has synced."""
+
+    identity: str
+    snapshot: SnapshotImage = field(default_factory=SnapshotImage)
+    entries: list[Entry] = field(default_factory=list)
+    hard: HardState = field(default_factory=HardState)
+
+
+class Letter(NamedTuple):
+    """A message under way."""
+
+    at: float
+    order: int
+    sender: Member
+    peer: str
+    identity: str
+    message: Message
+
+
+class Cluster:
+    """Replicas by name; time passes only by ``run``."""
+
+    def __init__(self, names: str, seed: int, delay: float = 0.005) -> None:
+        """Start a group of new members, one for each letter of the names."""
+        self.now = 0.0
+        self.random = Random(seed)
+        self.initial = tuple(names)
+        self.disks: dict[str, Disk] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.applied: dict[str, list[Entry]] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.rates: dict[str, float] = {}
+        self.clocks: dict[str, float] = {}
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, tuple[int, bytes]] = {}
+        self.loss = 0.0
+        self._delay = delay
+        self._letters: list[Letter] = []
+        self._order = 0
+        self._identities = 0
+        for name in names:
+            self.wipe(name)
+
+    def wipe(self, name: str) -> None:
+        """Start a member with an empty disk and a new identity."""
+        self._identities += 1
+        self.disks[name] = Disk(f"{name}-{self._identities}")
+        self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start, or restart, a member from its disk."""
+        disk = self.disks[name]
+        log = Log(disk.snapshot)
+        log.append(disk.entries)
+        self.clocks.setdefault(name, 0.0)
+        self.replicas[name] = make_replica(
+            Member(name, disk.identity),
+            self.initial,
+            Timing(),
+            self.random,
+            log,
+            disk.hard,
+            self.clocks[name],
+        )
+        self.applied[name] = _read_image(disk.snapshot)
+
+    def stop(self, name: str) -> None:
+        """Lose a member's memory; its disk stays."""
+        self.replicas.pop(name, None)
+
+    def cut(self, *names: str) -> None:
+        """Cut some members off from all others, in both directions."""
+        inside = set(names)
+        for one in self.disks:
+            for other in self.disks:
+                if (one in inside) != (other in inside):
+                    self.cuts.add((one, other))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK
+            for name in list(self.replicas):
+                self.clocks[name] += TICK * self.rates.get(name, 1.0)
+            self._deliver()
+            for name, replica in self.replicas.items():
+                if name not in self.frozen:
+                    tick(replica, self.clocks[name])
+                    self._flush(name)
+            self._check()
+
+    def settle(self, seconds: float = 5.0) -> Replica:
+        """Run until there is one settled leader and return it."""
+        until = self.now + seconds
+        while self.now < until:
+            self.run(TICK)
+            leader = self.leader()
+            if leader is not None:
+                return leader
+        raise AssertionError("no leader was elected")
+
+    def leader(self) -> Replica | None:
+        """Return the settled leader with the highest term."""
+        leaders = [
+            replica
+            for name, replica in self.replicas.items()
+            if name not in self.frozen and replica.is_settled_leader(self.clocks[name])
+        ]
+        return max(leaders, key=lambda r: r.hard.term) if leaders else None
+
+    def propose(self, payload: bytes, name: str = "") -> int | None:
+        """Propose a command to a member, or to the leader."""
+        replica = self.replicas[name] if name else self.leader()
+        if replica is None:
+            return None
+        index = propose(replica, payload)
+        self._flush(replica.me.name)
+        return index
+
+    def commands(self, name: str) -> list[bytes]:
+        """Return the commands that a member has applied, in order."""
+        return [e.payload for e in self.applied[name] if e.kind == EntryKind.COMMAND]
+
+    def compact(self, name: str) -> None:
+        """Take a snapshot of a member at what it has committed."""
+        replica = self.replicas[name]
+        log = replica.log
+        term = log.term_at(replica.commit)
+        assert term is not None
+        payload = b"\n".join(self.commands(name))
+        configuration: Configuration = log.configuration_at(replica.commit)
+        image = SnapshotImage(replica.commit, term, configuration, payload)
+        log.compact(image)
+        disk = self.disks[name]
+        disk.snapshot = image
+        disk.entries = [e for e in disk.entries if e.log_index > image.log_index]
+
+    def _flush(self, name: str) -> None:
+        """Persist, then send, then apply, as the output demands."""
+        replica = self.replicas[name]
+        replicate(replica, self.clocks[name])
+        output = take_output(replica)
+        disk = self.disks[name]
+        if output.snapshot is not None:
+            disk.snapshot = output.snapshot
+            disk.entries.clear()
+            self.applied[name] = _read_image(output.snapshot)
+        if output.truncate_from:
+            disk.entries = [
+                e for e in disk.entries if e.log_index < output.truncate_from
+            ]
+        disk.entries += output.entries
+        disk.hard = output.hard or disk.hard
+        for peer, message in output.messages:
+            self._post(replica, peer, message)
+        self._apply(name)
+
+    def _post(self, replica: Replica, peer: str, message: Message) -> None:
+        """Put a message under way, unless it is lost."""
+        forming = isinstance(message, VoteRequest | VoteAnswer) and message.forming
+        member = replica.configuration.find(peer)
+        identity = "" if forming or member is None else member.identity
+        if isinstance(message, JoinRequest):
+            identity = ""
+        cut = (replica.me.name, peer) in self.cuts
+        if cut or self.random.random() < self.loss:
+            return
+        self._order += 1
+        at = self.now + self.random.uniform(0, self._delay)
+        letter = Letter(at, self._order, replica.me, peer, identity, message)
+        self._letters.append(letter)
+
+    def _deliver(self) -> None:
+        """Hand over the messages whose time has come."""
+        due = sorted(letter for letter in self._letters if letter.at <= self.now)
+        kept = [letter for letter in self._letters if letter.at > self.now]
+        self._letters = kept
+        for letter in due:
+            if letter.peer in self.frozen:
+                self._letters.append(letter._replace(at=self.now + TICK))
+                continue
+            replica = self.replicas.get(letter.peer)
+            if replica is None or letter.identity not in ("", replica.me.identity):
+                continue
+            clock = self.clocks[letter.peer]
+            receive(replica, letter.sender, letter.message, clock)
+            self._flush(letter.peer)
+
+    def _apply(self, name: str) -> None:
+        """Apply what is committed, and check that it is what others committed."""
+        replica = self.replicas[name]
+        log = replica.log
+        applied = self.applied[name]
+        done = applied[-1].log_index if applied else 0
+        done = max(done, log.snapshot.log_index)
+        for entry in log.entries_from(done + 1, replica.commit - done):
+            applied.append(entry)
+            known = self.committed.setdefault(
+                entry.log_index, (entry.term, entry.payload)
+            )
+            assert known == (entry.term, entry.payload), "two entries were committed"
+
+    def _check(self) -> None:
+        """Check that no term has two leaders, nor any moment two live leases."""
+        leased = []
+        for name, replica in self.replicas.items():
+            if replica.role != Role.LEADER:
+                continue
+            term = replica.hard.term
+            assert self.leaders.setdefault(term, name) == name, "two leaders in a term"
+            if replica.is_settled_leader(self.clocks[name]) and name not in self.frozen:
+                leased.append(name)
+        assert len(leased) <= 1, f"two leaders hold leases: {leased}"
+
+
+def _read_image(snapshot: SnapshotImage) -> list[Entry]:
+    """Return the commands in a snapshot as applied entries."""
+    lines = snapshot.payload.split(b"\n") if snapshot.payload else []
+    return [Entry(0, 0, EntryKind.COMMAND, line) for line in lines]
--- /dev/null
+++ b/tests/consensus/test_histories.py
@@ -0,0 +1,77 @@
+"""Schedules of failures drawn by hypothesis; ``Cluster`` checks each step."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from .common import Cluster
+
+NAMES: Final = "abc"
+
+_NAME = st.sampled_from(NAMES)
+_ACTION = st.one_of(
+    st.tuples(st.just("propose"), _NAME),
+    st.tuples(st.just("cut"), _NAME),
+    st.tuples(st.just("one-way"), _NAME),
+    st.tuples(st.just("heal"), _NAME),
+    st.tuples(st.just("crash"), _NAME),
+    st.tuples(st.just("freeze"), _NAME),
+    st.tuples(st.just("compact"), _NAME),
+    st.tuples(st.just("lose"), _NAME),
+)
+_STEP = st.tuples(_ACTION, st.floats(0.02, 1.2))
+
+
+@seed(20261203)
+@settings(max_examples=120, deadline=None, database=None)
+@given(number=st.integers(0, 2**16), steps=st.lists(_STEP, min_size=4, max_size=25))
+def test_what_was_committed_stays_and_is_the_same_everywhere(
+    number: int, steps: list[tuple[tuple[str, str], float]]
+) -> None:
+    cluster = Cluster(NAMES, seed=number, delay=0.05)
+    cluster.settle()
+    for count, ((action, name), pause) in enumerate(steps):
+        _act(cluster, action, name, b"%d" % count)
+        cluster.run(pause)
+    acknowledged = {index: payload for index, (_, payload) in cluster.committed.items()}
+    _heal(cluster)
+    cluster.settle(20.0)
+    cluster.run(2.0)
+    for name in NAMES:
+        log = cluster.replicas[name].log
+        assert cluster.replicas[name].commit >= max(acknowledged, default=0)
+        for entry in log.entries_from(log.snapshot.log_index + 1, 10_000):
+            if entry.log_index in acknowledged:
+                assert entry.payload == acknowledged[entry.log_index]
+    assert cluster.commands("a") == cluster.commands("b") == cluster.commands("c")
+
+
+def _act(cluster: Cluster, action: str, name: str, payload: bytes) -> None:
+    """Carry out one step of a schedule."""
+    match action:
+        case "propose":
+            cluster.propose(payload, name)
+        case "cut":
+            cluster.cut(name)
+        case "one-way":
+            cluster.cuts |= {(name, other) for other in NAMES if other != name}
+        case "heal":
+            _heal(cluster)
+        case "crash":
+            cluster.start(name)
+        case "freeze":
+            cluster.frozen ^= {name}
+        case "compact" if cluster.replicas[name].commit > 0:
+            cluster.compact(name)
+        case "lose":
+            cluster.loss = 0.3
+
+
+def _heal(cluster: Cluster) -> None:
+    """End every failure."""
+    cluster.cuts.clear()
+    cluster.frozen.clear()
+    cluster.loss = 0.0
--- /dev/null
+++ b/tests/consensus/test_replica.py
@@ -0,0 +1,254 @@
+"""Elections, replication and membership on a paused clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.consensus import (
+    HardState,
+    Member,
+    Role,
+    membership,
+    receive,
+    take_output,
+)
+from dragonflyrock.consensus.models import AppendAnswer, VoteAnswer, VoteRequest
+from dragonflyrock.errors import Reason, Refusal
+
+from .common import Cluster
+
+
+@pytest.mark.parametrize("names", ["a", "abc", "abcde"])
+def test_a_new_group_elects_one_leader_and_commits(names: str) -> None:
+    cluster = Cluster(names, seed=1)
+    cluster.settle()
+    cluster.propose(b"x")
+    cluster.run(0.5)
+    assert all(cluster.commands(name) == [b"x"] for name in names)
+
+
+def test_a_group_is_formed_only_by_all_first_voters() -> None:
+    cluster = Cluster("abc", seed=2)
+    cluster.stop("c")
+    cluster.run(3.0)
+    assert cluster.leader() is None
+    cluster.start("c")
+    cluster.settle()
+
+
+def test_a_lost_leader_is_replaced_within_an_entry_lease() -> None:
+    cluster = Cluster("abcde", seed=3)
+    cluster.propose(b"x")
+    first = cluster.settle()
+    cluster.stop(first.me.name)
+    lost_at = cluster.now
+    cluster.settle()
+    # An entry lease of 1.5 s is renewed each 0.4 s.
+    assert cluster.now - lost_at < 1.1
+
+
+def test_a_silently_isolated_leader_steps_down_and_commits_nothing() -> None:
+    cluster = Cluster("abcde", seed=4)
+    old = cluster.settle()
+    cluster.cut(old.me.name)
+    cluster.propose(b"lost", old.me.name)
+    cluster.run(1.0)
+    new = cluster.settle()
+    assert new.me.name != old.me.name
+    cluster.run(1.0)
+    # It may ask for votes, but no longer leads.
+    assert old.role != Role.LEADER
+    cluster.propose(b"kept")
+    cluster.cuts.clear()
+    cluster.run(2.0)
+    assert all(cluster.commands(name) == [b"kept"] for name in "abcde")
+
+
+def test_an_isolated_follower_does_not_disturb_when_it_returns() -> None:
+    cluster = Cluster("abc", seed=5)
+    leader = cluster.settle()
+    follower = next(n for n in "abc" if n != leader.me.name)
+    term = leader.hard.term
+    cluster.cut(follower)
+    cluster.run(10.0)
+    cluster.cuts.clear()
+    cluster.run(2.0)
+    assert (leader.role, leader.hard.term) == (Role.LEADER, term)
+
+
+def test_a_leader_that_was_frozen_holds_no_lease_when_it_wakes() -> None:
+    cluster = Cluster("abc", seed=6)
+    old = cluster.settle()
+    cluster.frozen.add(old.me.name)
+    cluster.run(3.0)
+    cluster.frozen.clear()
+    assert not old.is_settled_leader(cluster.clocks[old.me.name])
+    cluster.run(1.0)
+    assert old.role == Role.FOLLOWER
+
+
+def test_a_restarted_group_keeps_every_committed_entry() -> None:
+    cluster = Cluster("abc", seed=7)
+    cluster.settle()
+    for number in range(50):
+        cluster.propose(b"%d" % number)
+        cluster.run(0.02)
+    cluster.run(0.2)
+    for name in "abc":
+        cluster.start(name)
+    cluster.settle()
+    cluster.run(0.5)
+    expected = [b"%d" % number for number in range(50)]
+    assert all(cluster.commands(name) == expected for name in "abc")
+
+
+def test_a_member_behind_the_snapshot_is_brought_up_to_date() -> None:
+    cluster = Cluster("abc", seed=8)
+    leader = cluster.settle()
+    behind = next(n for n in "abc" if n != leader.me.name)
+    cluster.stop(behind)
+    for number in range(20):
+        cluster.propose(b"%d" % number)
+        cluster.run(0.02)
+    cluster.run(0.3)
+    cluster.compact(leader.me.name)
+    cluster.start(behind)
+    cluster.run(2.0)
+    cluster.propose(b"after")
+    cluster.run(0.5)
+    expected = [b"%d" % number for number in range(20)] + [b"after"]
+    assert cluster.commands(behind) == expected
+
+
+def test_a_wiped_voter_neither_votes_nor_acknowledges_under_its_old_name() -> None:
+    cluster = Cluster("abc", seed=9)
+    leader = cluster.settle()
+    one, other = (n for n in "abc" if n != leader.me.name)
+    cluster.stop(other)
+    cluster.propose(b"x")
+    cluster.run(0.3)
+    # The entry is on the leader and on one follower, which now loses its disk.
+    cluster.wipe(one)
+    cluster.stop(leader.me.name)
+    cluster.start(other)
+    cluster.run(5.0)
+    assert cluster.leader() is None
+    cluster.start(leader.me.name)
+    cluster.settle()
+    cluster.run(0.5)
+    assert cluster.commands(other) == [b"x"]
+
+
+def test_a_voter_is_replaced_by_way_of_a_learner() -> None:
+    cluster = Cluster("abc", seed=10)
+    leader = cluster.settle()
+    for number in range(10):
+        cluster.propose(b"%d" % number)
+    lost = next(n for n in "abc" if n != leader.me.name)
+    cluster.wipe(lost)
+    cluster.run(2.0)
+    refused = membership.add_learner(leader, lost)
+    assert isinstance(refused, Refusal)
+    assert refused.reason == Reason.NOT_ALLOWED
+    assert isinstance(membership.remove_member(leader, lost), int)
+    second = membership.remove_member(leader, lost)
+    assert isinstance(second, Refusal)
+    cluster.run(1.0)
+    assert isinstance(membership.add_learner(leader, lost), int)
+    cluster.run(2.0)
+    assert leader.configuration.has_voter(lost)
+    # The repair is complete, so another voter may be lost now.
+    other = next(n for n in "abc" if n not in (lost, leader.me.name))
+    cluster.stop(other)
+    cluster.propose(b"after")
+    cluster.run(0.5)
+    assert cluster.commands(lost)[-1] == b"after"
+
+
+def test_leadership_is_handed_over_without_an_election_time_out() -> None:
+    cluster = Cluster("abc", seed=11)
+    old = cluster.settle()
+    cluster.run(0.5)
+    assert membership.hand_over_leadership(old, cluster.clocks[old.me.name])
+    cluster._flush(old.me.name)
+    started = cluster.now
+    new = cluster.settle()
+    assert new.me.name != old.me.name
+    assert cluster.now - started < 0.2
+
+
+def test_clocks_that_drift_by_one_percent_leave_one_lease_at_a_time() -> None:
+    cluster = Cluster("abc", seed=12)
+    cluster.rates = {"a": 1.01, "b": 0.99, "c": 1.0}
+    for name in "abcabc":
+        cluster.settle()
+        cluster.cut(name)
+        cluster.run(2.0)
+        cluster.cuts.clear()
+        cluster.run(1.0)
+    assert cluster.leaders
+
+
+def test_a_voter_that_lacks_committed_entries_is_not_elected() -> None:
+    for number in range(10):
+        cluster = Cluster("abc", seed=100 + number)
+        leader = cluster.settle()
+        behind, current = (n for n in "abc" if n != leader.me.name)
+        cluster.cut(behind)
+        cluster.propose(b"x")
+        cluster.run(0.5)
+        cluster.stop(leader.me.name)
+        cluster.cuts.clear()
+        assert cluster.settle().me.name == current
+        cluster.run(0.5)
+        assert cluster.commands(behind) == [b"x"]
+
+
+def test_no_vote_is_given_while_a_leader_may_hold_a_lease() -> None:
+    cluster = Cluster("abc", seed=13)
+    leader = cluster.settle()
+    cluster.run(0.5)
+    voter, candidate = (cluster.replicas[n] for n in "abc" if n != leader.me.name)
+    log = voter.log
+    request = VoteRequest(
+        voter.hard.term + 1, log.last_index, log.last_term, pre=False, forming=False
+    )
+    receive(voter, candidate.me, request, cluster.clocks[voter.me.name])
+    answers = [message for _, message in take_output(voter).messages]
+    assert answers == [VoteAnswer(voter.hard.term, False, False, False)]
+
+
+def test_a_vote_of_another_identity_does_not_count() -> None:
+    cluster = Cluster("abc", seed=14)
+    leader = cluster.settle()
+    one, other = (n for n in "abc" if n != leader.me.name)
+    cluster.stop(leader.me.name)
+    cluster.stop(other)
+    cluster.run(1.0)
+    candidate = cluster.replicas[one]
+    assert candidate.role == Role.CANDIDATE
+    answer = VoteAnswer(candidate.hard.term + 1, True, candidate.pre, False)
+    before = candidate.hard.term
+    receive(candidate, Member(other, "wiped"), answer, cluster.clocks[one])
+    assert (candidate.hard.term, list(candidate.votes)) == (before, [one])
+
+
+def test_entries_of_an_earlier_term_are_committed_only_by_one_of_this_term() -> None:
+    cluster = Cluster("abcde", seed=15)
+    old = cluster.settle()
+    partner = next(n for n in "abcde" if n != old.me.name)
+    cluster.cut(old.me.name, partner)
+    cluster.propose(b"early", old.me.name)
+    cluster.run(0.1)
+    follower = cluster.replicas[partner]
+    assert follower.log.last_index > follower.commit
+    # As if this follower had been elected in a later term.
+    clock = cluster.clocks[partner]
+    follower.role = Role.LEADER
+    follower.hard = HardState(follower.hard.term + 5, partner)
+    others = [cluster.replicas[n].me for n in "abcde" if n != partner]
+    before = follower.commit
+    for member in others:
+        answer = AppendAnswer(follower.hard.term, True, follower.log.last_index, clock)
+        receive(follower, member, answer, clock)
+    assert follower.commit == before
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,164 @@
+"""Data folders that are torn, flipped, full, wiped or cut short."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+
+from dragonflyrock.consensus import (
+    Entry,
+    EntryKind,
+    HardState,
+    Output,
+    SnapshotImage,
+    StorageError,
+    open_storage,
+)
+
+
+def make_entries(first: int, last: int) -> list[Entry]:
+    """Return entries of term 1."""
+    return [
+        Entry(index, 1, EntryKind.COMMAND, b"payload %d" % index)
+        for index in range(first, last + 1)
+    ]
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    """Return a folder with ten entries and a vote."""
+    storage, _ = open_storage(tmp_path / "data")
+    storage.write(Output(entries=make_entries(1, 10), hard=HardState(3, "b")))
+    storage.close()
+    return tmp_path / "data"
+
+
+def test_what_was_written_is_read_again(folder: Path) -> None:
+    storage, recovered = open_storage(folder)
+    assert recovered.entries == tuple(make_entries(1, 10))
+    assert recovered.hard == HardState(3, "b")
+    assert not recovered.cut_bytes
+    storage.close()
+
+
+def test_a_truncation_outlasts_a_restart(folder: Path) -> None:
+    storage, _ = open_storage(folder)
+    fresh = [Entry(8, 2, EntryKind.COMMAND, b"other")]
+    storage.write(Output(truncate_from=8, entries=fresh))
+    storage.close()
+    _, recovered = open_storage(folder)
+    assert recovered.entries == (*make_entries(1, 7), *fresh)
+
+
+@pytest.mark.parametrize("cut", [1, 5, 11, 12, 20])
+def test_a_torn_tail_is_cut(folder: Path, cut: int) -> None:
+    log = folder / "log"
+    size = log.stat().st_size
+    os.truncate(log, size - cut)
+    storage, recovered = open_storage(folder)
+    assert recovered.entries == tuple(make_entries(1, 10))
+    assert recovered.cut_bytes > 0
+    storage.write(Output(entries=make_entries(11, 11)))
+    storage.close()
+    _, recovered = open_storage(folder)
+    assert recovered.entries[-1].log_index == 11
+
+
+def test_blocks_that_were_never_written_are_cut(folder: Path) -> None:
+    with (folder / "log").open("ab") as log:
+        log.write(b"\x00" * 4096)
+    _, recovered = open_storage(folder)
+    assert recovered.cut_bytes == 4096
+
+
+def test_any_flipped_bit_ends_the_start_with_its_place(folder: Path) -> None:
+    log = folder / "log"
+    data = log.read_bytes()
+    for offset in range(0, len(data), 7):
+        flipped = bytearray(data)
+        flipped[offset] ^= 0x10
+        log.write_bytes(flipped)
+        with pytest.raises(StorageError, match="log: damaged: .* at byte"):
+            open_storage(folder)
+
+
+def test_a_damaged_snapshot_ends_the_start(folder: Path) -> None:
+    storage, _ = open_storage(folder)
+    storage.save_snapshot(SnapshotImage(10, 1, payload=b"state"), ())
+    storage.close()
+    path = folder / "snapshot"
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 1
+    path.write_bytes(data)
+    with pytest.raises(StorageError, match="snapshot: damaged"):
+        open_storage(folder)
+
+
+def test_a_snapshot_keeps_the_vote_and_the_entries_after_it(folder: Path) -> None:
+    storage, _ = open_storage(folder)
+    kept = tuple(make_entries(9, 10))
+    storage.save_snapshot(SnapshotImage(8, 1, payload=b"state"), kept)
+    storage.close()
+    _, recovered = open_storage(folder)
+    assert recovered.snapshot.payload == b"state"
+    assert recovered.entries == kept
+    assert recovered.hard == HardState(3, "b")
+
+
+def test_a_crash_between_snapshot_and_log_loses_nothing(folder: Path) -> None:
+    old_log = (folder / "log").read_bytes()
+    storage, _ = open_storage(folder)
+    storage.save_snapshot(SnapshotImage(8, 1), tuple(make_entries(9, 10)))
+    storage.close()
+    (folder / "log").write_bytes(old_log)
+    (folder / "log.new").write_bytes(b"half a fi")
+    _, recovered = open_storage(folder)
+    assert recovered.entries == tuple(make_entries(9, 10))
+    assert recovered.hard == HardState(3, "b")
+
+
+def test_a_wiped_folder_gets_a_new_identity(folder: Path) -> None:
+    _, before = open_storage(folder)
+    for path in folder.iterdir():
+        path.unlink()
+    _, after = open_storage(folder)
+    assert before.identity != after.identity
+
+
+def test_a_lost_identity_beside_a_log_is_refused(folder: Path) -> None:
+    (folder / "identity").unlink()
+    with pytest.raises(StorageError, match="identity: missing beside a log"):
+        open_storage(folder)
+
+
+def test_a_gap_in_the_log_is_refused(folder: Path) -> None:
+    storage, _ = open_storage(folder)
+    storage.write(Output(entries=make_entries(12, 12)))
+    storage.close()
+    with pytest.raises(StorageError, match="entry 12 follows 10"):
+        open_storage(folder)
+
+
+def test_everything_is_synced_before_a_write_returns(
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    synced: list[int] = []
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_size))
+    storage, _ = open_storage(folder)
+    storage.write(Output(entries=make_entries(11, 11)))
+    assert synced == [(folder / "log").stat().st_size]
+    storage.save_snapshot(SnapshotImage(11, 1), ())
+    # The snapshot, its folder, the shorter log and its folder again.
+    assert len(synced) == 1 + 4
+
+
+def test_a_full_disk_is_an_error_with_its_step(tmp_path: Path) -> None:
+    storage, _ = open_storage(tmp_path)
+    storage._log.close()
+    # Every write to this device fails as on a full disk.
+    storage._log = Path("/dev/full").open("ab")  # noqa: SIM115
+    with pytest.raises(StorageError, match="No space left") as caught:
+        storage.write(Output(entries=make_entries(1, 1)))
+    assert caught.value.step == "write"
