Prove sole ownership on a paused clock, and wait out a host that hears nothing

Cause: ownership rests on two leases and a handover, which only real processes had run. Schedules of failures drawn by hypothesis found three faults: a host that is heard by the leader but hears nothing kept its lease at the leader, and held every handover up for good; a move that was cancelled began again at once, so a range with a long request in flight was closed to callers most of the time; and a request that a frozen server reads late counted its time span anew. Ruled out: the fence itself; no schedule gave a key two owners. Change: no renewal for a host that stays a second behind a revision; a cancelled move rests for 2 s; requests carry an absolute deadline beside the span. Server and leader lost together: every key served within 3.2 s by the test's clock, 0.2 s of it the test's own sampling.

--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -34,6 +34,7 @@
     NEVER,
     GrantRow,
     HostRow,
+    Lag,
     LeaderTables,
     LeaderTiming,
     LoadRow,
@@ -171,22 +172,36 @@
         effects: list[Effect] = []
         known = self.tables.hosts.get(renew.host)
         until = known.lease_until if known else now
-        if self._state.hosts.get(renew.host) == record:
+        lag = self._find_lag(known.lag if known else Lag(), renew.revision, now)
+        if self._state.hosts.get(renew.host) != record:
+            effects = self._propose(c.RegisterHost(record), renew.host)
+        elif now - lag.since <= self._timing.lag_limit or not lag.revision:
             lease = self._timing.entry_lease
             lease_ms = int(lease * 1000)
             until = extend_given(until, now, lease, self._timing.drift)
-        else:
-            effects = self._propose(c.RegisterHost(record), renew.host)
         row = HostRow(
             record,
             until,
             renew.revision,
             frozenset(renew.draining),
             renew.hosts_version,
+            lag,
         )
         self.tables.hosts[renew.host] = row
         return self._update(row, renew.sent_at, lease_ms, applied), effects
 
+    def _find_lag(self, lag: Lag, revision: int, now: float) -> Lag:
+        """Return what a host at a revision still lacks.
+
+        A host that is heard but hears nothing would hold every handover up if its
+        lease were renewed for ever.
+        """
+        if lag.revision > revision:
+            return lag
+        if revision < self._state.revision:
+            return Lag(self._state.revision, now)
+        return Lag()
+
     def _let_go(
         self, record: HostRecord, renew: HostRenew, applied: int
     ) -> tuple[HostUpdate, list[Effect]]:
@@ -470,6 +485,8 @@
                     finished.append(move)
                 case Cancel():
                     cancelled.append(move)
+                    pause = self._timing.cancelled_pause
+                    self.tables.held_until[row.ref] = now + pause
                 case Revoke():
                     self.tables.revoking[row.ref] = row.revision
                 case Wait():
@@ -554,7 +571,8 @@
         moved = {row.ref: loads[row.ref].moved_at for row in rows if row.ref in loads}
         balanced_at = self._balanced_at.get(service, NEVER)
         may_balance = now - balanced_at >= policy.placement.balance_interval
-        view = PlacementView(rows, candidates, busy, moved, may_balance, now)
+        held = self._find_held(now)
+        view = PlacementView(rows, candidates, busy, moved, held, may_balance, now)
         planned = plan_moves(view, policy.placement)
         for move in planned:
             # A range that lost its owner did not move by choice, and may go back.
@@ -567,6 +585,13 @@
             for move in planned
         )
 
+    def _find_held(self, now: float) -> frozenset[RangeRef]:
+        """Return the ranges whose last move was cancelled just now."""
+        held = self.tables.held_until
+        for ref in [ref for ref, until in held.items() if now >= until]:
+            del held[ref]
+        return frozenset(held)
+
     def _candidates(self, service: str, now: float) -> list[Candidate]:
         """Return the servers of a service whose grants are live."""
         found = []
--- a/src/dragonflyrock/control/tables.py
+++ b/src/dragonflyrock/control/tables.py
@@ -8,7 +8,15 @@
 from ..models import HostRecord, RangeRef, ServerRow
 from .calls import GrantedRange
 
-__all__ = ["NEVER", "GrantRow", "HostRow", "LeaderTables", "LeaderTiming", "LoadRow"]
+__all__ = [
+    "NEVER",
+    "GrantRow",
+    "HostRow",
+    "Lag",
+    "LeaderTables",
+    "LeaderTiming",
+    "LoadRow",
+]
 
 NEVER: Final = float("-inf")
 
@@ -22,7 +30,8 @@
     drift: float = 0.02
     drain_limit: float = 0.25
     longest_deadline: float = 30.0
-    move_pause: float = 0.5
+    cancelled_pause: float = 2.0
+    lag_limit: float = 1.0
     forget_server: float = 60.0
 
     def outlast(self, lease: float) -> float:
@@ -30,6 +39,13 @@
         return lease * (1 + self.drift)
 
 
+class Lag(NamedTuple):
+    """A revision that a host should have applied, and since when; (0, 0) for none."""
+
+    revision: int = 0
+    since: float = 0.0
+
+
 class HostRow(NamedTuple):
     """An entry host; ``lease_until`` is by the leader's clock, with the drift."""
 
@@ -38,6 +54,7 @@
     revision: int
     draining: frozenset[RangeRef]
     hosts_version: int
+    lag: Lag = Lag()
 
 
 class GrantRow(NamedTuple):
@@ -72,3 +89,4 @@
     window_started_at: float = NEVER
     revoking: dict[RangeRef, int] = field(default_factory=dict)
     move_started: dict[RangeRef, tuple[int, float]] = field(default_factory=dict)
+    held_until: dict[RangeRef, float] = field(default_factory=dict)
--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -34,6 +34,7 @@
         "authorization",
         "idempotency-key",
         "x-request-timeout-ms",
+        "x-request-deadline-ms",
         "x-request-id",
         "x-grant-epoch",
     )
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -131,6 +132,8 @@
         headers["X-Grant-Epoch"] = str(flight.epoch)
         headers[REQUEST_ID_HEADER] = request.request_id
         headers["X-Request-Timeout-Ms"] = str(left_ms)
+        # A server that was frozen cannot tell from a time span how late it is.
+        headers["X-Request-Deadline-Ms"] = str(int(time.time() * 1000) + left_ms)
         connection.request(
             request.method,
             request.target,
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -170,18 +170,25 @@
     ) -> Flight | Refusal:
         """Try until the request passes, cannot pass, or is late."""
         while True:
-            now = self._clock()
+            found = self.try_enter(service, key_hash, fingerprint, deadline)
+            if found is not None:
+                return found
+            until = min(deadline, self.tables.lease_until)
+            self._changed.wait(max(0.0, until - self._clock()))
+
+    def try_enter(
+        self, service: str, key_hash: int, fingerprint: str, deadline: float
+    ) -> Flight | Refusal | None:
+        """Enter if the owner may be sent the request now; None to wait."""
+        now = self._clock()
+        with self._changed:
             if has_lapsed(self.tables.lease_until, now):
                 return _refuse(Reason.LEASE_LAPSED, LEASE_RETRY_MS)
             if now >= deadline:
                 return _refuse(Reason.DEADLINE, 0, "the key's range is moving")
-            found = self._try_enter(service, key_hash, fingerprint, deadline, now)
-            if found is not None:
-                return found
-            until = min(deadline, self.tables.lease_until)
-            self._changed.wait(max(0.0, until - now))
+            return self._pass(service, key_hash, fingerprint, deadline, now)
 
-    def _try_enter(
+    def _pass(
         self,
         service: str,
         key_hash: int,
@@ -189,7 +196,7 @@
         deadline: float,
         now: float,
     ) -> Flight | Refusal | None:
-        """Enter if the owner may be sent the request now; None to wait."""
+        """Find the owner and count the request as in flight to it."""
         row = self.tables.ranges.find(service, key_hash)
         if row is None:
             return Refusal(Reason.UNKNOWN_SERVICE, Step.LOCATE, detail=service)
--- a/src/dragonflyrock/standin/server.py
+++ b/src/dragonflyrock/standin/server.py
@@ -235,13 +235,17 @@
         self.epoch = int(environ.get("HTTP_X_GRANT_EPOCH") or 0)
         timeout_ms = int(environ.get("HTTP_X_REQUEST_TIMEOUT_MS") or 30_000)
         self._deadline = time.monotonic() + timeout_ms / 1000
+        self._deadline_ms = int(environ.get("HTTP_X_REQUEST_DEADLINE_MS") or 0)
         query = parse_qs(environ.get("QUERY_STRING", ""))
         self.query = {name: values[-1] for name, values in query.items()}
         self.body = _read(environ)
 
     def left(self) -> float:
         """Return the time left in seconds, not below 0."""
-        return max(0.0, self._deadline - time.monotonic())
+        left = self._deadline - time.monotonic()
+        if self._deadline_ms:
+            left = min(left, self._deadline_ms / 1000 - time.time())
+        return max(0.0, left)
 
 
 def _read(environ: Environ) -> bytes:
--- a/src/dragonflyrock/systems/placement.py
+++ b/src/dragonflyrock/systems/placement.py
@@ -70,14 +70,16 @@
 class PlacementView(NamedTuple):
     """What a service's plan is made from.
 
-    ``busy_ms`` are busy milliseconds a second by range, and ``moved_at`` when a
-    range was last moved by choice. Times are in seconds.
+    ``busy_ms`` are busy milliseconds a second by range, ``moved_at`` when a range
+    was last moved by choice, and ``held`` the ranges that may not be moved by
+    choice now. Times are in seconds.
     """
 
     rows: list[RangeRow]
     candidates: list[Candidate]
     busy_ms: Mapping[RangeRef, float]
     moved_at: Mapping[RangeRef, float]
+    held: frozenset[RangeRef]
     may_balance: bool
     now: float
 
@@ -129,7 +131,7 @@
 
     >>> row = RangeRow("finder", 0, 99, "", 0, RangeState.ACTIVE, "", 1)
     >>> server = Candidate("f1@1", 2.0, accepts=True, stopping=False)
-    >>> view = PlacementView([row], [server], {}, {}, True, 0.0)
+    >>> view = PlacementView([row], [server], {}, {}, frozenset(), True, 0.0)
     >>> plan_moves(view, PlacementPolicy())[0].target
     'f1@1'
     """
@@ -143,7 +145,7 @@
         return []
     _place_lost(plan, view.rows, targets)
     under_way = sum(row.state == RangeState.MOVING for row in view.rows)
-    _empty_stopping(plan, view.rows, targets, policy.max_moves - under_way)
+    _empty_stopping(plan, view, targets, policy.max_moves - under_way)
     if view.may_balance and not plan.moves and not under_way:
         _balance(plan, view, targets, policy)
     return plan.moves
@@ -171,15 +173,17 @@
 
 
 def _empty_stopping(
-    plan: _Plan, rows: list[RangeRow], targets: list[str], budget: int
+    plan: _Plan, view: PlacementView, targets: list[str], budget: int
 ) -> None:
     """Move ranges away from servers that are going to stop, a few at a time."""
-    for row in rows:
+    for row in view.rows:
         if budget <= 0:
             return
         owner = plan.candidates.get(row.owner)
         if owner is None or not owner.stopping or row.state != RangeState.ACTIVE:
             continue
+        if row.ref in view.held:
+            continue
         plan.move(row, min(targets, key=plan.relative), lost=False)
         budget -= 1
 
@@ -191,7 +195,7 @@
     movable: defaultdict[str, list[RangeRow]] = defaultdict(list)
     for row in view.rows:
         settled = view.now - view.moved_at.get(row.ref, NEVER) >= policy.hysteresis
-        if settled and row.state == RangeState.ACTIVE:
+        if settled and row.state == RangeState.ACTIVE and row.ref not in view.held:
             movable[row.owner].append(row)
     capacity = sum(plan.candidates[holder].capacity for holder in targets)
     mean = sum(plan.load[holder] for holder in targets) / capacity
--- /dev/null
+++ b/tests/control/test_ownership.py
@@ -0,0 +1,203 @@
+"""Sole ownership and its return, through failures of every process."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from dragonflyrock.control import commands as c
+from dragonflyrock.models import RangeState
+
+from .world import KEYS, SERVICE, World
+
+SERVED_AGAIN = 3.0
+# Calls find a key's return only when they ask for it.
+SAMPLING = 0.2
+CHECKS = pytest.mark.parametrize("checks", [True, False])
+
+
+def start(number: int, *, checks: bool = True) -> World:
+    """Return a world in which every range has an owner."""
+    world = World(number, checks=checks)
+    world.run(4.0)
+    assert all(row.owner for row in world.state.ranges)
+    assert {ran.key for ran in world.ran} == set(range(KEYS))
+    return world
+
+
+def find_gap(world: World, key: int, since: float) -> float:
+    """Return the longest time after ``since`` without a run of a key."""
+    times = [since, *(ran.at for ran in world.ran if ran.key == key and ran.at > since)]
+    times.append(world.now)
+    return max(after - before for before, after in zip(times, times[1:], strict=False))
+
+
+@CHECKS
+def test_a_lost_server_is_replaced_within_three_seconds(checks: bool) -> None:
+    # No request was in flight, so nothing of a long deadline is waited for.
+    world = start(1, checks=checks)
+    world.run(0.3, calls_per_tick=0)
+    del world.servers["server-0"]
+    lost_at = world.now
+    world.run(3.0, calls_per_tick=0)
+    owners = {row.owner.partition("@")[0] for row in world.state.ranges}
+    assert owners == {"server-1", "server-2"}
+    assert all(row.state == RangeState.ACTIVE for row in world.state.ranges)
+    assert max(row.epoch for row in world.state.ranges) > 0
+    world.run(2.0, calls_per_tick=5)
+    assert min(ran.at for ran in world.ran if ran.at > lost_at) - lost_at < 3.2
+    world.check_sole_ownership()
+
+
+def test_server_and_leader_lost_together_cost_less_than_three_seconds() -> None:
+    for number in range(20):
+        world = start(number)
+        world.frozen.add("server-0")
+        world.leader = None
+        lost_at = world.now
+        world.run(0.9, calls_per_tick=8)
+        world.elect()
+        world.run(2.1, calls_per_tick=8)
+        assert all(row.state != RangeState.LOST for row in world.state.ranges)
+        assert all("server-0" not in row.owner for row in world.state.ranges)
+        world.run(1.0, calls_per_tick=8)
+        gap = max(find_gap(world, key, lost_at) for key in range(KEYS))
+        assert gap < SERVED_AGAIN + SAMPLING
+        world.check_sole_ownership()
+
+
+@CHECKS
+def test_a_server_that_returns_from_a_freeze_runs_nothing_of_the_old_epoch(
+    checks: bool,
+) -> None:
+    for number in range(20):
+        world = start(number, checks=checks)
+        world.frozen.add("server-1")
+        world.run(5.0)
+        world.frozen.clear()
+        world.run(3.0)
+        world.check_sole_ownership()
+
+
+@CHECKS
+def test_an_isolated_entry_host_is_waited_out(checks: bool) -> None:
+    world = start(2, checks=checks)
+    world.frozen.add("host-0")
+    state = world.state
+    world._commit(c.PlanStop("stop", "operator", "server-2"))
+    world.run(1.0)
+    assert state.ranges.moving() or any("server-2" in row.owner for row in state.ranges)
+    world.run(8.0)
+    assert all("server-2" not in row.owner for row in state.ranges)
+    world.frozen.clear()
+    world.run(2.0)
+    world.check_sole_ownership()
+
+
+def test_a_planned_stop_moves_all_away_and_delays_no_call_for_long() -> None:
+    world = start(3)
+    planned_at = world.now
+    world._commit(c.PlanStop("stop", "operator", "server-2"))
+    world.run(3.0, calls_per_tick=10)
+    assert all("server-2" not in row.owner for row in world.state.ranges)
+    late = [
+        ran for ran in world.ran if "server-2" in ran.holder and ran.at > planned_at + 2
+    ]
+    assert not late
+    gaps = [find_gap(world, key, planned_at) for key in range(KEYS)]
+    assert max(gaps) < 0.8
+    world.check_sole_ownership()
+
+
+def test_a_restarted_server_gets_nothing_while_its_old_run_may_act() -> None:
+    world = start(4)
+    old = world.servers["server-0"].holder
+    world.start_server("server-0")
+    restarted_at = world.now
+    world.run(4.0)
+    before = [ran for ran in world.ran if ran.at <= restarted_at]
+    last = {ran.key: ran.holder for ran in before}
+    for key in (key for key, holder in last.items() if holder == old):
+        next_at = min(
+            ran.at for ran in world.ran if ran.key == key and ran.at > restarted_at
+        )
+        assert 1.0 < next_at - restarted_at < 3.0
+    assert not world.state.ranges.owns_any(old)
+    world.check_sole_ownership()
+
+
+_ACTION = st.sampled_from(
+    [
+        "freeze server-0",
+        "freeze server-1",
+        "freeze host-0",
+        "freeze host-1",
+        "freeze leader",
+        "restart server-0",
+        "restart server-2",
+        "restart host-1",
+        "elect",
+        "lose leader",
+        "cut server-1",
+        "cut host-0",
+        "heal",
+        "stop server-0",
+        "unready server-2",
+    ]
+)
+_STEP = st.tuples(_ACTION, st.floats(0.02, 3.0))
+
+
+@CHECKS
+@seed(20261203)
+@settings(max_examples=60, deadline=None, database=None)
+@given(number=st.integers(0, 2**16), steps=st.lists(_STEP, min_size=3, max_size=12))
+def test_a_key_has_one_owner_through_any_failures(
+    checks: bool, number: int, steps: list[tuple[str, float]]
+) -> None:
+    world = World(number, checks=checks)
+    world.run(3.5)
+    for action, pause in steps:
+        act(world, action)
+        world.run(pause)
+        world.check_sole_ownership()
+    world.frozen.clear()
+    world.cuts.clear()
+    if world.leader is None:
+        world.elect()
+    world.run(8.0)
+    world.check_sole_ownership()
+    live = {server.holder for server in world.servers.values()}
+    rows = list(world.state.ranges.of_service(SERVICE))
+    assert all(row.owner in live for row in rows)
+    assert all(row.state != RangeState.LOST for row in rows)
+
+
+def act(world: World, action: str) -> None:
+    """Carry out one step of a schedule."""
+    kind, _, name = action.partition(" ")
+    match kind:
+        case "freeze":
+            world.frozen.add(name)
+        case "restart" if "host" in name:
+            world.start_host(name)
+        case "restart":
+            world.start_server(name)
+        case "elect":
+            # The earlier leader's lease is over before the next one is elected.
+            world.leader = None
+            world.run(0.4)
+            world.elect()
+        case "lose":
+            world.leader = None
+        case "cut":
+            world.cuts.add(name)
+        case "heal":
+            world.frozen.clear()
+            world.cuts.clear()
+        case "stop" if name in world.state.servers and world.leader is not None:
+            change = f"change-{world.now}"
+            world._commit(c.PlanStop(change, "operator", name))
+        case "unready":
+            world.servers[name].ready = not world.servers[name].ready
