--- a/src/dragonflyrock/trial/fleet.py
+++ b/src/dragonflyrock/trial/fleet.py
@@ -13,10 +13,11 @@
 import urllib.request
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from ..errors import DragonflyrockError
 from .caller import Caller
+from .history import JournalEntry
 from .plans import (
     CALLERS_OFFSET,
     OPERATORS_OFFSET,
@@ -25,6 +26,7 @@
     ServicePlan,
     write_settings,
 )
+from .relays import Relays
 
 __all__ = ["OPERATOR_TOKEN", "Fleet", "FleetPlan", "Process"]
 
@@ -35,21 +37,6 @@
 END_SECONDS: Final = 40.0
 
 
-class JournalEntry(NamedTuple):
-    """A line of a stand-in's journal; see ``standin.models.JournalLine``."""
-
-    event: str
-    server: str
-    request: str
-    method: str
-    service: str
-    key: str
-    epoch: int
-    body: str
-    reason: str
-    at_ns: int
-
-
 class Process:
     """A process that this fleet started, ended only by its own id."""
 
@@ -113,9 +100,15 @@
 class Fleet:
     """Daemons and stand-ins under one folder."""
 
-    def __init__(self, plan: FleetPlan, folder: Path) -> None:
-        """Write the settings; nothing is started yet."""
+    def __init__(
+        self, plan: FleetPlan, folder: Path, *, cuttable: bool = False
+    ) -> None:
+        """Write the settings; nothing is started yet.
+
+        With ``cuttable``, each direction of each link runs through a relay.
+        """
         self.plan = plan
+        self.relays = Relays(plan) if cuttable else None
         self.folder = folder
         self.hosts: dict[str, Process] = {}
         self.servers: dict[str, Process] = {}
@@ -124,6 +117,8 @@
         digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         for number in range(plan.hosts):
             text = write_settings(plan, number, str(folder), digest)
+            if self.relays is not None:
+                text = self.relays.redirect(text, number)
             self.settings_path(plan.host_name(number)).write_text(text)
 
     def settings_path(self, host: str) -> Path:
@@ -182,6 +177,8 @@
         """End every process."""
         for process in [*self.servers.values(), *self.hosts.values()]:
             process.kill()
+        if self.relays is not None:
+            self.relays.close()
 
     # Addresses
 
--- /dev/null
+++ b/src/dragonflyrock/trial/history.py
@@ -0,0 +1,214 @@
+"""What callers saw and servers ran in a trial, and the checks of it."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import threading
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+__all__ = [
+    "CallRecord",
+    "ChangeRecord",
+    "History",
+    "JournalEntry",
+    "Violation",
+    "check_history",
+]
+
+NS_PER_SECOND = 1_000_000_000
+
+
+class JournalEntry(NamedTuple):
+    """A line of a stand-in's journal; see ``standin.models.JournalLine``."""
+
+    event: str
+    server: str
+    request: str
+    method: str
+    service: str
+    key: str
+    epoch: int
+    body: str
+    reason: str
+    at_ns: int
+
+
+class CallRecord(NamedTuple):
+    """One attempt of a call; ``token`` is its body, the same in each attempt.
+
+    Times are monotonic, in seconds. Status 0: the connection ended without one.
+    """
+
+    method: str
+    service: str
+    key: str
+    host: int
+    token: str
+    status: int
+    outcome: str
+    reason: str
+    body: bytes
+    sent_at: float
+    ended_at: float
+
+
+class ChangeRecord(NamedTuple):
+    """An accepted change of a contract, and when its answer came."""
+
+    customer: str
+    version: int
+    value: float
+    answered_at: float
+
+
+class PlannedStop(NamedTuple):
+    """A planned stop of a server, and when it was accepted."""
+
+    server: str
+    accepted_at: float
+
+
+class Violation(NamedTuple):
+    """A guarantee that a history breaks."""
+
+    check: str
+    detail: str
+
+
+class History:
+    """Records of a trial; calls may be added from many threads."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.calls: list[CallRecord] = []
+        self.changes: list[ChangeRecord] = []
+        self.stops: list[PlannedStop] = []
+        self.journal: list[JournalEntry] = []
+        self._lock = threading.Lock()
+
+    def add_call(self, call: CallRecord) -> None:
+        """Add a call."""
+        with self._lock:
+            self.calls.append(call)
+
+
+def check_history(
+    history: History, stop_grace: float, contract: tuple[int, float] | None = None
+) -> list[Violation]:
+    """Return every violation.
+
+    ``stop_grace`` is after how many seconds a stopping server may get nothing
+    new; ``contract`` is the version and value in force at the end.
+    """
+    ran = [entry for entry in history.journal if entry.event == "ran"]
+    return [
+        *_check_sole_ownership(ran),
+        *_check_at_most_once(ran),
+        *_check_not_run(ran, history.calls),
+        *_check_accepted(ran, history.calls),
+        *_check_whole_answers(history.calls),
+        *_check_planned_stops(ran, history.stops, stop_grace),
+        *_check_contracts(history.changes, contract),
+    ]
+
+
+def _check_sole_ownership(ran: Iterable[JournalEntry]) -> Iterable[Violation]:
+    """Check that a key's epochs never go back and have one server each."""
+    latest: dict[tuple[str, str], int] = {}
+    owners: dict[tuple[str, str, int], str] = {}
+    for entry in sorted(ran, key=lambda entry: entry.at_ns):
+        key = (entry.service, entry.key)
+        owner = owners.setdefault((*key, entry.epoch), entry.server)
+        if owner != entry.server:
+            detail = f"{key} epoch {entry.epoch}: {owner} and {entry.server}"
+            yield Violation("sole ownership", detail)
+        if entry.epoch < latest.get(key, 0):
+            detail = f"{key}: epoch {entry.epoch} of {entry.server} came late"
+            yield Violation("sole ownership", detail)
+        latest[key] = max(entry.epoch, latest.get(key, 0))
+
+
+def _check_at_most_once(ran: Iterable[JournalEntry]) -> Iterable[Violation]:
+    """Check that no request with a token ran twice."""
+    counted = Counter(entry.body for entry in ran if entry.method == "POST")
+    for token, count in counted.items():
+        if count > 1:
+            yield Violation("at most once", f"{token} ran {count} times")
+
+
+def _check_not_run(
+    ran: Iterable[JournalEntry], calls: Iterable[CallRecord]
+) -> Iterable[Violation]:
+    """Check that what was called not run in every attempt did not run."""
+    tokens = {entry.body for entry in ran if entry.method == "POST"}
+    outcomes: defaultdict[str, set[str]] = defaultdict(set)
+    for call in calls:
+        if call.method == "POST":
+            outcomes[call.token].add(call.outcome)
+    for token, seen in outcomes.items():
+        if seen == {"not-run"} and token in tokens:
+            yield Violation("not run", f"{token} ran")
+
+
+def _check_accepted(
+    ran: Iterable[JournalEntry], calls: Iterable[CallRecord]
+) -> Iterable[Violation]:
+    """Check that what was called completed did run."""
+    tokens = {entry.body for entry in ran if entry.method == "POST"}
+    for call in calls:
+        completed = call.status == 200 and call.outcome == "completed"
+        if call.method == "POST" and completed and call.token not in tokens:
+            yield Violation("accepted", f"{call.token} did not run")
+
+
+def _check_whole_answers(calls: Iterable[CallRecord]) -> Iterable[Violation]:
+    """Check that each answer is whole and to its own request."""
+    for call in calls:
+        if call.status != 200:
+            continue
+        try:
+            fields = json.loads(call.body)
+        except ValueError:
+            yield Violation("whole answers", f"{call.key}: not whole")
+            continue
+        digest = hashlib.sha256(call.token.encode()).hexdigest()
+        if (fields.get("key"), fields.get("body")) != (call.key, digest):
+            detail = f"{call.key} got the answer to {fields.get('key')}"
+            yield Violation("whole answers", detail)
+
+
+def _check_planned_stops(
+    ran: Iterable[JournalEntry], stops: Iterable[PlannedStop], grace: float
+) -> Iterable[Violation]:
+    """Check that a stopping server gets nothing new after the grace."""
+    for stop in stops:
+        limit_ns = int((stop.accepted_at + grace) * NS_PER_SECOND)
+        for entry in ran:
+            name = entry.server.rpartition("@")[0]
+            if name == stop.server and entry.at_ns > limit_ns:
+                detail = f"{entry.server} ran {entry.key} after {grace} s"
+                yield Violation("planned stops", detail)
+                break
+
+
+def _check_contracts(
+    changes: Iterable[ChangeRecord], contract: tuple[int, float] | None
+) -> Iterable[Violation]:
+    """Check that accepted versions are distinct, without a gap, and kept."""
+    by_version: dict[int, ChangeRecord] = {}
+    for change in changes:
+        known = by_version.setdefault(change.version, change)
+        if known.value != change.value:
+            detail = f"version {change.version} was accepted twice"
+            yield Violation("contracts", detail)
+    if contract is None or not by_version:
+        return
+    last = max(by_version)
+    version, value = contract
+    if version < last:
+        yield Violation("contracts", f"version {last} was lost, {version} is in force")
+    elif version == last and value != by_version[last].value:
+        yield Violation("contracts", f"version {last} has another value")
--- a/tests/common.py
+++ b/tests/common.py
@@ -9,7 +9,7 @@
 BLOCK_PORTS: Final = 600
 FIRST_BLOCK: Final = 12_000
 LAST_BLOCK: Final = 30_000
-PROBED_OFFSETS: Final = (0, 100, 200, 300, 400, 401, 402, 420)
+PROBED_OFFSETS: Final = (0, 100, 200, 300, 400, 401, 402, 420, 501, 505)
 
 _BLOCKS = count()
 
--- /dev/null
+++ b/tests/trial/test_scenarios.py
@@ -0,0 +1,25 @@
+"""Every scenario runs on real daemons, and its history is checked."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from dragonflyrock.trial.scenario import ScenarioError, parse_scenario, run_scenario
+
+from ..common import find_free_ports
+
+FOLDER = Path(__file__).parents[2] / "scenarios"
+SCRIPTS = sorted(FOLDER.glob("*.scn"))
+
+
+@pytest.mark.parametrize("script", SCRIPTS, ids=lambda path: path.stem)
+def test_a_scenario_holds_every_guarantee(script: Path, tmp_path: Path) -> None:
+    result = run_scenario(script.read_text(), tmp_path, find_free_ports())
+    assert not result.violations, result.violations[:5]
+
+
+def test_a_script_with_an_error_names_the_line() -> None:
+    with pytest.raises(ScenarioError, match="line 2"):
+        parse_scenario("fleet hosts 1 voters 1 servers 1\nexplode host-1\n", 9000)
