--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -296,12 +296,7 @@
     def _repair(self, name: str) -> None:
         """Replace a wiped voter that runs again, until it votes."""
         for method in ("DELETE", "PUT"):
-            self._fleet.wait_for(
-                f"{method} {name}",
-                lambda method=method: (
-                    "log_index" in self._ask(method, f"/members/{name}")
-                ),
-            )
+            self._change_member(method, name)
         self._fleet.wait_for("voter", lambda: name in self._voters())
 
     def _change_member(self, method: str, name: str) -> None:
