--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,92 @@
+"""A contract's rate over several hosts, however the balancer spreads the calls.
+
+``python -m benchmarks.limits [--seconds 4]``
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import defopt
+
+from dragonflyrock.trial import SINGLE, Fleet, ServicePlan
+
+FIRST_PORT = 32_000
+HOSTS = 5
+RATE = 200
+BURST = 50
+CALLERS = 10
+SETTLE_SECONDS = 2.0
+SPREADS = {"even": (1, 1, 1, 1, 1), "skewed": (6, 1, 1, 1, 1), "one host": (1,)}
+
+
+def run_limits(*, seconds: float = 4.0) -> int:
+    """Print what of a contract was used, and the fullest second.
+
+    :param seconds: how long each spread is measured
+    """
+    plan = SINGLE._replace(
+        hosts=HOSTS, first_port=FIRST_PORT, services=(ServicePlan("finder", 4),)
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(plan, Path(folder))
+        try:
+            fleet.start_hosts()
+            fleet.start_servers()
+            fleet.wait_ready()
+            print("spread    used of rate  fullest second of rate + burst  refused")
+            for number, (name, weights) in enumerate(SPREADS.items()):
+                token = f"token-{number}"
+                fleet.put_contract(
+                    f"customer-{number}",
+                    token,
+                    requests_per_second=RATE,
+                    burst_requests=BURST,
+                )
+                time.sleep(SETTLE_SECONDS)
+                _measure(fleet, name, weights, token, seconds)
+        finally:
+            fleet.close()
+    return 0
+
+
+def _measure(
+    fleet: Fleet, name: str, weights: tuple[int, ...], token: str, seconds: float
+) -> None:
+    """Call as fast as it goes and count the answers."""
+    chosen = [host for host, weight in enumerate(weights) for _ in range(weight)]
+    admitted: list[float] = []
+    refused: list[int] = []
+    until = time.monotonic() + SETTLE_SECONDS + seconds
+
+    def run(number: int) -> None:
+        caller = fleet.caller(token, chosen[number % len(chosen)])
+        while time.monotonic() < until:
+            answer = caller.call("GET", f"/finder/key-{number}")
+            if answer.status == 200:
+                admitted.append(answer.ended_at)
+            else:
+                refused.append(answer.status)
+                time.sleep(0.005)
+
+    threads = [threading.Thread(target=run, args=(i,)) for i in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    admitted.sort()
+    settled = [at for at in admitted if at >= until - seconds]
+    fullest = max(sum(at <= x < at + 1 for x in admitted) for at in admitted)
+    print(
+        f"{name:8}  {len(settled) / seconds / RATE:12.2f}"
+        f"  {fullest / (RATE + BURST):30.2f}  {len(refused):7}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run_limits))
--- /dev/null
+++ b/benchmarks/unavailable.py
@@ -0,0 +1,49 @@
+"""Time during which callers could not be served, by scenario.
+
+``python -m benchmarks.unavailable [--repeat 3]``
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+import defopt
+
+from dragonflyrock.trial.scenario import run_scenario
+
+FOLDER = Path(__file__).parents[1] / "scenarios"
+NAMES = (
+    "freeze-and-return",
+    "server-and-leader",
+    "leader-killed",
+    "leader-isolated",
+    "planned-stop",
+    "rolling-restart",
+    "crashing-request",
+)
+FIRST_PORT = 31_000
+
+
+def run_unavailable(*, repeat: int = 3) -> int:
+    """Print the longest time for which a caller of a key was not served.
+
+    :param repeat: how often each scenario runs
+    """
+    print("scenario            calls  failed  unavailable s  violations")
+    for name in NAMES:
+        for seed in range(repeat):
+            with tempfile.TemporaryDirectory() as folder:
+                text = (FOLDER / f"{name}.scn").read_text()
+                result = run_scenario(text, Path(folder), FIRST_PORT, seed)
+            print(
+                f"{name:18}  {result.calls:5}  {result.failed:6}"
+                f"  {result.unavailable:13.2f}  {len(result.violations):10}",
+                flush=True,
+            )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run_unavailable))
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -238,6 +238,7 @@
 
     def push_updates(self, applied: int, now: float) -> list[Effect]:
         """Return updates for the hosts that lack rows, without a lease."""
+        self._list_hosts(now)
         effects: list[Effect] = []
         for host in self.live_hosts(now):
             if host.revision >= self._state.revision:
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -25,6 +25,7 @@
 from .entry.dispatch import Dispatcher
 from .entry.forward import Forwarder
 from .entry.gate import Gate
+from .entry.limits import LimitAgent
 from .entry.operators import OperatorsApp
 from .entry.platform import PlatformApp
 from .entry.request import CallerRequest
@@ -190,7 +191,10 @@
             self._strike,
             self._absolve,
         )
-        admission = Admission(self._clock, lambda: len(self._gate.tables.hosts))
+        admission = Admission(self._clock, self._runtime.wake)
+        self._runtime.limits = LimitAgent(
+            settings.host.name, self._gate, admission, self._runtime.send, self._clock
+        )
         reservations = Reservations(
             self._caller.call,
             settings.control.ledger_shards,
--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -140,7 +140,7 @@
         if held is not None and held.refused:
             detail = f"fingerprint {held.fingerprint}"
             return Refusal(Reason.QUARANTINED, Step.ADMIT, detail=detail)
-        refusal = self._admission.admit(request.contract)
+        refusal = self._admission.admit(request.contract, request.deadline)
         if refusal is not None:
             return refusal
         try:
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -15,6 +15,7 @@
 
 from .control.member import ControlMember
 from .entry.agent import EntryAgent
+from .entry.limits import LimitAgent
 from .observe.metrics import Metrics
 from .transport.calls import CallTable
 from .transport.links import Links, Received
@@ -25,6 +26,8 @@
     HostRenew,
     HostUpdate,
     LinkMessage,
+    RateDemand,
+    RateGrant,
 )
 
 __all__ = ["Runtime"]
@@ -55,6 +58,7 @@
         self.member: ControlMember | None = None
         self.agent: EntryAgent | None = None
         self.calls: CallTable | None = None
+        self.limits: LimitAgent | None = None
 
     def post(self, task: Callable[[], None]) -> None:
         """Have a task run by the loop's thread; from any thread."""
@@ -74,6 +78,10 @@
         """End the loop after its present pass."""
         self.post(self._mark_stopping)
 
+    def wake(self) -> None:
+        """Have the loop make a pass now."""
+        self.post(_do_nothing)
+
     def _mark_stopping(self) -> None:
         """Note that the loop is to end."""
         self._stopping = True
@@ -138,6 +146,10 @@
                 self.calls.answer(sender, message, now)
             case HostUpdate() if self.agent is not None:
                 self.agent.receive(message, now)
+            case RateDemand() if self.limits is not None:
+                self.limits.receive_demand(sender, message)
+            case RateGrant() if self.limits is not None:
+                self.limits.receive_grant(message)
             case _:
                 _LOGGER.debug("peer=%s: no role for %s", sender, type(message).__name__)
 
@@ -153,5 +165,11 @@
         now = self._clock()
         if self.agent is not None:
             self.agent.tick(now)
+        if self.limits is not None:
+            self.limits.tick()
         if self.member is not None:
             self.member.flush(now)
+
+
+def _do_nothing() -> None:
+    """Be a task that only wakes the loop."""
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -105,27 +105,35 @@
 
 
 class RateDemand(NamedTuple):
-    """What an entry host wants of a customer's limits, for its limiter host.
+    """What an entry host wants of a customer's limits; see ``systems.limits.Wish``.
 
-    ``requests_per_second`` is what arrived; ``concurrent`` what is wanted now.
+    ``sent_at`` is the asking host's clock in seconds. ``standby`` asks the host
+    that stands in for a silent limiter.
     """
 
     customer: str
-    version: int
-    requests_per_second: float
-    concurrent: int
+    tokens: int
+    permits: int
+    permits_held: int
     sent_at: float
+    standby: bool
 
 
 class RateGrant(NamedTuple):
-    """A share of a customer's limits, for ``lease_ms`` from ``sent_at`` on."""
+    """A portion of a customer's limits; see ``systems.limits.Portion``.
+
+    ``sent_at`` echoes the demand's clock, and the leases count from it;
+    ``standby`` echoes whom it was asked of.
+    """
 
     customer: str
-    version: int
-    requests_per_second: float
-    concurrent: int
+    tokens: int
+    permits: int
+    wait: float
+    limited: bool
+    settling: bool
     sent_at: float
-    lease_ms: int
+    standby: bool
 
 
 LinkMessage = (
