--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,7 @@
 from dragonflyrock.consensus import Timing, open_group
 from dragonflyrock.control import calls
 from dragonflyrock.control import commands as c
+from dragonflyrock.control.grants import make_server_row
 from dragonflyrock.control.leader import ControlLeader, ServicePolicy
 from dragonflyrock.control.state import ControlState
 from dragonflyrock.control.tables import LeaderTiming
@@ -78,7 +79,7 @@
     apply(state, c.DeclareService(SERVICE, ranges))
     for number in range(servers):
         announcement = make_announcement(number, 1)
-        row = ControlLeader._row_of(announcement, make_policy())  # noqa: SLF001
+        row = make_server_row(announcement, make_policy())
         apply(state, c.RegisterServer(row))
     for number in range(contracts):
         contract = Contract(
--- a/src/dragonflyrock/control/calls.py
+++ b/src/dragonflyrock/control/calls.py
@@ -25,8 +25,10 @@
     "Propose",
     "QuarantineList",
     "RangeList",
+    "ReadRevisions",
     "ReadStatus",
     "RemoveMember",
+    "RevisionList",
     "ServerStatus",
     "Status",
 ]
@@ -102,6 +104,16 @@
     """Ask for the quarantined requests."""
 
 
+class ReadRevisions(NamedTuple):
+    """Ask which revisions the live entry hosts have applied."""
+
+
+class RevisionList(NamedTuple):
+    """The revision of each live entry host."""
+
+    revisions: tuple[int, ...]
+
+
 class AddMember(NamedTuple):
     """Add a waiting member to the group."""
 
@@ -199,6 +211,8 @@
         Announcement,
         GrantSet,
         ReadStatus,
+        ReadRevisions,
+        RevisionList,
         ListContracts,
         ListRanges,
         ListQuarantines,
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -175,6 +175,9 @@
             case calls.ListContracts(customer) if self._leader is not None:
                 hosts = self._leader.live_hosts(now)
                 return list_contracts(self._state, customer, hosts)
+            case calls.ReadRevisions() if self._leader is not None:
+                hosts = self._leader.live_hosts(now)
+                return calls.RevisionList(tuple(host.revision for host in hosts))
             case calls.ListRanges(service):
                 return calls.RangeList(tuple(self._state.ranges.of_service(service)))
             case calls.ListQuarantines():
@@ -279,12 +282,12 @@
         self._note_moves(command)
 
         def notify(result: object) -> None:
-            leader.settle(ControlLeader.name_proposal(command))
+            leader.settle(command)
             if isinstance(result, Refusal):
                 _LOGGER.info("refused: %s: %s", command, result.detail)
 
         if not self._control.propose(c.COMMANDS.encode(command), notify):
-            leader.settle(ControlLeader.name_proposal(command))
+            leader.settle(command)
 
     def _note_moves(self, command: c.Command) -> None:
         """Show moves in the time line and the metrics."""
--- /dev/null
+++ b/src/dragonflyrock/control/moves.py
@@ -0,0 +1,223 @@
+"""Moves of ranges: loads, plans, and the steps of each handover."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from ..models import RangeRef, RangeRow, RangeState
+from ..systems.handover import (
+    Cancel,
+    Finish,
+    HostView,
+    OwnerView,
+    Revoke,
+    Wait,
+    decide_handover,
+)
+from ..systems.leases import has_lapsed
+from ..systems.placement import Candidate, PlacementView, plan_moves
+from ..transport.messages import RangeLoad
+from . import commands as c
+from .effects import Effect
+from .policy import ServicePolicy
+from .proposals import Proposals
+from .state import ControlState
+from .tables import NEVER, GrantRow, LeaderTables, LeaderTiming, LoadRow
+
+__all__ = ["Moves"]
+
+LOAD_SMOOTHING: Final = 0.3
+LOAD_WINDOW: Final = 1.0
+
+
+class _PlanBasis(NamedTuple):
+    """What a service's last plan was made from."""
+
+    revision: int
+    loads_at: float
+    candidates: list[Candidate]
+
+
+class Moves:
+    """The leader's part in every change of an owner."""
+
+    def __init__(
+        self,
+        state: ControlState,
+        services: Mapping[str, ServicePolicy],
+        tables: LeaderTables,
+        timing: LeaderTiming,
+        proposals: Proposals,
+    ) -> None:
+        """Start without loads."""
+        self._state = state
+        self._services = services
+        self._tables = tables
+        self._timing = timing
+        self._proposals = proposals
+        self._planned_on: dict[str, _PlanBasis] = {}
+        self._balanced_at: dict[str, float] = {}
+
+    def add_loads(self, loads: tuple[RangeLoad, ...]) -> None:
+        """Add a host's report to the loads of the present window."""
+        window = self._tables.load_window
+        for load in loads:
+            ref = RangeRef(load.service, load.low)
+            window[ref] = window.get(ref, 0.0) + load.busy_ms
+
+    def smooth_loads(self, now: float) -> None:
+        """Fold the window into the smoothed loads once it is long enough."""
+        tables = self._tables
+        elapsed = now - tables.window_started_at
+        if elapsed < LOAD_WINDOW:
+            return
+        for ref in tables.load_window.keys() | tables.loads.keys():
+            row = tables.loads.get(ref, LoadRow(0.0, NEVER))
+            rate = tables.load_window.get(ref, 0.0) / elapsed
+            busy = row.busy_ms + LOAD_SMOOTHING * (rate - row.busy_ms)
+            tables.loads[ref] = row._replace(busy_ms=busy)
+        tables.load_window.clear()
+        tables.window_started_at = now
+
+    def advance(self, now: float) -> list[Effect]:
+        """Decide the next step of every range that is moving."""
+        moving = self._state.ranges.moving()
+        if not moving:
+            self._tables.move_started.clear()
+            self._tables.revoking.clear()
+            return []
+        hosts = [
+            HostView(host.lease_until, host.revision, host.draining)
+            for host in self._tables.hosts.values()
+        ]
+        finished: list[c.MoveRef] = []
+        cancelled: list[c.MoveRef] = []
+        for row in moving:
+            move = c.MoveRef(row.service, row.low, row.revision)
+            match self._decide(row, hosts, now):
+                case Finish():
+                    finished.append(move)
+                case Cancel():
+                    cancelled.append(move)
+                    pause = self._timing.cancelled_pause
+                    self._tables.held_until[row.ref] = now + pause
+                case Revoke():
+                    self._tables.revoking[row.ref] = row.revision
+                case Wait():
+                    pass
+        effects: list[Effect] = []
+        if finished:
+            effects += self._proposals.propose(c.FinishMoves(tuple(finished)))
+        if cancelled:
+            effects += self._proposals.propose(c.CancelMoves(tuple(cancelled)))
+        return effects
+
+    def _decide(
+        self, row: RangeRow, hosts: list[HostView], now: float
+    ) -> Finish | Cancel | Revoke | Wait:
+        """Decide the next step of one move."""
+        started = self._tables.move_started.get(row.ref)
+        if started is None or started[0] != row.revision:
+            started = (row.revision, now)
+            self._tables.move_started[row.ref] = started
+        grant = self._tables.grants.get(row.owner)
+        owner = None
+        if grant is not None:
+            revoked = self._tables.revoking.get(row.ref) == row.revision
+            excluded = revoked or row.state == RangeState.LOST
+            owner = OwnerView(
+                grant.lease_until,
+                grant.server.checks_grants,
+                excluded,
+                excluded and self._has_acknowledged(grant, row),
+            )
+        timing = self._timing
+        return decide_handover(
+            row,
+            hosts,
+            owner,
+            started[1],
+            timing.drain_limit,
+            timing.longest_deadline,
+            now,
+        )
+
+    @staticmethod
+    def _has_acknowledged(grant: GrantRow, row: RangeRow) -> bool:
+        """Return whether the holder has a set that leaves the range out."""
+        if any(held.low == row.low for held in grant.ranges):
+            return False
+        return grant.acked_revision >= grant.revision
+
+    def start(self, now: float) -> list[Effect]:
+        """Begin the moves that the placement asks for.
+
+        A service is planned anew only when its servers, the rows or the loads
+        have changed, since a plan reads every range of the service.
+        """
+        effects: list[Effect] = []
+        for service, policy in self._services.items():
+            candidates = self._candidates(service, now)
+            basis = _PlanBasis(
+                self._state.revision, self._tables.window_started_at, candidates
+            )
+            if basis == self._planned_on.get(service):
+                continue
+            self._planned_on[service] = basis
+            moves = self._plan(service, candidates, policy, now)
+            if moves:
+                effects += self._proposals.propose(c.BeginMoves(moves))
+        return effects
+
+    def _plan(
+        self,
+        service: str,
+        candidates: list[Candidate],
+        policy: ServicePolicy,
+        now: float,
+    ) -> tuple[c.Move, ...]:
+        """Return the moves to begin for a service."""
+        rows = list(self._state.ranges.of_service(service))
+        if not rows:
+            return ()
+        loads = self._tables.loads
+        busy = {row.ref: loads[row.ref].busy_ms for row in rows if row.ref in loads}
+        moved = {row.ref: loads[row.ref].moved_at for row in rows if row.ref in loads}
+        balanced_at = self._balanced_at.get(service, NEVER)
+        may_balance = now - balanced_at >= policy.placement.balance_interval
+        held = self._find_held(now)
+        view = PlacementView(rows, candidates, busy, moved, held, may_balance, now)
+        planned = plan_moves(view, policy.placement)
+        for move in planned:
+            # A range that lost its owner did not move by choice, and may go back.
+            if not move.lost:
+                load = loads.get(move.ref, LoadRow(0.0, now))
+                loads[move.ref] = load._replace(moved_at=now)
+                self._balanced_at[service] = now
+        return tuple(
+            c.Move(service, move.ref.low, move.epoch, move.target, move.lost)
+            for move in planned
+        )
+
+    def _find_held(self, now: float) -> frozenset[RangeRef]:
+        """Return the ranges whose last move was cancelled just now."""
+        held = self._tables.held_until
+        for ref in [ref for ref, until in held.items() if now >= until]:
+            del held[ref]
+        return frozenset(held)
+
+    def _candidates(self, service: str, now: float) -> list[Candidate]:
+        """Return the servers of a service whose grants are live."""
+        found = []
+        for holder, row in self._tables.grants.items():
+            if row.server.service != service or has_lapsed(row.lease_until, now):
+                continue
+            if self._state.find_holder(holder) is None:
+                continue
+            server = self._state.servers[row.server.name]
+            heard = row.sequence > 0
+            accepts = heard and row.ready and not server.stopping
+            stopping = server.stopping or (heard and not row.ready)
+            found.append(Candidate(holder, float(server.slots), accepts, stopping))
+        return found
--- /dev/null
+++ b/src/dragonflyrock/control/proposals.py
@@ -0,0 +1,45 @@
+"""Proposals of a leader, of which one of a kind and name is under way at a time."""
+
+from __future__ import annotations
+
+from . import commands as c
+from .effects import Effect, ProposeCommand
+
+__all__ = ["Proposals", "name_proposal"]
+
+
+class Proposals:
+    """The proposals under way."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._pending: set[str] = set()
+
+    def propose(self, command: c.Command) -> list[Effect]:
+        """Return a proposal unless one under its name is under way."""
+        name = name_proposal(command)
+        if name in self._pending:
+            return []
+        self._pending.add(name)
+        return [ProposeCommand(command)]
+
+    def settle(self, command: c.Command) -> None:
+        """Note that a proposal is over, so that it may be made again."""
+        self._pending.discard(name_proposal(command))
+
+
+def name_proposal(command: c.Command) -> str:
+    """Return the name under which a proposal is pending."""
+    kind = type(command).__name__
+    match command:
+        case c.RegisterServer(server):
+            return f"{kind}:{server.holder}"
+        case c.RegisterHost(host):
+            return f"{kind}:{host.holder}"
+        case c.ForgetHost(holder):
+            return f"{kind}:{holder}"
+        case c.DeclareService(service):
+            return f"{kind}:{service}"
+        case c.BeginMoves(moves):
+            return f"{kind}:{moves[0].service}"
+    return f"{kind}:"
--- a/src/dragonflyrock/control/tables.py
+++ b/src/dragonflyrock/control/tables.py
@@ -18,6 +18,7 @@
 ]
 
 NEVER: Final = float("-inf")
+VERSIONS_PER_TERM: Final = 1 << 32
 
 
 class LeaderTiming(NamedTuple):
@@ -31,7 +32,6 @@
     longest_deadline: float = 30.0
     cancelled_pause: float = 2.0
     answer_limit: float = 0.8
-    forget_server: float = 60.0
 
     def outlast(self, lease: float) -> float:
         """Return how long the giver of a lease must wait for its end."""
@@ -58,10 +58,8 @@
 
     server: ServerRow
     lease_until: float
-    heard_at: float
     sequence: int
     ready: bool
-    load: float
     revision: int
     acked_revision: int
     ranges: tuple[GrantedRange, ...]
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -15,8 +15,16 @@
 import defopt
 
 from .consensus import Group, StateMachine, open_group
-from .control.calls import CALLS, Propose
-from .control.commands import COMMANDS, AbsolveRequest, Command, StrikeRequest
+from .control.calls import CALLS, Propose, ReadRevisions, RevisionList
+from .control.commands import (
+    COMMANDS,
+    RESULTS,
+    AbsolveRequest,
+    Command,
+    Done,
+    Result,
+    StrikeRequest,
+)
 from .control.member import CONTROL_GROUP, ControlMember, MemberConfig
 from .control.state import ControlState
 from .entry.admission import Admission
@@ -55,6 +63,7 @@
 PLATFORM_THREADS: Final = 24
 OPERATOR_THREADS: Final = 4
 STRIKE_SECONDS: Final = 2.0
+STRIKE_POLL_SECONDS: Final = 0.02
 LEAVE_SECONDS: Final = 0.2
 
 
@@ -219,10 +228,11 @@
     def _strike(self, request: CallerRequest, holder: str) -> None:
         """Report a request that was in flight to a server when it was lost.
 
-        The caller's answer waits for this, so that a resend cannot overtake it.
+        The caller's answer waits until every live host knows of it, so that a
+        resend by another host cannot overtake it.
         """
         customer = request.contract.contract.customer
-        self._propose(
+        result = self._propose(
             StrikeRequest(
                 request.fingerprint,
                 customer,
@@ -232,16 +242,36 @@
                 int(time.time() * 1000),
             )
         )
+        if isinstance(result, Done):
+            self._await_everywhere(result.revision)
+
+    def _await_everywhere(self, revision: int) -> None:
+        """Wait until every live entry host has applied a revision."""
+        body = CALLS.encode(ReadRevisions())
+        until = self._clock() + STRIKE_SECONDS
+        while self._clock() < until:
+            answer = self._caller.call(CONTROL_GROUP, body, STRIKE_SECONDS)
+            found = CALLS.decode(answer) if answer is not None else None
+            if (
+                isinstance(found, RevisionList)
+                and min(found.revisions, default=0) >= revision
+            ):
+                return
+            time.sleep(STRIKE_POLL_SECONDS)
 
     def _absolve(self, request: CallerRequest) -> None:
         """Report that a suspect request has run without harm."""
         self._propose(AbsolveRequest(request.fingerprint))
 
-    def _propose(self, command: Command) -> None:
-        """Commit a command of an entry host."""
+    def _propose(self, command: Command) -> Result | None:
+        """Commit a command of an entry host; None when it is not known to be."""
         body = CALLS.encode(Propose(COMMANDS.encode(command)))
-        if self._caller.call(CONTROL_GROUP, body, STRIKE_SECONDS) is None:
+        answer = self._caller.call(CONTROL_GROUP, body, STRIKE_SECONDS)
+        if answer is None:
             _LOGGER.warning("step=commit: no leader for %s", type(command).__name__)
+            return None
+        result: Result = RESULTS.decode(answer)
+        return result
 
     def _find_unready(self) -> str:
         """Return why callers may not be sent here, or an empty text."""
--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -39,7 +39,7 @@
         "x-grant-epoch",
     )
 )
-STOPPING_RETRY_MS: Final = 1000
+COME_BACK_MS: Final = 1000
 
 
 class CallersConfig(NamedTuple):
@@ -84,9 +84,7 @@
         started = self._clock()
         request_id = uuid.uuid4().hex
         if not self._begin():
-            refusal = Refusal(
-                Reason.STOPPING, Step.PARSE, retry_after_ms=STOPPING_RETRY_MS
-            )
+            refusal = Refusal(Reason.STOPPING, Step.PARSE, retry_after_ms=COME_BACK_MS)
             return problem_answer(refusal, start_response, request_id)
         service = "unknown"
         result: Answer | Refusal
@@ -140,6 +138,9 @@
         if held is not None and held.refused:
             detail = f"fingerprint {held.fingerprint}"
             return Refusal(Reason.QUARANTINED, Step.ADMIT, detail=detail)
+        if self._gate.lease_left() <= 0:
+            # Neither the limiter nor the ledger can be waited for without a lease.
+            return Refusal(Reason.LEASE_LAPSED, Step.ADMIT, retry_after_ms=COME_BACK_MS)
         refusal = self._admission.admit(request.contract, request.deadline)
         if refusal is not None:
             return refusal
@@ -225,7 +226,7 @@
                 return Refusal(
                     Reason.LEASE_LAPSED,
                     Step.AUTHENTICATE,
-                    retry_after_ms=STOPPING_RETRY_MS,
+                    retry_after_ms=COME_BACK_MS,
                 )
             return Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
         known = row.contract.token_sha256
--- a/src/dragonflyrock/entry/reservation.py
+++ b/src/dragonflyrock/entry/reservation.py
@@ -33,6 +33,7 @@
 
 MAX_RECORDED_BYTES: Final = 64 * 1024
 RECORD_SECONDS: Final = 1.0
+RESERVE_SECONDS: Final = 1.5
 PROGRESS_RETRY_MS: Final = 1000
 LEDGER_RETRY_MS: Final = 1000
 
@@ -63,7 +64,7 @@
         reserve = Reserve(
             key, request.fingerprint, request.request_id, int(time.time() * 1000)
         )
-        left = request.deadline - self._clock()
+        left = min(request.deadline - self._clock(), RESERVE_SECONDS)
         result = self._command(key, reserve, left)
         match result:
             case Reserved():
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -268,7 +268,7 @@
         """Commit a command of the present leader."""
         assert self.leader is not None
         self.state.apply(self.state.revision + 1, c.COMMANDS.encode(command))
-        self.leader.settle(ControlLeader.name_proposal(command))
+        self.leader.settle(command)
         self._carry_out(self.leader.push_updates(self.state.revision, self.now))
 
     def _announce(self, server: Server) -> None:
