--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -91,6 +91,7 @@
             if peer.name != settings.host.name:
                 self._links.connect(peer.name, peer.link)
         self._runtime = Runtime(self._links, self._metrics, self._clock)
+        self._runtime.on_stall = self._note_stall
         self._runtime.calls = CallTable(settings.control.voters, self._runtime.send)
         self._caller = Caller(self._runtime.calls, self._runtime.post, self._clock)
         if settings.is_control:
@@ -273,6 +274,11 @@
         result: Result = RESULTS.decode(answer)
         return result
 
+    def _note_stall(self, kind: str, seconds: float) -> None:
+        """Show that this host stood still: its disk, its processor or a freeze."""
+        self._events.add("stalled", detail=f"{kind}: {seconds:.2f} s")
+        _LOGGER.warning("stalled: %s: %.2f s", kind, seconds)
+
     def _find_unready(self) -> str:
         """Return why callers may not be sent here, or an empty text."""
         if self._unready:
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -36,6 +36,7 @@
 
 TICK_SECONDS: Final = 0.02
 WAKE_BYTES: Final = 4096
+STALL_SECONDS: Final = 0.25
 MAX_MESSAGES_PER_PASS: Final = 1000
 
 
@@ -59,6 +60,7 @@
         self.agent: EntryAgent | None = None
         self.calls: CallTable | None = None
         self.limits: LimitAgent | None = None
+        self.on_stall: Callable[[str, float], None] = _ignore_stall
 
     def post(self, task: Callable[[], None]) -> None:
         """Have a task run by the loop's thread; from any thread."""
@@ -94,8 +96,10 @@
         next_tick = self._clock()
         while not self._stopping:
             if not self._local:
-                wait = max(0.0, next_tick - self._clock())
+                idle_from = self._clock()
+                wait = max(0.0, next_tick - idle_from)
                 poller.poll(int(wait * 1000) + 1)
+                self._note_stall("woken late", self._clock() - idle_from - wait)
             started = time.perf_counter()
             now = self._clock()
             self._take_tasks()
@@ -104,7 +108,14 @@
                 self._tick(now)
                 next_tick = now + TICK_SECONDS
             self._flush()
-            self._metrics.loop_seconds.observe(time.perf_counter() - started)
+            took = time.perf_counter() - started
+            self._metrics.loop_seconds.observe(took)
+            self._note_stall("long pass", took)
+
+    def _note_stall(self, kind: str, seconds: float) -> None:
+        """Report that the loop stood still for longer than others tolerate."""
+        if seconds > STALL_SECONDS:
+            self.on_stall(kind, seconds)
 
     def close(self) -> None:
         """Close the links; the loop has ended."""
@@ -173,3 +184,7 @@
 
 def _do_nothing() -> None:
     """Be a task that only wakes the loop."""
+
+
+def _ignore_stall(kind: str, seconds: float) -> None:
+    """Be the handler of stalls until there is one."""
--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -6,6 +6,7 @@
 import random
 import threading
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -24,7 +25,13 @@
 )
 from .plans import SINGLE, FleetPlan, ServicePlan
 
-__all__ = ["ScenarioError", "ScenarioResult", "parse_scenario", "run_scenario"]
+__all__ = [
+    "ScenarioError",
+    "ScenarioResult",
+    "ScenarioVoidError",
+    "parse_scenario",
+    "run_scenario",
+]
 
 GRAMMAR: Final = r"""
 start: _NL* fleet statement+
@@ -78,6 +85,10 @@
     """A script that does not parse, or an expectation that was not met."""
 
 
+class ScenarioVoidError(ScenarioError):
+    """A run in which a daemon stood still though the script did not ask for it."""
+
+
 class ScenarioResult(NamedTuple):
     """How a scenario went."""
 
@@ -129,11 +140,18 @@
         return run.finish()
     except DragonflyrockError as error:
         detail = f"{error}\nseed {seed}\n{text}\n{run.describe()}"
+        if run.has_stalled():
+            raise ScenarioVoidError(detail, step="stalled") from error
         raise ScenarioError(detail, step=error.step) from error
     finally:
         run.close()
 
 
+def _is_served(caller: Caller) -> bool:
+    """Return whether a caller is known and served."""
+    return caller.call("GET", f"/{SERVICE}/k").status == 200
+
+
 class _Run:
     """A running scenario."""
 
@@ -154,10 +172,9 @@
         self._fleet.start_servers()
         self._fleet.wait_ready()
         self._put_contract()
-        caller = self._fleet.caller(TOKEN)
-        self._fleet.wait_for(
-            "contract", lambda: caller.call("GET", "/finder/k").status == 200
-        )
+        for number in range(self._fleet.plan.hosts):
+            caller = self._fleet.caller(TOKEN, number)
+            self._fleet.wait_for("contract", partial(_is_served, caller))
 
     def close(self) -> None:
         """End everything."""
@@ -187,6 +204,11 @@
                 lines.append(f"host {number} has no events")
         return "\n".join(sorted(lines))
 
+    def has_stalled(self) -> bool:
+        """Return whether a daemon's log tells of a stall."""
+        logs = self._fleet.folder.glob("host-*.log")
+        return any(" stalled: " in log.read_text() for log in logs)
+
     # Statements
 
     def carry_out(self, statement: lark.Tree[lark.Token]) -> None:
