Remove an unused count of the gate

Cause: the last reading found Gate.in_flight, which nothing calls: a graceful stop counts the callers' port's requests instead. Change: it is gone. Nothing else. Result: formatter, linter and strict types clean; 30 tests of entry, systems, the whole path, doctests and pages pass.

--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -131,11 +131,6 @@
             for ref, load in loads.items()
         )
 
-    def in_flight(self) -> int:
-        """Return the number of requests in flight."""
-        with self._changed:
-            return sum(len(flights) for flights in self._flights.by_ref.values())
-
     def lease_left(self) -> float:
         """Return the time left of the lease in seconds, not below 0."""
         return max(0.0, self.tables.lease_until - self._clock())
