--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -50,7 +50,7 @@
 
 def _start_forming(replica: Replica, now: float) -> None:
     """Ask for the first vote, or where the group exists, say that we wait."""
-    for name in replica.initial_voters:
+    for name in dict.fromkeys((*replica.initial_voters, *replica.join_peers)):
         if name != replica.me.name:
             send(replica, name, JoinRequest(replica.me.identity))
     if replica.me.name in replica.initial_voters:
--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "add_learner",
+    "admit_waiting",
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
@@ -21,9 +22,27 @@
 
 
 def on_join_request(replica: Replica, sender: Member, request: JoinRequest) -> None:
-    """Remember a member with an empty log, for an operator to add."""
-    if replica.configuration.find(sender.name) != sender:
-        replica.waiting[sender.name] = Member(sender.name, request.identity)
+    """Remember a member with an empty log, and tell the leader of it."""
+    member = Member(request.name or sender.name, request.identity)
+    if replica.configuration.find(member.name) != member:
+        replica.waiting[member.name] = member
+    if replica.role == Role.FOLLOWER and replica.leader and not request.name:
+        forwarded = JoinRequest(request.identity, sender.name)
+        send(replica, replica.leader, forwarded)
+
+
+def admit_waiting(replica: Replica) -> None:
+    """Add members that wait, one at a time; a wiped one replaces its former self."""
+    for name, member in list(replica.waiting.items()):
+        known = replica.configuration.find(name)
+        if known == member:
+            del replica.waiting[name]
+            continue
+        if known is None:
+            add_learner(replica, name)
+        elif name != replica.me.name:
+            remove_member(replica, name)
+        return
 
 
 def _change(replica: Replica, configuration: Configuration) -> int | Refusal:
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -160,9 +160,13 @@
 
 
 class JoinRequest(NamedTuple):
-    """Tell the group that a member with an empty log is waiting."""
+    """Tell the group that a member with an empty log is waiting.
+
+    ``name`` is the member's where another one passes the request on.
+    """
 
     identity: str
+    name: str = ""
 
 
 class TakeOver(NamedTuple):
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -95,6 +95,7 @@
     peers: dict[str, PeerProgress] = field(default_factory=dict)
     waiting: dict[str, Member] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
+    join_peers: tuple[str, ...] = ()
 
     @property
     def configuration(self) -> Configuration:
--- a/src/dragonflyrock/control/calls.py
+++ b/src/dragonflyrock/control/calls.py
@@ -7,11 +7,14 @@
 from ..codec import Codec
 from ..errors import Refusal
 from ..models import ContractRow, QuarantineRow, RangeRow
+from ..routes.models import RouteDocument
+from .directed_models import ServerBeat
 
 __all__ = [
     "CALLS",
     "AddMember",
     "Announcement",
+    "BeatAccepted",
     "ContractList",
     "GrantSet",
     "GrantedRange",
@@ -26,6 +29,7 @@
     "QuarantineList",
     "RangeList",
     "ReadRevisions",
+    "ReadRoutes",
     "ReadStatus",
     "RemoveMember",
     "RevisionList",
@@ -84,6 +88,14 @@
     ranges: tuple[GrantedRange, ...]
 
 
+class BeatAccepted(NamedTuple):
+    """A beat was taken, and what it binds is committed."""
+
+
+class ReadRoutes(NamedTuple):
+    """Ask for the newest route document."""
+
+
 class ReadStatus(NamedTuple):
     """Ask for the state of the whole system."""
 
@@ -221,6 +233,10 @@
         HandOverLeadership,
         MemberChanged,
         Status,
+        ServerBeat,
+        BeatAccepted,
+        ReadRoutes,
+        RouteDocument,
         ContractList,
         RangeList,
         QuarantineList,
--- a/src/dragonflyrock/control/commands.py
+++ b/src/dragonflyrock/control/commands.py
@@ -7,30 +7,38 @@
 from ..codec import Codec
 from ..errors import Refusal
 from ..models import Contract, HostRecord, RangeRef, ServerRow
+from ..routes.models import RouteChange, RouteDocument
 
 __all__ = [
     "COMMANDS",
     "RESULTS",
     "AbsolveRequest",
+    "AssignRanges",
     "BeginMoves",
     "CancelMoves",
     "CancelStop",
+    "ChangeRoutes",
     "Command",
     "DeclareService",
     "Done",
+    "DropServer",
     "FinishMoves",
     "ForgetHost",
     "ForgetServer",
+    "JoinRanges",
     "LiftQuarantine",
     "MergeRanges",
     "Move",
     "MoveRef",
     "PlanStop",
     "PutContract",
+    "PutRoutes",
+    "RangePart",
     "RegisterHost",
     "RegisterServer",
     "Result",
     "SplitRange",
+    "StopServer",
     "StrikeRequest",
 ]
 
@@ -175,6 +183,64 @@
     fingerprint: str
 
 
+class PutRoutes(NamedTuple):
+    """Replace the route document if its version is still ``base``.
+
+    ``digest`` names the change, so that the same one sent again is recognised.
+    """
+
+    base: int
+    digest: str
+    document: RouteDocument
+
+
+class ChangeRoutes(NamedTuple):
+    """Change named items of the route document if its version is still ``base``."""
+
+    base: int
+    digest: str
+    change: RouteChange
+
+
+class StopServer(NamedTuple):
+    """Note that a backend server leaves: no new work, and no new ranges."""
+
+    name: str
+
+
+class DropServer(NamedTuple):
+    """Drop a backend server that has ended; its ranges stay until reassigned."""
+
+    name: str
+
+
+class RangePart(NamedTuple):
+    """A part of a range that is still at ``epoch``, and its new owner."""
+
+    low: int
+    high: int
+    epoch: int
+    owner: str
+
+
+class AssignRanges(NamedTuple):
+    """Give parts of a service's key space to new owners, under a new epoch.
+
+    The leader has made sure that the former owners hold them no more.
+    """
+
+    service: str
+    parts: tuple[RangePart, ...]
+
+
+class JoinRanges(NamedTuple):
+    """Join a range with its following neighbours of the same owner."""
+
+    service: str
+    low: int
+    high: int
+
+
 class Done(NamedTuple):
     """A command that was carried out; ``version`` is a contract's, or 0."""
 
@@ -199,6 +265,12 @@
     | StrikeRequest
     | AbsolveRequest
     | LiftQuarantine
+    | PutRoutes
+    | ChangeRoutes
+    | StopServer
+    | DropServer
+    | AssignRanges
+    | JoinRanges
 )
 
 Result = Done | Refusal
@@ -221,6 +293,12 @@
         StrikeRequest,
         AbsolveRequest,
         LiftQuarantine,
+        PutRoutes,
+        ChangeRoutes,
+        StopServer,
+        DropServer,
+        AssignRanges,
+        JoinRanges,
     ]
 )
 
--- a/src/dragonflyrock/control/effects.py
+++ b/src/dragonflyrock/control/effects.py
@@ -8,8 +8,9 @@
 from ..transport.messages import HostUpdate
 from . import calls
 from . import commands as c
+from .directed_models import Order
 
-__all__ = ["Effect", "ProposeCommand", "PushGrants", "PushUpdate"]
+__all__ = ["Effect", "ProposeCommand", "PushGrants", "PushUpdate", "SendOrder"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,4 +36,11 @@
     grants: calls.GrantSet
 
 
-Effect = ProposeCommand | PushUpdate | PushGrants
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send a backend server an order; report its result."""
+
+    order: Order
+
+
+Effect = ProposeCommand | PushUpdate | PushGrants | SendOrder
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Mapping
 
-from ..errors import Refusal
+from ..errors import Reason, Refusal, Step
 from ..observe import EventRing
 from ..transport.messages import HostRenew, HostUpdate
 from . import calls
 from . import commands as c
-from .effects import Effect, ProposeCommand, PushGrants, PushUpdate
+from .directed import DirectedLeader
+from .directed_models import DirectedTiming, OrderResult, ServerBeat
+from .effects import Effect, ProposeCommand, PushGrants, PushUpdate, SendOrder
 from .grants import GrantBook
 from .hosts import HostLeases
 from .moves import Moves
@@ -45,6 +47,7 @@
         timing: LeaderTiming,
         events: EventRing,
         now: float,
+        directed: DirectedTiming | None = None,
     ) -> None:
         """Take all known hosts and servers as leased until ``hold_until``."""
         self.name = name
@@ -64,16 +67,37 @@
         self.hold_until = now + timing.outlast(longest)
         self._hosts.expect(self.hold_until)
         self._grants.expect(self.hold_until)
+        self._directed: DirectedLeader | None = None
+        if directed is not None:
+            self._directed = DirectedLeader(state, directed, events.add, now)
 
     def settle(self, command: c.Command) -> None:
         """Note that a proposed command is over, so that it may be proposed again."""
         self._proposals.settle(command)
+        if self._directed is not None:
+            self._directed.settle(command)
+
+    def hear(self, beat: ServerBeat, now: float) -> c.Command | Refusal | None:
+        """Take a beat of a directed server; see ``DirectedLeader.hear``."""
+        if self._directed is None:
+            return Refusal(Reason.NOT_ALLOWED, Step.ANNOUNCE, beat.name)
+        return self._directed.hear(beat, now)
+
+    def complete_order(self, result: OrderResult, now: float) -> list[Effect]:
+        """Take the end of an order to a directed server."""
+        if self._directed is None:
+            return []
+        command = self._directed.complete(result, now)
+        return [] if command is None else self._proposals.propose(command)
 
     def renew_host(
         self, renew: HostRenew, applied: int, now: float
     ) -> tuple[HostUpdate, list[Effect]]:
         """Renew an entry host's lease and return the rows that it lacks."""
-        self._moves.add_loads(renew.loads)
+        if self._directed is not None:
+            self._directed.add_loads(renew.loads)
+        else:
+            self._moves.add_loads(renew.loads)
         return self._hosts.renew(renew, applied, now)
 
     def live_hosts(self, now: float) -> list[HostRow]:
@@ -105,6 +129,11 @@
             effects += self._moves.advance(now)
             effects += self._moves.start(now)
         effects += self._grants.push(now)
+        if self._directed is not None:
+            commands, orders = self._directed.tick(now)
+            for command in commands:
+                effects += self._proposals.propose(command)
+            effects += [SendOrder(order) for order in orders]
         return effects
 
     def _declare_services(self) -> list[Effect]:
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -5,12 +5,13 @@
 import logging
 from collections.abc import Callable, Mapping
 from functools import partial
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
 from ..codec import Codec, CodecError
 from ..consensus import Group, Member, Role, membership
 from ..errors import Reason, Refusal, Step
 from ..ledger.commands import LEDGER_COMMANDS, LEDGER_RESULTS
+from ..models import ServerRow
 from ..observe import EventRing
 from ..observe.metrics import Metrics
 from ..transport.messages import (
@@ -23,6 +24,8 @@
 )
 from . import calls
 from . import commands as c
+from .directed_models import DirectedTiming, Order, OrderResult, ServerBeat
+from .effects import SendOrder
 from .leader import (
     ControlLeader,
     Effect,
@@ -31,12 +34,11 @@
     PushUpdate,
     ServicePolicy,
 )
-from .pusher import GrantPusher
 from .reports import list_contracts, read_status
 from .state import ControlState
 from .tables import LeaderTiming
 
-__all__ = ["CONTROL_GROUP", "ControlMember", "MemberConfig"]
+__all__ = ["CONTROL_GROUP", "ControlMember", "MemberConfig", "Pusher"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,6 +54,27 @@
     name: str
     services: Mapping[str, ServicePolicy]
     timing: LeaderTiming
+    directed: DirectedTiming | None = None
+
+
+class Pusher(Protocol):
+    """What sends grants to servers that announce themselves."""
+
+    def push(self, server: ServerRow, grants: calls.GrantSet) -> None:
+        """Send a server its grants."""
+
+    def close(self) -> None:
+        """End."""
+
+
+class NoPusher:
+    """Be the pusher of a member whose servers are granted ranges by orders."""
+
+    def push(self, server: ServerRow, grants: calls.GrantSet) -> None:
+        """Send nothing: such servers hold no sets."""
+
+    def close(self) -> None:
+        """End."""
 
 
 class ControlMember:
@@ -67,6 +90,7 @@
         send: Send,
         post: Post,
         clock: Callable[[], float],
+        send_order: Callable[[Order], None] | None = None,
     ) -> None:
         """Take the opened groups, of which one is control."""
         self._config = config
@@ -79,9 +103,18 @@
         self._clock = clock
         self._leader: ControlLeader | None = None
         self._pushed_revision = 0
-        self._pusher = GrantPusher(
+        self._send_order = send_order
+        self._pusher = self._make_pusher(post)
+
+    def _make_pusher(self, post: Post) -> Pusher:
+        """Return what sends sets of grants; directed servers hold none."""
+        if self._config.directed is not None:
+            return NoPusher()
+        from .pusher import GrantPusher  # noqa: PLC0415 (its HTTP client is large)
+
+        return GrantPusher(
             lambda holder, revision: post(partial(self._acknowledge, holder, revision)),
-            lambda: self._control.is_settled_leader(clock()),
+            lambda: self._control.is_settled_leader(self._clock()),
         )
 
     # Messages
@@ -102,10 +135,13 @@
         member = Member(sender, message.sender_identity)
         group.receive(member, message.target_identity, body, now)
 
-    def receive_renew(self, renew: HostRenew, now: float) -> None:
-        """Renew an entry host's lease, if this member leads."""
+    def receive_renew(self, sender: str, renew: HostRenew, now: float) -> None:
+        """Renew an entry host's lease, or pass it on to the leader once."""
         leader = self._settled_leader(now)
         if leader is None:
+            known = self._control.replica.leader
+            if sender == renew.host.name and known not in ("", self._config.name):
+                self._send(known, renew)
             return
         update, effects = leader.renew_host(renew, self._control.applied, now)
         self._send(renew.host.name, update)
@@ -129,6 +165,8 @@
             self._propose(group, body.command, sender, request.call_id)
         elif isinstance(body, calls.Announcement):
             answer(calls.CALLS.encode(self._announce(body, now)))
+        elif isinstance(body, ServerBeat):
+            self._hear(body, sender, request.call_id, now)
         else:
             answer(calls.CALLS.encode(self._carry_out(group, body, now)))
 
@@ -166,6 +204,38 @@
         self._run(effects)
         return answer
 
+    def _hear(self, beat: ServerBeat, sender: str, call_id: int, now: float) -> None:
+        """Answer a beat once what it binds is committed."""
+        leader = self._settled_leader(now)
+        if leader is None:
+            self._send(sender, CallAnswer(call_id, True, "", b""))
+            return
+        command = leader.hear(beat, now)
+        if isinstance(command, Refusal):
+            self._events.add("beat-refused", server=beat.name, detail=command.detail)
+            self._answer(sender, call_id, calls.CALLS.encode(command))
+            return
+        accepted = calls.CALLS.encode(calls.BeatAccepted())
+        if command is None:
+            self._answer(sender, call_id, accepted)
+            return
+
+        def notify(result: object) -> None:
+            if result is None:
+                self._send(sender, CallAnswer(call_id, True, "", b""))
+            else:
+                self._answer(sender, call_id, accepted)
+
+        self._events.add(
+            "server-changed", server=beat.name, detail=type(command).__name__
+        )
+        self._control.propose(c.COMMANDS.encode(command), notify)
+
+    def complete_order(self, result: OrderResult, now: float) -> None:
+        """Take the end of an order; a leader without a lease notes it too."""
+        if self._leader is not None and self._control.replica.role == Role.LEADER:
+            self._run(self._leader.complete_order(result, now))
+
     def _carry_out(self, group: Group, body: object, now: float) -> object:
         """Answer the calls that change no state machine."""
         replica = group.replica
@@ -178,6 +248,8 @@
             case calls.ReadRevisions() if self._leader is not None:
                 hosts = self._leader.live_hosts(now)
                 return calls.RevisionList(tuple(host.revision for host in hosts))
+            case calls.ReadRoutes():
+                return self._state.book.document
             case calls.ListRanges(service):
                 return calls.RangeList(tuple(self._state.ranges.of_service(service)))
             case calls.ListQuarantines():
@@ -210,6 +282,8 @@
         leader = self._settled_leader(now)
         if leader is not None:
             self._run(leader.tick(now))
+            if self._config.directed is not None:
+                membership.admit_waiting(self._control.replica)
 
     def flush(self, now: float) -> None:
         """Persist, send and apply; then tell the entry hosts what changed."""
@@ -260,6 +334,7 @@
                 self._config.timing,
                 self._events,
                 now,
+                self._config.directed,
             )
             self._pushed_revision = 0
         return self._leader
@@ -274,6 +349,8 @@
                     self._send(host, update)
                 case PushGrants(server, grants):
                     self._pusher.push(server, grants)
+                case SendOrder(order) if self._send_order is not None:
+                    self._send_order(order)
 
     def _propose_own(self, command: c.Command) -> None:
         """Commit a command of the leader's own."""
@@ -323,6 +400,8 @@
             return
         case c.StrikeRequest() | c.AbsolveRequest():
             return
+        case c.PutRoutes() | c.ChangeRoutes():
+            return
     raise CodecError("only the leader may propose this command")
 
 
--- a/src/dragonflyrock/control/proposals.py
+++ b/src/dragonflyrock/control/proposals.py
@@ -40,6 +40,12 @@
             return f"{kind}:{holder}"
         case c.DeclareService(service):
             return f"{kind}:{service}"
+        case c.StopServer(server) | c.DropServer(server):
+            return f"{kind}:{server}"
+        case c.AssignRanges(service, parts):
+            return f"{kind}:{service}:{parts[0].low}"
+        case c.JoinRanges(service, low):
+            return f"{kind}:{service}:{low}"
         case c.BeginMoves(moves):
             return f"{kind}:{moves[0].service}"
     return f"{kind}:"
--- a/src/dragonflyrock/control/state.py
+++ b/src/dragonflyrock/control/state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from ..models import (
     ContractRow,
     Delta,
+    DocumentHead,
     HostRecord,
     QuarantineRow,
     RangeRef,
@@ -19,8 +21,11 @@
     RangeState,
     ServerRow,
 )
+from ..routes import BookImage, ClientLimits, Route, RouteBook, RoutedService
+from ..routes.book import RowChanges
 from ..tables import ChangedRow, ChangeJournal, RangeTable
 from . import commands as c
+from .assignment import assign_ranges, join_ranges
 from .const import (
     MAX_REMEMBERED_CHANGES,
     MAX_SUSPECTS,
@@ -51,8 +56,11 @@
     quarantines: tuple[QuarantineRow, ...] = ()
     changes: tuple[ChangeRecord, ...] = ()
     hosts: tuple[HostRecord, ...] = ()
+    book: BookImage = BookImage()
 
 
+_Item = TypeVar("_Item", Route, RoutedService, ClientLimits)
+
 _IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
 
 
@@ -67,6 +75,7 @@
         self.servers: dict[str, ServerRow] = {}
         self.contracts: dict[str, ContractRow] = {}
         self.quarantines: dict[str, QuarantineRow] = {}
+        self.book = RouteBook()
         self._changes: OrderedDict[str, ChangeRecord] = OrderedDict()
         self._journal = ChangeJournal()
 
@@ -91,6 +100,7 @@
             tuple(self.quarantines.values()),
             tuple(self._changes.values()),
             tuple(self.hosts.values()),
+            self.book.dump(),
         )
         return msgspec.msgpack.encode(image)
 
@@ -106,6 +116,7 @@
         self.contracts = {row.contract.customer: row for row in image.contracts}
         self.quarantines = {row.fingerprint: row for row in image.quarantines}
         self._changes = OrderedDict((row.change_id, row) for row in image.changes)
+        self.book.load(image.book)
         self._journal.restart(image.revision)
 
     # Reading
@@ -137,6 +148,32 @@
             tuple(self.contracts[key] for key in customers),
             tuple(held[key] for key in fingerprints if key in held),
             tuple(key for key in fingerprints if key not in held),
+            *self._document_delta(named),
+        )
+
+    def _document_delta(
+        self, named: list[tuple[str, str]]
+    ) -> tuple[
+        tuple[Route, ...],
+        tuple[str, ...],
+        tuple[RoutedService, ...],
+        tuple[str, ...],
+        DocumentHead | None,
+    ]:
+        """Return the changed parts of the route document, without their sources."""
+        names = [key for table, key in named if table == "routes"]
+        services = [key for table, key in named if table == "routed-services"]
+        if not any(table == "document" for table, _ in named):
+            return (), (), (), (), None
+        document = self.book.document
+        routes = {route.name: route for route in document.routes}
+        routed = {service.name: service for service in document.services}
+        return (
+            tuple(_slim(routes[name]) for name in names if name in routes),
+            tuple(name for name in names if name not in routes),
+            tuple(_slim(routed[name]) for name in services if name in routed),
+            tuple(name for name in services if name not in routed),
+            DocumentHead(document.version, _slim(document.limits)),
         )
 
     def _full_delta(self, up_to: int) -> Delta:
@@ -150,6 +187,12 @@
             (),
             tuple(self.contracts.values()),
             tuple(self.quarantines.values()),
+            (),
+            tuple(_slim(route) for route in self.book.document.routes),
+            (),
+            tuple(_slim(service) for service in self.book.document.services),
+            (),
+            DocumentHead(self.book.document.version, _slim(self.book.document.limits)),
         )
 
     def find_holder(self, holder: str) -> ServerRow | None:
@@ -219,6 +262,47 @@
                 return self._absolve(command)
             case c.LiftQuarantine():
                 return self._lift(command)
+            case c.PutRoutes(base, digest, document):
+                return self._note_routes(
+                    digest, lambda: self.book.put(base, digest, document)
+                )
+            case c.ChangeRoutes(base, digest, change):
+                return self._note_routes(
+                    digest, lambda: self.book.change(base, digest, change)
+                )
+            case c.StopServer(name):
+                return self._set_stopping(name, stopping=True)
+            case c.DropServer(name):
+                return self._drop_server(name)
+            case c.AssignRanges():
+                for row in assign_ranges(self.ranges, command, self.revision):
+                    self._put_range(row)
+                return c.Done(self.revision)
+            case c.JoinRanges():
+                for row in join_ranges(self.ranges, command):
+                    self._put_range(row)
+                return c.Done(self.revision)
+
+    # Routes
+
+    def _note_routes(
+        self, digest: str, accept: Callable[[], RowChanges | Refusal]
+    ) -> c.Result:
+        """Change the route document once; a resend gets the first answer."""
+        version = self.book.find_accepted(digest)
+        if version is not None:
+            return c.Done(self.revision, version)
+        changed = accept()
+        if isinstance(changed, Refusal):
+            return changed
+        for name in changed.routes:
+            self._journal.record(self.revision, ChangedRow("routes", name))
+        for name in changed.services:
+            self._journal.record(self.revision, ChangedRow("routed-services", name))
+        self._journal.record(self.revision, ChangedRow("document", ""))
+        return c.Done(self.revision, self.book.document.version)
+
+    # Contracts
 
     def _put_contract(self, command: c.PutContract) -> c.Result:
         """Store the next version of a contract."""
@@ -282,6 +366,12 @@
         self._journal.record(self.revision, ChangedRow("servers", server.name))
         return c.Done(self.revision)
 
+    def _drop_server(self, name: str) -> c.Result:
+        """Drop a server that has ended."""
+        if self.servers.pop(name, None) is not None:
+            self._journal.record(self.revision, ChangedRow("servers", name))
+        return c.Done(self.revision)
+
     def _set_stopping(self, name: str, *, stopping: bool) -> c.Result:
         """Mark whether a server is going to stop."""
         server = self.servers.get(name)
@@ -439,3 +529,8 @@
             return Refusal(Reason.NOT_FOUND, Step.COMMIT, detail="not in quarantine")
         self._drop_quarantine(command.fingerprint)
         return c.Done(self.revision)
+
+
+def _slim(item: _Item) -> _Item:
+    """Return an item without its source, which entry hosts have no use for."""
+    return item._replace(source=b"")
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
-from ..models import HostRecord
-from ..transport.messages import HostRenew, HostUpdate
-from .gate import Gate
+from ..models import HostRecord, RangeRef
+from ..transport.messages import HostRenew, HostUpdate, RangeLoad
+from .tables import EntryTables
 
-__all__ = ["AgentConfig", "EntryAgent"]
+__all__ = ["AgentConfig", "EntryAgent", "RowKeeper"]
 
 Send = Callable[[str, HostRenew], object]
 
@@ -25,11 +25,30 @@
     renew: float
 
 
+class RowKeeper(Protocol):
+    """What keeps the rows of an entry host and knows of its requests."""
+
+    tables: EntryTables
+
+    def apply(self, update: HostUpdate) -> bool:
+        """Apply an update; return whether rows changed."""
+
+    def draining(self) -> tuple[RangeRef, ...]:
+        """Return the moving ranges of which requests are in flight."""
+
+    def take_loads(self) -> tuple[RangeLoad, ...]:
+        """Return the loads since the last call."""
+
+
 class EntryAgent:
     """Renew the lease and tell the leader what has drained."""
 
     def __init__(
-        self, config: AgentConfig, gate: Gate, send: Send, clock: Callable[[], float]
+        self,
+        config: AgentConfig,
+        gate: RowKeeper,
+        send: Send,
+        clock: Callable[[], float],
     ) -> None:
         """Renew at the first tick."""
         self._config = config
@@ -37,6 +56,7 @@
         self._send = send
         self._clock = clock
         self._leader = ""
+        self._leaders: dict[str, None] = {}
         self._heard_at = float("-inf")
         self._renewed_at = float("-inf")
         self._urgent = True
@@ -47,6 +67,7 @@
     def receive(self, update: HostUpdate, now: float) -> None:
         """Apply an update, and acknowledge new rows at once."""
         self._leader = update.leader
+        self._leaders[update.leader] = None
         self._heard_at = now
         if self._gate.apply(update):
             self._urgent = True
@@ -86,5 +107,5 @@
         if self._leader and now - self._heard_at < silence:
             self._send(self._leader, message)
             return
-        for voter in config.voters:
+        for voter in dict.fromkeys((*config.voters, *self._leaders)):
             self._send(voter, message)
--- a/src/dragonflyrock/entry/tables.py
+++ b/src/dragonflyrock/entry/tables.py
@@ -13,6 +13,7 @@
     RangeState,
     ServerRow,
 )
+from ..routes import ClientLimits, RoutedService, RouteIndex
 from ..systems.leases import extend_held
 from ..tables import RangeTable
 from ..transport.messages import HostUpdate
@@ -38,6 +39,10 @@
     contracts: dict[str, ContractRow] = field(default_factory=dict)
     customers: dict[str, str] = field(default_factory=dict)
     quarantines: dict[str, QuarantineRow] = field(default_factory=dict)
+    routes: RouteIndex = field(default_factory=RouteIndex)
+    routed_services: dict[str, RoutedService] = field(default_factory=dict)
+    document_version: int = 0
+    client_limits: ClientLimits = field(default_factory=ClientLimits)
 
     def apply(self, update: HostUpdate, lease: float, now: float) -> bool:
         """Apply an update; return whether rows changed.
@@ -98,4 +103,23 @@
                 for customer, row in self.contracts.items()
                 for token in row.contract.token_sha256
             }
+        self._apply_document(delta)
         self.revision = delta.revision
+
+    def _apply_document(self, delta: Delta) -> None:
+        """Take over the changed parts of the route document."""
+        if delta.document is None:
+            return
+        if delta.full:
+            self.routes.clear()
+            self.routed_services.clear()
+        for name in delta.removed_routes:
+            self.routes.remove(name)
+        for route in delta.routes:
+            self.routes.put(route)
+        for name in delta.removed_services:
+            self.routed_services.pop(name, None)
+        for service in delta.services:
+            self.routed_services[service.name] = service
+        self.document_version = delta.document.version
+        self.client_limits = delta.document.limits
--- /dev/null
+++ b/src/dragonflyrock/http/__init__.py
@@ -0,0 +1,30 @@
+"""HTTP/1.1 on an event loop: the listening side and the calling side."""
+
+from __future__ import annotations
+
+from .client import Connections, ServerConnection
+from .models import (
+    ExchangeFault,
+    FaultKind,
+    Headers,
+    Request,
+    Response,
+    WireLimits,
+    find_header,
+    make_response,
+)
+from .server import HttpServer
+
+__all__ = [
+    "Connections",
+    "ExchangeFault",
+    "FaultKind",
+    "Headers",
+    "HttpServer",
+    "Request",
+    "Response",
+    "ServerConnection",
+    "WireLimits",
+    "find_header",
+    "make_response",
+]
--- a/src/dragonflyrock/models.py
+++ b/src/dragonflyrock/models.py
@@ -5,10 +5,13 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .routes.models import ClientLimits, Route, RoutedService
+
 __all__ = [
     "Contract",
     "ContractRow",
     "Delta",
+    "DocumentHead",
     "HostRecord",
     "QuarantineRow",
     "RangeRef",
@@ -133,6 +136,13 @@
     revision: int
 
 
+class DocumentHead(NamedTuple):
+    """The parts of the route document that are not rows."""
+
+    version: int
+    limits: ClientLimits
+
+
 class Delta(NamedTuple):
     """Rows that changed after ``base``; a full one replaces all rows.
 
@@ -148,3 +158,8 @@
     contracts: tuple[ContractRow, ...] = ()
     quarantines: tuple[QuarantineRow, ...] = ()
     lifted: tuple[str, ...] = ()
+    routes: tuple[Route, ...] = ()
+    removed_routes: tuple[str, ...] = ()
+    services: tuple[RoutedService, ...] = ()
+    removed_services: tuple[str, ...] = ()
+    document: DocumentHead | None = None
--- /dev/null
+++ b/src/dragonflyrock/node/control.py
@@ -0,0 +1,250 @@
+"""A control node: a member of the replicated log, and the leader's duties."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from ..consensus import open_group
+from ..control.calls import CALLS, BeatAccepted, Propose, ReadRoutes
+from ..control.commands import COMMANDS, RESULTS, ChangeRoutes, Done, PutRoutes
+from ..control.directed_models import Order, OrderOutcome, OrderResult, ServerBeat
+from ..control.member import CONTROL_GROUP, ControlMember, MemberConfig
+from ..control.state import ControlState
+from ..errors import Reason, Refusal, Step
+from ..http import HttpServer, Request, Response, WireLimits
+from ..routes import RouteDocument
+from ..transport.calls import CallTable
+from ..transport.links import Received
+from ..transport.messages import CallAnswer, CallRequest, ConsensusMessage, HostRenew
+from .loop import NodeLoop
+from .metrics import make_metrics_server
+from .settings import (
+    NodeSettings,
+    make_consensus_timing,
+    make_directed_timing,
+    make_lease_timing,
+)
+
+__all__ = ["ControlNode", "OrderSender"]
+
+TICK_SECONDS: Final = 0.05
+# A caller waits one second; it is told before that that nothing is known.
+CALL_SECONDS: Final = 0.9
+HAND_OVER_SECONDS: Final = 0.3
+
+OrderSender = Callable[[Order, float], Awaitable[OrderResult]]
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class ControlNode:
+    """Everything of one control node.
+
+    ``send_order`` carries an order to a backend server within some seconds.
+    """
+
+    def __init__(self, settings: NodeSettings, send_order: OrderSender) -> None:
+        """Open the data folder and bind the link."""
+        self._settings = settings
+        self._loop = NodeLoop(settings, TICK_SECONDS)
+        self._send_order = send_order
+        self._timing = make_directed_timing(settings)
+        self._orders: set[asyncio.Task[None]] = set()
+        state = ControlState()
+        voters = settings.seed_names if settings.node.forming else ()
+        if settings.node.name not in voters:
+            voters = ()
+        self._group = open_group(
+            CONTROL_GROUP,
+            settings.node.name,
+            Path(settings.node.data_folder) / CONTROL_GROUP,
+            voters,
+            make_consensus_timing(settings),
+            Random(),
+            state,
+            self._loop.clock(),
+        )
+        self._group.replica.join_peers = settings.seed_names
+        self._member = ControlMember(
+            MemberConfig(
+                settings.node.name, {}, make_lease_timing(settings), self._timing
+            ),
+            {CONTROL_GROUP: self._group},
+            state,
+            self._loop.events,
+            self._loop.metrics,
+            self._loop.send,
+            lambda task: task(),
+            self._loop.clock,
+            self._start_order,
+        )
+        self._calls = CallTable(settings.seed_names, self._loop.send)
+        self._stopping = asyncio.Event()
+        self._server: HttpServer | None = None
+        self._metrics = make_metrics_server(settings, self._loop.metrics)
+        self._role = ""
+
+    # Life
+
+    async def run(self, handler: Handler) -> None:
+        """Serve until stopped; ``handler`` answers at the control address."""
+        self._loop.run(self._receive, self._tick, self._member.flush)
+        self._server = HttpServer(handler, WireLimits())
+        await self._server.start(self._settings.listen.control)
+        if self._metrics is not None:
+            await self._metrics.start(self._settings.listen.metrics)
+        self._loop.lines.add(
+            "started",
+            role="control",
+            seeds=self._settings.seeds,
+            forming=self._settings.node.forming,
+            log_index=self._group.replica.log.last_index,
+        )
+        failure = self._loop.failure
+        assert failure is not None
+        await self._loop.wait_for_end(self._stopping)
+        if not failure.done():
+            await self._finish()
+        self._loop.lines.add("stopped")
+        self._loop.close()
+        if failure.done():
+            failure.result()
+
+    def stop(self) -> None:
+        """Begin to end; may be called more than once."""
+        self._stopping.set()
+
+    async def _finish(self) -> None:
+        """Hand the leadership over, and close."""
+        self._loop.lines.add("stopping")
+        self._member.hand_over(self._loop.clock())
+        self._loop.wake()
+        await asyncio.sleep(HAND_OVER_SECONDS)
+        if self._server is not None:
+            self._server.close()
+        self._member.close()
+
+    # Calls from the control address
+
+    async def hear(self, beat: ServerBeat) -> BeatAccepted | Refusal:
+        """Take a backend server's announcement."""
+        answer = await self._call(beat)
+        if isinstance(answer, BeatAccepted | Refusal):
+            return answer
+        return _no_leader(Step.ANNOUNCE)
+
+    async def put_routes(self, command: PutRoutes | ChangeRoutes) -> Done | Refusal:
+        """Have a change of the route document committed."""
+        body = await self._call_raw(Propose(COMMANDS.encode(command)))
+        if body is None:
+            return _no_leader(Step.COMMIT)
+        result: Done | Refusal = RESULTS.decode(body)
+        self._loop.lines.add(
+            "routes-put",
+            base=command.base,
+            outcome=type(result).__name__,
+            detail=result.detail if isinstance(result, Refusal) else "",
+        )
+        return result
+
+    async def read_routes(self) -> RouteDocument | Refusal:
+        """Return the newest route document, as the leader is sure of it."""
+        answer = await self._call(ReadRoutes())
+        if isinstance(answer, RouteDocument):
+            return answer
+        return _no_leader(Step.COMMIT)
+
+    async def _call(self, message: object) -> Any:
+        """Call the leader; None where no answer came in time."""
+        body = await self._call_raw(message)
+        return None if body is None else CALLS.decode(body)
+
+    async def _call_raw(self, message: object) -> bytes | None:
+        """Call the leader, and return the answer's bytes."""
+        future: asyncio.Future[bytes | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def finish(answer: bytes | None) -> None:
+            if not future.done():
+                future.set_result(answer)
+
+        self._calls.start(
+            CONTROL_GROUP,
+            CALLS.encode(message),
+            CALL_SECONDS,
+            finish,
+            self._loop.clock(),
+        )
+        self._loop.wake()
+        return await future
+
+    # Orders to backend servers
+
+    def _start_order(self, order: Order) -> None:
+        """Send an order in a task of its own."""
+        task = asyncio.get_running_loop().create_task(self._carry_order(order))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _carry_order(self, order: Order) -> None:
+        """Send an order, unless the leadership was lost, and take its result."""
+        kind = type(order).__name__
+        if not self._group.is_settled_leader(self._loop.clock()):
+            result = OrderResult(order, OrderOutcome.NOT_SENT, detail="not leading")
+        else:
+            waits = self._timing.order_timeout
+            if kind == "ReleaseOrder":
+                waits = self._timing.release_timeout
+            result = await self._send_order(order, waits)
+        if kind == "ReleaseOrder" or result.outcome != OrderOutcome.DONE:
+            self._loop.lines.add(
+                "order",
+                kind=kind,
+                server=order.server.name,
+                low=order.low,
+                high=order.high,
+                epoch=order.epoch,
+                outcome=result.outcome,
+                detail=result.detail,
+            )
+        self._member.complete_order(result, self._loop.clock())
+        self._loop.wake()
+
+    # Loop
+
+    def _receive(self, received: Received, now: float) -> None:
+        """Take a message."""
+        sender, message = received
+        match message:
+            case ConsensusMessage():
+                self._member.receive_consensus(sender, message, now)
+            case HostRenew():
+                self._member.receive_renew(sender, message, now)
+            case CallRequest():
+                self._member.receive_call(sender, message, now)
+            case CallAnswer():
+                self._calls.answer(sender, message, now)
+
+    def _tick(self, now: float) -> None:
+        """Let time pass."""
+        replica = self._group.replica
+        names = [voter.name for voter in replica.configuration.voters]
+        known = dict.fromkeys((*names, *self._settings.seed_names))
+        self._calls.members = tuple(known)
+        self._calls.note_leader(CONTROL_GROUP, replica.leader)
+        self._calls.tick(now)
+        self._member.tick(now)
+        if replica.role != self._role:
+            self._role = replica.role
+            self._loop.lines.add(
+                "role", role=replica.role, term=replica.hard.term, leader=replica.leader
+            )
+
+
+def _no_leader(step: Step) -> Refusal:
+    """Return that no leader answered in time; what became of it is not known."""
+    return Refusal(Reason.NO_LEADER, step, detail="no leader answered in time")
--- /dev/null
+++ b/src/dragonflyrock/node/entry.py
@@ -0,0 +1,166 @@
+"""An entry node: callers' requests in, routed by rows that the leader sends."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+from typing import Final
+
+from ..entry.agent import AgentConfig, EntryAgent
+from ..http import Connections, HttpServer, Request, Response, WireLimits, make_response
+from ..models import HostRecord
+from ..router import Dialect, Router, RouterConfig, RouterState
+from ..transport.links import Received
+from ..transport.messages import HostUpdate
+from .loop import NodeLoop
+from .metrics import make_metrics_server
+from .settings import NodeSettings, make_budget_policy
+
+__all__ = ["EntryNode"]
+
+TICK_SECONDS: Final = 0.1
+SWEEP_SECONDS: Final = 1.0
+# After a stop signal the balancer needs two missed checks to send no more here.
+LAST_ARRIVAL_SECONDS: Final = 2.6
+STOP_MARGIN_SECONDS: Final = 0.6
+
+
+class EntryNode:
+    """Everything of one entry node."""
+
+    def __init__(self, settings: NodeSettings, dialect: Dialect) -> None:
+        """Prepare to serve with the header names of ``dialect``."""
+        self._settings = settings
+        self._loop = NodeLoop(settings, TICK_SECONDS)
+        clock = self._loop.clock
+        self.state = RouterState(make_budget_policy(settings), clock)
+        self._connections = Connections()
+        name = settings.node.name
+        self._router = Router(
+            RouterConfig(name, settings.node.availability_zone, dialect),
+            self.state,
+            self._connections,
+            self._loop.lines,
+            self._loop.metrics,
+            clock,
+            Random(),
+        )
+        self._callers = HttpServer(self._router.handle, WireLimits())
+        self._ready = HttpServer(self._answer_ready, WireLimits())
+        self._metrics = make_metrics_server(settings, self._loop.metrics)
+        record = HostRecord(
+            name,
+            time.time_ns(),
+            settings.node.availability_zone,
+            settings.listen.link,
+            "",
+        )
+        self._agent = EntryAgent(
+            AgentConfig(
+                record,
+                settings.seed_names,
+                settings.timeouts.host_renew_ms / 1000,
+            ),
+            self.state,
+            self._loop.send,
+            clock,
+        )
+        self._stopping = asyncio.Event()
+        self._swept_at = 0.0
+        self._heard_version = 0
+        self._was_in_touch = False
+
+    async def run(self) -> None:
+        """Serve until stopped, then answer what is under way and end."""
+        listen = self._settings.listen
+        self._loop.run(self._receive, self._tick, _do_nothing)
+        await self._callers.start(listen.callers)
+        if listen.ready:
+            await self._ready.start(listen.ready)
+        if self._metrics is not None:
+            await self._metrics.start(listen.metrics)
+        self._loop.lines.add("started", role="entry", seeds=self._settings.seeds)
+        failure = self._loop.failure
+        assert failure is not None
+        await self._loop.wait_for_end(self._stopping)
+        if not failure.done():
+            await self._finish()
+        self._loop.lines.add("stopped")
+        self._loop.close()
+        if failure.done():
+            failure.result()
+
+    def stop(self) -> None:
+        """Begin to end; may be called more than once."""
+        self._stopping.set()
+
+    async def _finish(self) -> None:
+        """Take requests while the balancer still sends some, then end."""
+        self._loop.lines.add("stopping", busy=self._callers.busy)
+        self._callers.draining = True
+        clock = self._loop.clock
+        began = clock()
+        grace = self._settings.bounds.stop_grace_ms / 1000
+        until = began + grace - STOP_MARGIN_SECONDS
+        while clock() < until:
+            await asyncio.sleep(0.05)
+            if clock() - began > LAST_ARRIVAL_SECONDS and not self._callers.busy:
+                break
+        self._agent.renew(clock(), leaving=True)
+        for server in (self._callers, self._ready):
+            server.close()
+        self._connections.close()
+        await asyncio.sleep(0.05)
+
+    async def _answer_ready(self, request: Request) -> Response:
+        """Tell the balancer whether to send callers here."""
+        if self._stopping.is_set():
+            return make_response(503, b"stopping\n")
+        if not self.state.tables.document_version:
+            return make_response(503, b"no route document yet\n")
+        return make_response(200, b"ready\n")
+
+    def _receive(self, received: Received, now: float) -> None:
+        """Take a message."""
+        message = received.message
+        if isinstance(message, HostUpdate):
+            self._agent.receive(message, now)
+            self._note_document()
+
+    def _note_document(self) -> None:
+        """Apply the limits of a new route document, and tell of it."""
+        tables = self.state.tables
+        if tables.document_version == self._heard_version:
+            return
+        self._heard_version = tables.document_version
+        limits = tables.client_limits
+        self._callers.limits = WireLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+        self._loop.lines.add(
+            "document-applied",
+            version=tables.document_version,
+            revision=tables.revision,
+            routes=len(tables.routes),
+        )
+
+    def _tick(self, now: float) -> None:
+        """Renew, and drop old connections."""
+        self._agent.tick(now)
+        in_touch = self.state.tables.lease_until > now
+        if in_touch != self._was_in_touch:
+            self._was_in_touch = in_touch
+            event = "control-regained" if in_touch else "control-lost"
+            self._loop.lines.add(event, leader=self.state.tables.leader)
+        if now - self._swept_at > SWEEP_SECONDS:
+            self._swept_at = now
+            self._connections.sweep(now)
+            self._loop.metrics.revision.set(self.state.tables.revision)
+
+
+def _do_nothing(now: float) -> None:
+    """Have nothing to flush."""
--- /dev/null
+++ b/src/dragonflyrock/node/loop.py
@@ -0,0 +1,186 @@
+"""The links of a node on an event loop, and the ticks of its role."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from ..observe import EventRing, HybridClock
+from ..observe.lines import LineLog
+from ..observe.metrics import Metrics
+from ..transport.links import Links, Received
+from ..transport.messages import LinkMessage
+from .settings import NodeSettings
+
+__all__ = ["NodeLoop"]
+
+_LOGGER = logging.getLogger(__name__)
+
+STALL_SECONDS: Final = 0.25
+FLUSH_LINES_SECONDS: Final = 0.2
+MAX_MESSAGES_PER_PASS: Final = 200
+
+Handle = Callable[[Received, float], None]
+Tick = Callable[[float], None]
+
+
+class NodeLoop:
+    """Receive messages, let time pass, and flush once after each batch of both."""
+
+    def __init__(self, settings: NodeSettings, tick_seconds: float) -> None:
+        """Bind the link; ``tick_seconds`` is the time between ticks."""
+        self.settings = settings
+        self.clock = time.monotonic
+        self.metrics = Metrics()
+        self.lines = LineLog(settings.node.label, 1, time.monotonic)
+        self.events = LineEvents(settings.node.name, self.lines)
+        self._links = Links(
+            settings.node.name,
+            settings.listen.link,
+            self.events.clock,
+            self.metrics,
+            None,
+        )
+        self._local: deque[Received] = deque()
+        self._tick_seconds = tick_seconds
+        self._scheduled = False
+        self._ticked_at = self.clock()
+        self._flushed_lines_at = 0.0
+        self._handle: Handle = _ignore
+        self._tick: Tick = _ignore_time
+        self._flush: Tick = _ignore_time
+        self.failure: asyncio.Future[object] | None = None
+
+    def run(self, handle: Handle, tick: Tick, flush: Tick) -> None:
+        """Begin; the three are called on the running event loop's thread."""
+        self._handle, self._tick, self._flush = handle, tick, flush
+        loop = asyncio.get_running_loop()
+        self.failure = loop.create_future()
+        loop.add_reader(self._links.receiver.fileno(), self._receive)
+        self._on_tick()
+
+    def send(self, peer: str, message: LinkMessage) -> bool:
+        """Send a message to a node by its name, which may be this one's."""
+        if peer == self.settings.node.name:
+            self._local.append(Received(peer, message))
+            self.wake()
+            return True
+        if not self._links.knows(peer):
+            self._links.connect(peer, f"{peer}:{self.settings.link_port}")
+        return self._links.send(peer, message)
+
+    def wake(self) -> None:
+        """Have a pass made soon."""
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._pass)
+
+    def _on_tick(self) -> None:
+        """Make a pass with a tick, and plan the next one."""
+        now = self.clock()
+        late = now - self._ticked_at - self._tick_seconds
+        if late > STALL_SECONDS:
+            self.lines.add("stalled", seconds=round(late, 3))
+        self._ticked_at = now
+        self._receive()
+        self._guard(self._tick, now)
+        self._pass()
+        if now - self._flushed_lines_at > FLUSH_LINES_SECONDS:
+            self._flushed_lines_at = now
+            self.lines.flush()
+        asyncio.get_running_loop().call_later(self._tick_seconds, self._on_tick)
+
+    def _receive(self) -> None:
+        """Take the messages that are there now."""
+        for _ in range(MAX_MESSAGES_PER_PASS):
+            # Reading the events also arms the descriptor anew.
+            if not self._links.receiver.poll(0):
+                break
+            received = self._links.receive()
+            if received is None:
+                break
+            self._guard_message(received)
+        else:
+            asyncio.get_running_loop().call_soon(self._receive)
+        self.wake()
+
+    def _pass(self) -> None:
+        """Handle messages to this node itself, and flush."""
+        self._scheduled = False
+        for _ in range(MAX_MESSAGES_PER_PASS):
+            if not self._local:
+                break
+            self._guard_message(self._local.popleft())
+        self._guard(self._flush, self.clock())
+        if self._local:
+            self.wake()
+
+    def _guard_message(self, received: Received) -> None:
+        """Handle a message; a failure ends the node."""
+        self._guard(lambda now: self._handle(received, now), self.clock())
+
+    def _guard(self, call: Tick, now: float) -> None:
+        """Run a part of the role; a failure ends the node."""
+        try:
+            call(now)
+        except Exception as error:
+            _LOGGER.critical("the node failed", exc_info=True)
+            if self.failure is not None and not self.failure.done():
+                self.failure.set_exception(error)
+
+    async def wait_for_end(self, stopping: asyncio.Event) -> None:
+        """Return when the node is told to stop, or a part of it has failed."""
+        assert self.failure is not None
+        told: asyncio.Future[object] = asyncio.ensure_future(stopping.wait())
+        waited: set[asyncio.Future[object]] = {told, self.failure}
+        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+
+    def close(self) -> None:
+        """Close the links and write the last lines."""
+        self._links.close()
+        self.lines.flush()
+
+
+class LineEvents(EventRing):
+    """The ring of events, each of which is also a structured line."""
+
+    def __init__(self, host: str, lines: LineLog) -> None:
+        """Write to ``lines``."""
+        super().__init__(host, HybridClock(), capacity=2_000)
+        self._lines = lines
+
+    def add(
+        self,
+        kind: str,
+        request: str = "",
+        service: str = "",
+        key: str = "",
+        range_low: int = -1,
+        server: str = "",
+        peer: str = "",
+        detail: str = "",
+    ) -> None:
+        """Add an event that happened now, and its line."""
+        super().add(kind, request, service, key, range_low, server, peer, detail)
+        self._lines.add(
+            kind,
+            id=request,
+            service=service,
+            key=key,
+            range_low=range_low if range_low >= 0 else "",
+            server=server,
+            peer=peer,
+            detail=detail,
+        )
+
+
+def _ignore(received: Received, now: float) -> None:
+    """Be the handler before there is a role."""
+
+
+def _ignore_time(now: float) -> None:
+    """Be the tick before there is a role."""
--- /dev/null
+++ b/src/dragonflyrock/platform/documents.py
@@ -0,0 +1,264 @@
+"""The platform's configuration as the product's route document, and back."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, Final
+
+import msgspec
+
+from ..routes import (
+    ClientLimits,
+    Route,
+    RouteChange,
+    RouteDocument,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+)
+
+__all__ = [
+    "UnreadableError",
+    "decode_change",
+    "decode_document",
+    "decode_version",
+    "digest_change",
+    "encode_document",
+]
+
+DEFAULT_LIMITS: Final = ClientLimits()
+
+
+class UnreadableError(Exception):
+    """A body that cannot be read in full; the text names the item."""
+
+
+class _Listener(msgspec.Struct):
+    """A host with its routes ("rules")."""
+
+    host: str
+    rules: list[msgspec.Raw]
+
+
+class _Config(msgspec.Struct):
+    """A whole configuration. A "cluster" is a service of backend servers."""
+
+    version: str
+    listeners: list[_Listener]
+    clusters: list[msgspec.Raw]
+    limits: msgspec.Raw = msgspec.Raw(b"")
+
+
+class _Upsert(msgspec.Struct):
+    """Items to add or replace."""
+
+    listeners: list[_Listener] = []
+    clusters: list[msgspec.Raw] = []
+    limits: msgspec.Raw = msgspec.Raw(b"")
+
+
+class _Remove(msgspec.Struct, forbid_unknown_fields=True):
+    """Names to remove."""
+
+    routes: list[str] = []
+    rules: list[str] = []
+    clusters: list[str] = []
+    services: list[str] = []
+
+
+class _Patch(msgspec.Struct):
+    """A change of named items."""
+
+    version: str
+    upsert: _Upsert = msgspec.field(default_factory=_Upsert)
+    remove: _Remove = msgspec.field(default_factory=_Remove)
+
+
+class _Match(msgspec.Struct):
+    """What a route matches besides its host."""
+
+    path_prefix: str = msgspec.field(name="pathPrefix")
+
+
+class _Share(msgspec.Struct):
+    """A service and its weight."""
+
+    service: str
+    weight: float
+
+
+class _Action(msgspec.Struct):
+    """Where a route's requests go: one service, or a split."""
+
+    timeout_ms: float = msgspec.field(name="timeoutMs")
+    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    service: str = ""
+    split: list[_Share] = msgspec.field(name="trafficSplit", default_factory=list)
+
+
+class _Rule(msgspec.Struct):
+    """A route; its "kind" tells what may be repeated."""
+
+    name: str
+    kind: str
+    match: _Match
+    action: _Action
+    target_ms: float | None = msgspec.field(name="targetLatencyMs", default=None)
+    priority: int = 0
+
+
+class _Cluster(msgspec.Struct):
+    """A service; a "sharded" one is divided by key among its servers."""
+
+    name: str
+    health_path: str = msgspec.field(name="healthCheckPath", default="/health")
+    max_connections: int = msgspec.field(name="maxConnections", default=0)
+    sharded: bool = False
+    warm_s: float = msgspec.field(name="warmS", default=0.0)
+
+
+class _Limits(msgspec.Struct):
+    """What a client may send."""
+
+    header_bytes: int = msgspec.field(
+        name="maxHeaderBytes", default=DEFAULT_LIMITS.header_bytes
+    )
+    body_bytes: int = msgspec.field(
+        name="maxBodyBytes", default=DEFAULT_LIMITS.body_bytes
+    )
+    header_timeout_ms: float = msgspec.field(
+        name="headerTimeoutMs", default=DEFAULT_LIMITS.header_timeout_ms
+    )
+    idle_timeout_ms: float = msgspec.field(
+        name="idleTimeoutMs", default=DEFAULT_LIMITS.idle_timeout_ms
+    )
+
+
+_CONFIG: Final = msgspec.json.Decoder(_Config)
+_PATCH: Final = msgspec.json.Decoder(_Patch)
+_RULE: Final = msgspec.json.Decoder(_Rule)
+_CLUSTER: Final = msgspec.json.Decoder(_Cluster)
+_LIMITS: Final = msgspec.json.Decoder(_Limits)
+
+
+def decode_version(text: str) -> int:
+    """Return the number of a version such as ``r12``.
+
+    >>> decode_version("r12"), decode_version("0")
+    (12, 0)
+    """
+    digits = text[1:] if text.startswith("r") else text
+    if not digits.isascii() or not digits.isdecimal():
+        raise UnreadableError(f"version {text!r}: expected r and a number")
+    return int(digits)
+
+
+def decode_document(body: bytes) -> RouteDocument:
+    """Read a whole configuration."""
+    config = _decode(_CONFIG, body)
+    return RouteDocument(
+        decode_version(config.version),
+        _read_routes(config.listeners),
+        tuple(_read_service(item) for item in config.clusters),
+        _read_limits(config.limits) or DEFAULT_LIMITS,
+    )
+
+
+def decode_change(body: bytes) -> RouteChange:
+    """Read a change of named items."""
+    patch = _decode(_PATCH, body)
+    return RouteChange(
+        decode_version(patch.version),
+        _read_routes(patch.upsert.listeners),
+        tuple(_read_service(item) for item in patch.upsert.clusters),
+        (*patch.remove.routes, *patch.remove.rules),
+        (*patch.remove.clusters, *patch.remove.services),
+        _read_limits(patch.upsert.limits),
+    )
+
+
+def digest_change(target: bytes, base: int, body: bytes) -> str:
+    """Return the name under which the same call is recognised when it is resent."""
+    return hashlib.sha256(b"%s %d %s" % (target, base, body)).hexdigest()[:32]
+
+
+def encode_document(document: RouteDocument) -> bytes:
+    """Return a configuration laid out as it is put."""
+    hosts: dict[str, list[msgspec.Raw]] = {}
+    for route in document.routes:
+        hosts.setdefault(route.host, []).append(msgspec.Raw(route.source))
+    fields: dict[str, Any] = {"version": f"r{document.version}"}
+    if document.limits.source:
+        fields["limits"] = msgspec.Raw(document.limits.source)
+    fields["listeners"] = [
+        {"host": host, "rules": rules} for host, rules in hosts.items()
+    ]
+    fields["clusters"] = [msgspec.Raw(service.source) for service in document.services]
+    return msgspec.json.encode(fields)
+
+
+def _decode(decoder: msgspec.json.Decoder[Any], data: bytes | msgspec.Raw) -> Any:
+    """Decode, or raise ``UnreadableError``."""
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise UnreadableError(str(error)) from error
+
+
+def _read_routes(listeners: list[_Listener]) -> tuple[Route, ...]:
+    """Return the routes of all listeners."""
+    return tuple(
+        _read_route(listener.host, rule)
+        for listener in listeners
+        for rule in listener.rules
+    )
+
+
+def _read_route(host: str, source: msgspec.Raw) -> Route:
+    """Return one route."""
+    rule: _Rule = _decode(_RULE, source)
+    action = rule.action
+    shares = tuple(ServiceShare(share.service, share.weight) for share in action.split)
+    if not shares:
+        shares = (ServiceShare(action.service, 1.0),)
+    kind = RouteKind.IDEMPOTENT if rule.kind == "safe" else RouteKind.ONCE
+    target = action.timeout_ms if rule.target_ms is None else rule.target_ms
+    return Route(
+        rule.name,
+        host,
+        rule.match.path_prefix,
+        kind,
+        shares,
+        action.timeout_ms,
+        action.max_attempts,
+        target,
+        rule.priority,
+        bytes(source),
+    )
+
+
+def _read_service(source: msgspec.Raw) -> RoutedService:
+    """Return one service."""
+    cluster: _Cluster = _decode(_CLUSTER, source)
+    return RoutedService(
+        cluster.name,
+        cluster.health_path,
+        cluster.max_connections,
+        cluster.sharded,
+        cluster.warm_s * 1000,
+        bytes(source),
+    )
+
+
+def _read_limits(source: msgspec.Raw) -> ClientLimits | None:
+    """Return the limits of clients, if there are any."""
+    if not bytes(source):
+        return None
+    limits: _Limits = _decode(_LIMITS, source)
+    return ClientLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_ms,
+        limits.idle_timeout_ms,
+        bytes(source),
+    )
--- /dev/null
+++ b/src/dragonflyrock/platform/main.py
@@ -0,0 +1,50 @@
+"""The program that the platform starts: ``deploy/node.py``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+from ..errors import DragonflyrockError
+from ..node.settings import NodeSettings, load_node_settings
+from .names import DIALECT, SETTINGS_VARIABLE
+
+__all__ = ["main"]
+
+
+async def _run(settings: NodeSettings) -> None:
+    """Run the role that the settings name, until a signal ends it."""
+    loop = asyncio.get_running_loop()
+    # A changed file takes effect at the next start; nothing in it is reloadable.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    if settings.node.role == "entry":
+        from ..node.entry import EntryNode  # noqa: PLC0415 (one role a process)
+
+        entry = EntryNode(settings, DIALECT)
+        loop.add_signal_handler(signal.SIGTERM, entry.stop)
+        await entry.run()
+        return
+    from ..node.control import ControlNode  # noqa: PLC0415 (one role a process)
+    from .control_calls import ControlCalls  # noqa: PLC0415
+    from .orders import OrderCalls  # noqa: PLC0415
+
+    control = ControlNode(settings, OrderCalls().send)
+    loop.add_signal_handler(signal.SIGTERM, control.stop)
+    await control.run(ControlCalls(control).handle)
+
+
+def main() -> int:
+    """Run a node by the settings file that the environment names."""
+    logging.basicConfig(level="INFO", stream=sys.stderr)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_node_settings(Path(path))
+        asyncio.run(_run(settings))
+    except DragonflyrockError as error:
+        print(f"dragonflyrock: step={error.step}: {error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/src/dragonflyrock/platform/orders.py
@@ -0,0 +1,96 @@
+"""Grants and releases as calls to the platform's backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..control.directed_models import (
+    GrantOrder,
+    Order,
+    OrderOutcome,
+    OrderResult,
+)
+from ..http import (
+    Connections,
+    ExchangeFault,
+    FaultKind,
+    Request,
+    Response,
+    find_header,
+)
+from .names import DIALECT, GRANT_PATH, HANDOVER, RELEASE_PATH
+
+__all__ = ["OrderCalls"]
+
+
+class OrderCalls:
+    """Send orders; an order without an answer is broken off."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._connections = Connections()
+
+    async def send(self, order: Order, timeout: float) -> OrderResult:
+        """Send an order and return what is known of it after ``timeout`` seconds."""
+        address = order.server.address
+        connection = self._connections.take_idle(address)
+        if connection is None:
+            opened = await self._connections.connect(address, timeout)
+            if isinstance(opened, ExchangeFault):
+                return OrderResult(order, OrderOutcome.NOT_SENT, detail=opened.detail)
+            connection = opened
+        try:
+            async with asyncio.timeout(timeout):
+                result = await connection.exchange(_make_request(order))
+        except TimeoutError:
+            return OrderResult(order, OrderOutcome.UNKNOWN, detail="no answer in time")
+        self._connections.give_back(connection)
+        if isinstance(result, ExchangeFault):
+            outcome = OrderOutcome.UNKNOWN
+            if result.kind == FaultKind.NOT_CONNECTED:
+                outcome = OrderOutcome.NOT_SENT
+            return OrderResult(order, outcome, detail=result.detail)
+        return _read_result(order, result)
+
+
+def _make_request(order: Order) -> Request:
+    """Return the call of an order; the platform's keys have 16 bits."""
+    shift = DIALECT.key_shift
+    body: dict[str, object] = {
+        "from": order.low >> shift,
+        "to": order.high >> shift,
+        # A fencing token: later owners have higher ones.
+        "fence": order.epoch,
+    }
+    target = RELEASE_PATH
+    if isinstance(order, GrantOrder):
+        target = GRANT_PATH
+        body["holdMs"] = order.hold_ms
+        if order.handover:
+            body["handover"] = order.handover
+    headers = (
+        (b"Host", order.server.address.encode()),
+        (b"Content-Type", b"application/json"),
+        (DIALECT.expected_server, order.server.name.encode()),
+    )
+    return Request(b"POST", target, headers, msgspec.json.encode(body))
+
+
+def _read_result(order: Order, response: Response) -> OrderResult:
+    """Return what a server's answer tells."""
+    detail = f"status {response.status}"
+    if response.status == 200:
+        token = find_header(response.headers, HANDOVER) or b""
+        return OrderResult(order, OrderOutcome.DONE, token.decode("latin-1"))
+    if response.status == 409:
+        return OrderResult(order, OrderOutcome.NEWER, detail=detail)
+    if response.status == 421:
+        other = find_header(response.headers, DIALECT.server_name)
+        if other is not None and other != order.server.name.encode():
+            detail = f"{other.decode('latin-1')} has the address"
+            return OrderResult(order, OrderOutcome.OTHER_LIFE, detail=detail)
+    if find_header(response.headers, DIALECT.not_run) is not None:
+        return OrderResult(order, OrderOutcome.NOT_SENT, detail=detail)
+    return OrderResult(order, OrderOutcome.UNKNOWN, detail=detail)
--- /dev/null
+++ b/src/dragonflyrock/router/dialect.py
@@ -0,0 +1,21 @@
+"""The names of the headers that this system and its neighbours add."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["Dialect"]
+
+
+class Dialect(NamedTuple):
+    """Header names in lower case; an empty one is neither sent nor looked for."""
+
+    request_id: bytes = b"x-request-id"
+    time_left_ms: bytes = b"x-request-timeout-ms"
+    expected_server: bytes = b"x-expected-server"
+    server_name: bytes = b"x-server-name"
+    signature: bytes = b""
+    not_run: bytes = b"x-not-run"
+    load: bytes = b"x-server-load"
+    key: bytes = b"x-key"
+    key_shift: int = 48
--- /dev/null
+++ b/src/dragonflyrock/router/exchange.py
@@ -0,0 +1,502 @@
+"""One request: its route, its server, its sends, and its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final, NamedTuple
+
+from ..http import (
+    Connections,
+    ExchangeFault,
+    FaultKind,
+    Headers,
+    Request,
+    Response,
+    find_header,
+    make_response,
+)
+from ..observe.lines import LineLog
+from ..observe.metrics import Metrics
+from ..routes import Route, SplitCounter
+from .choice import choose_server, rank_home
+from .dialect import Dialect
+from .servers import (
+    LoadReport,
+    ServerStat,
+    estimate_backlog,
+    estimate_wait,
+    note_answer,
+    note_failure,
+    note_full,
+    note_report,
+    note_sent,
+)
+from .state import RouterState
+
+__all__ = ["Router", "RouterConfig"]
+
+HOP_HEADERS: Final = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# A server answers at its own deadline; its answer needs this long to arrive.
+ANSWER_SLACK_SECONDS: Final = 0.02
+CONNECT_SECONDS: Final = 0.3
+# A request is refused when it would be answered later than this share of its
+# target latency; the work on it would be taken from requests that are in time.
+ADMIT_SHARE: Final = 1.2
+# Share of the time left that a request already late may be made to wait.
+LATE_SHARE: Final = 0.5
+# A request that finds no owner, or one that is not the owner yet, asks again.
+OWNER_WAIT_SECONDS: Final = 0.3
+OWNER_POLL_SECONDS: Final = 0.04
+MAX_BOUNCES: Final = 4
+SHORTEST_RETRY_SECONDS: Final = 0.05
+LONGEST_RETRY_SHARE: Final = 0.3
+DEFAULT_DEADLINE_SECONDS: Final = 30.0
+
+
+class RouterConfig(NamedTuple):
+    """Who this host is, and the header names it uses."""
+
+    host: str
+    zone: str
+    dialect: Dialect
+
+
+@dataclass(slots=True)
+class Passage:
+    """A request on its way; times in seconds of the runtime's clock."""
+
+    request: Request
+    request_id: bytes
+    route: Route
+    service: str
+    key_hash: int | None
+    started: float
+    deadline: float
+    target_at: float
+    sends: int = 0
+    bounces: int = 0
+    offered: bool = False
+    may_have_run: bool = False
+    misplaced: bool = False
+    avoid: set[str] = field(default_factory=set)
+    server: str = ""
+    detail: str = ""
+
+
+class _Refused(NamedTuple):
+    """A request that has not run and will not: why, and when to come back."""
+
+    detail: str
+    retry_after: float
+
+
+class Router:
+    """Answer callers' requests by the rows and statistics of this host."""
+
+    def __init__(
+        self,
+        config: RouterConfig,
+        state: RouterState,
+        connections: Connections,
+        lines: LineLog,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        """Route by ``state`` over ``connections``."""
+        self._config = config
+        self._state = state
+        self._connections = connections
+        self._lines = lines
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._splits = SplitCounter()
+        self._split_start = rank_home(config.host, "split")
+        self._longest: dict[str, float] = {}
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        now = self._clock()
+        dialect = self._config.dialect
+        request_id = find_header(request.headers, dialect.request_id) or b""
+        if not self._state.tables.document_version:
+            return self._reject_unrouted(request_id, 503, "no route document yet")
+        host = (find_header(request.headers, b"host") or b"").decode("latin-1")
+        target = request.target.decode("latin-1")
+        route = self._state.tables.routes.find(host.partition(":")[0], target)
+        if route is None:
+            return self._reject_unrouted(request_id, 404, f"no route: {host}{target}")
+        passage = self._open(request, request_id, route, now)
+        try:
+            response = await self._run(passage)
+        except asyncio.CancelledError:
+            self._tell(passage, 0, "client left")
+            raise
+        self._tell(passage, response.status, passage.detail)
+        return response
+
+    def _reject_unrouted(self, request_id: bytes, status: int, detail: str) -> Response:
+        """Answer a request that has no route here."""
+        headers: Headers = ((b"Retry-After", b"0.3"),) if status == 503 else ()
+        self._lines.add(
+            "request",
+            id=request_id.decode("latin-1"),
+            status=status,
+            detail=detail,
+            version=self._state.tables.document_version,
+        )
+        return self._own(status, detail, request_id, headers)
+
+    def _own(
+        self, status: int, detail: str, request_id: bytes, headers: Headers = ()
+    ) -> Response:
+        """Return an answer of this host's own."""
+        name = self._config.dialect.request_id
+        if request_id and name:
+            headers = ((name, request_id), *headers)
+        body = b'{"error": "%s"}' % detail.replace('"', "'").encode()
+        return make_response(status, body, headers)
+
+    def _open(
+        self, request: Request, request_id: bytes, route: Route, now: float
+    ) -> Passage:
+        """Begin a request's passage."""
+        dialect = self._config.dialect
+        told = find_header(request.headers, dialect.time_left_ms)
+        left = DEFAULT_DEADLINE_SECONDS
+        if told is not None and told.isdigit():
+            left = int(told) / 1000
+        # Clients tell the same time on their first attempts; less means a retry.
+        longest = max(self._longest.get(route.name, 0.0), left)
+        if told is not None:
+            self._longest[route.name] = longest
+        passed = min(longest - left, longest) if told is not None else 0.0
+        service = self._splits.pick(route, self._split_start)
+        routed = self._state.tables.routed_services.get(service)
+        key_hash: int | None = None
+        if routed is not None and routed.keyed:
+            key = find_header(request.headers, dialect.key) or b"0"
+            key_hash = int(key) << dialect.key_shift if key.isdigit() else 0
+        self._state.budget(service).note_first(now)
+        return Passage(
+            request,
+            request_id,
+            route,
+            service,
+            key_hash,
+            now,
+            now + min(left, route.timeout_ms / 1000),
+            now + route.target_ms / 1000 - passed,
+        )
+
+    # Sends
+
+    async def _run(self, passage: Passage) -> Response:
+        """Send a request until it is answered, refused, or out of time."""
+        while True:
+            now = self._clock()
+            if now >= passage.deadline:
+                return self._give_up(passage)
+            chosen = self._choose(passage, now)
+            if isinstance(chosen, _Refused):
+                if await self._wait_for_owner(passage, chosen):
+                    continue
+                return self._refuse(passage, chosen)
+            changed = self._state.changed
+            response = await self._send(passage, chosen)
+            if response is not None:
+                return response
+            if passage.misplaced:
+                passage.misplaced = False
+                await _wait_briefly(changed, OWNER_POLL_SECONDS)
+
+    def _choose(self, passage: Passage, now: float) -> ServerStat | _Refused:
+        """Return the server to send to, or why there is none."""
+        service = self._state.service(passage.service)
+        if passage.key_hash is not None:
+            owner = self._state.find_owner(passage.service, passage.key_hash)
+            if owner is None:
+                return _Refused("the key has no owner", OWNER_WAIT_SECONDS)
+            stat = self._state.stats[owner.name]
+            if now < stat.down_until:
+                return _Refused("the owner cannot be reached", stat.down_until - now)
+            expected = estimate_wait(stat, service, now)
+        else:
+            target = passage.route.target_ms / 1000
+            found = choose_server(
+                self._state.by_service.get(passage.service, ()),
+                service,
+                self._config.host,
+                self._config.zone,
+                target,
+                frozenset(passage.avoid),
+                now,
+            )
+            if found is None:
+                return _Refused("the service has no server", OWNER_WAIT_SECONDS)
+            stat, expected = found
+        if passage.sends:
+            return stat
+        limit = (passage.target_at - passage.started) * ADMIT_SHARE
+        limit = max(limit, (passage.deadline - now) * LATE_SHARE)
+        if expected > limit:
+            return _Refused(f"expected after {expected:.3f} s", expected - limit)
+        return stat
+
+    async def _wait_for_owner(self, passage: Passage, why: _Refused) -> bool:
+        """Wait for newer rows where a key has no owner; return whether to go on."""
+        if passage.key_hash is None or why.detail.startswith("expected"):
+            return False
+        until = min(passage.started + OWNER_WAIT_SECONDS, passage.deadline)
+        left = until - self._clock()
+        if left <= 0:
+            return False
+        await _wait_briefly(self._state.changed, min(left, OWNER_POLL_SECONDS * 2))
+        return True
+
+    async def _send(self, passage: Passage, stat: ServerStat) -> Response | None:
+        """Send a request once; return its final answer, or None to go on."""
+        dialect = self._config.dialect
+        address = stat.row.address
+        passage.server = stat.row.name
+        now = self._clock()
+        connection = self._connections.take_idle(address)
+        if connection is None:
+            left = min(CONNECT_SECONDS, passage.deadline - now)
+            opened = await self._connections.connect(address, left)
+            if isinstance(opened, ExchangeFault):
+                note_failure(stat, self._clock())
+                self._connections.drop(address)
+                passage.avoid.add(stat.row.name)
+                passage.detail = f"connect: {opened.detail}"
+                return None
+            connection = opened
+        now = self._clock()
+        left = passage.deadline - now
+        if left <= 0:
+            self._connections.give_back(connection)
+            return self._give_up(passage)
+        service = self._state.service(passage.service)
+        backlog = estimate_backlog(stat, service, now)
+        note_sent(stat)
+        passage.sends += 1
+        passage.offered = True
+        outgoing = self._make_outgoing(passage, stat, left)
+        try:
+            async with asyncio.timeout(left + ANSWER_SLACK_SECONDS):
+                result = await connection.exchange(
+                    outgoing, dialect.request_id, passage.request_id
+                )
+        except TimeoutError:
+            passage.may_have_run = True
+            passage.detail = "no answer in time"
+            return self._give_up(passage)
+        finally:
+            stat.in_flight -= 1
+        ended = self._clock()
+        self._connections.give_back(connection)
+        if isinstance(result, ExchangeFault):
+            return self._take_fault(passage, stat, result)
+        return self._take_answer(passage, stat, result, backlog, ended - now)
+
+    def _make_outgoing(
+        self, passage: Passage, stat: ServerStat, left: float
+    ) -> Request:
+        """Return the request as it goes to a server."""
+        dialect = self._config.dialect
+        request = passage.request
+        skipped = {dialect.time_left_ms, dialect.expected_server}
+        named = find_header(request.headers, b"connection")
+        if named:
+            skipped.update(part.strip().lower() for part in named.split(b","))
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in HOP_HEADERS and name.lower() not in skipped
+        ]
+        headers.append((dialect.time_left_ms, b"%d" % max(1, int(left * 1000))))
+        headers.append((dialect.expected_server, stat.row.name.encode()))
+        return request._replace(headers=tuple(headers))
+
+    # Answers
+
+    def _take_fault(
+        self, passage: Passage, stat: ServerStat, fault: ExchangeFault
+    ) -> Response | None:
+        """Go on after an exchange without an answer, if that is allowed."""
+        passage.detail = f"{fault.kind}: {fault.detail}"
+        note_report(stat, self._state.service(passage.service), None, self._clock())
+        if fault.kind == FaultKind.NOT_CONNECTED:
+            return None
+        passage.may_have_run = True
+        passage.avoid.add(stat.row.name)
+        if passage.route.is_idempotent and self._may_repeat(passage):
+            return None
+        return self._give_up(passage)
+
+    def _take_answer(
+        self,
+        passage: Passage,
+        stat: ServerStat,
+        response: Response,
+        backlog: float,
+        elapsed: float,
+    ) -> Response | None:
+        """Return a server's answer, or None where the request is to be sent again."""
+        dialect = self._config.dialect
+        now = self._clock()
+        service = self._state.service(passage.service)
+        report = self._read_load(response)
+        told_not_run = find_header(response.headers, dialect.not_run) is not None
+        if told_not_run or response.status == 421:
+            passage.detail = f"server answered {response.status}, not run"
+            return self._take_not_run(passage, stat, response, report)
+        note_answer(stat, service, elapsed, backlog, report, now)
+        if passage.key_hash is not None:
+            self._state.note_key(passage.service, passage.key_hash, elapsed)
+        fault = self._find_fault(passage, response)
+        if fault:
+            passage.detail = fault
+            passage.may_have_run = True
+            passage.avoid.add(stat.row.name)
+            if passage.route.is_idempotent and self._may_repeat(passage):
+                return None
+            return self._give_up(passage)
+        headers = tuple(
+            (name, value)
+            for name, value in response.headers
+            if name.lower() not in HOP_HEADERS
+        )
+        return response._replace(headers=headers)
+
+    def _find_fault(self, passage: Passage, response: Response) -> str:
+        """Return why an answer cannot be a whole answer to this request."""
+        dialect = self._config.dialect
+        if not 200 <= response.status < 300:
+            return ""
+        echoed = find_header(response.headers, dialect.request_id)
+        if echoed != passage.request_id:
+            return "the answer does not bear the request's id"
+        if dialect.signature and find_header(response.headers, dialect.signature) is (
+            None
+        ):
+            return "the answer bears no signature"
+        if find_header(response.headers, b"content-encoding") is not None:
+            return "the answer is encoded"
+        return ""
+
+    def _read_load(self, response: Response) -> LoadReport | None:
+        """Return what a server tells of its load."""
+        told = find_header(response.headers, self._config.dialect.load)
+        if told is None:
+            return None
+        parts = told.split(b",")
+        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+            return None
+        return LoadReport(*(int(part) for part in parts))
+
+    def _take_not_run(
+        self,
+        passage: Passage,
+        stat: ServerStat,
+        response: Response,
+        report: LoadReport | None,
+    ) -> Response | None:
+        """Go on after a server's word that it did not run the request."""
+        now = self._clock()
+        note_report(stat, self._state.service(passage.service), report, now)
+        if response.status == 421:
+            passage.misplaced = True
+        else:
+            note_full(stat, now)
+        passage.avoid.add(stat.row.name)
+        passage.bounces += 1
+        if passage.bounces > MAX_BOUNCES or not self._may_repeat(passage):
+            wait = estimate_wait(stat, self._state.service(passage.service), now)
+            return self._refuse(passage, _Refused(passage.detail, wait))
+        return None
+
+    def _may_repeat(self, passage: Passage) -> bool:
+        """Return whether another send is allowed, and count it."""
+        if passage.sends >= max(passage.route.max_attempts, 1) and not (
+            passage.bounces and not passage.may_have_run
+        ):
+            return False
+        if self._clock() >= passage.deadline:
+            return False
+        budget = self._state.budget(passage.service)
+        if budget.take(self._clock(), self._state.host_count):
+            self._metrics.retries.labels(passage.service).inc()
+            return True
+        passage.detail += "; no retry budget left"
+        return False
+
+    # Ends
+
+    def _refuse(self, passage: Passage, why: _Refused) -> Response:
+        """Answer that a request has not run, and when to come back."""
+        if passage.may_have_run:
+            return self._give_up(passage)
+        passage.detail = passage.detail or why.detail
+        left = passage.deadline - self._clock()
+        wait = max(SHORTEST_RETRY_SECONDS, why.retry_after)
+        wait *= 1 + self._random.random()
+        wait = min(wait, max(left, 0.0) * LONGEST_RETRY_SHARE)
+        headers = ((b"Retry-After", b"%.3f" % wait),)
+        return self._own(503, why.detail, passage.request_id, headers)
+
+    def _give_up(self, passage: Passage) -> Response:
+        """Answer a request that is out of time or cannot be sent again."""
+        if not passage.may_have_run:
+            passage.detail = passage.detail or "out of time before it was sent"
+            headers = ((b"Retry-After", b"%.3f" % SHORTEST_RETRY_SECONDS),)
+            return self._own(503, passage.detail, passage.request_id, headers)
+        status = 504 if self._clock() >= passage.deadline else 502
+        return self._own(status, passage.detail, passage.request_id)
+
+    def _tell(self, passage: Passage, status: int, detail: str) -> None:
+        """Write the line of a request, and count it."""
+        elapsed = self._clock() - passage.started
+        outcome = "answered" if passage.offered else "refused"
+        self._metrics.requests.labels(passage.service, outcome, str(status)).inc()
+        self._metrics.request_seconds.labels(passage.service).observe(elapsed)
+        self._lines.add(
+            "request",
+            id=passage.request_id.decode("latin-1"),
+            route=passage.route.name,
+            version=self._state.tables.document_version,
+            revision=self._state.tables.revision,
+            service=passage.service,
+            server=passage.server,
+            sends=passage.sends,
+            status=status,
+            ms=round(elapsed * 1000, 1),
+            detail=detail,
+        )
+
+
+async def _wait_briefly(changed: asyncio.Event, seconds: float) -> None:
+    """Wait until rows have changed, but not for longer than some time."""
+    try:
+        async with asyncio.timeout(seconds):
+            await changed.wait()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/src/dragonflyrock/router/servers.py
@@ -0,0 +1,135 @@
+"""What an entry host knows of each backend server, and what it expects of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp
+from typing import Final, NamedTuple
+
+from ..models import ServerRow
+
+__all__ = [
+    "LoadReport",
+    "ServerStat",
+    "ServiceStat",
+    "estimate_wait",
+    "note_answer",
+    "note_failure",
+    "note_sent",
+]
+
+NEVER: Final = float("-inf")
+# A new measurement's weight in the mean time that a server needs.
+UNIT_SMOOTHING: Final = 0.12
+SERVICE_SMOOTHING: Final = 0.05
+# A report tells little once the requests that it counted have ended.
+REPORT_AGE_UNITS: Final = 2.0
+# How long a server that refused a connection is left alone, doubling each time.
+DOWN_SECONDS: Final = 0.4
+MAX_DOWN_SECONDS: Final = 3.0
+# A server that is full turns requests away; it has this much more than its slots.
+FULL_QUEUE_PER_SLOT: Final = 3.0
+
+
+class LoadReport(NamedTuple):
+    """Requests that a server was running and had waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True)
+class ServiceStat:
+    """Means of a service; ``unit`` is the time of a request without waiting."""
+
+    unit: float
+    running_share: float = 0.4
+
+
+@dataclass(slots=True)
+class ServerStat:
+    """One server as this host sees it; times in seconds of its own clock."""
+
+    row: ServerRow
+    in_flight: int = 0
+    unit: float = 0.0
+    reported: float = 0.0
+    reported_at: float = NEVER
+    slots: int = 1
+    down_until: float = NEVER
+    failures: int = 0
+
+
+def estimate_backlog(stat: ServerStat, service: ServiceStat, now: float) -> float:
+    """Return how many requests are probably at a server."""
+    usual = service.running_share * stat.slots
+    unit = stat.unit or service.unit
+    fading = 0.0
+    if stat.reported_at > NEVER:
+        fading = exp(-(now - stat.reported_at) / (REPORT_AGE_UNITS * unit))
+    expected = usual + (stat.reported - usual) * fading
+    return max(expected, float(stat.in_flight))
+
+
+def estimate_wait(stat: ServerStat, service: ServiceStat, now: float) -> float:
+    """Return the expected time until a request sent now is answered."""
+    unit = stat.unit or service.unit
+    backlog = estimate_backlog(stat, service, now)
+    share = backlog / stat.slots
+    queued = max(0.0, backlog + 1 - stat.slots) / stat.slots
+    # Below full use a request may still have to wait, the more the fuller it is.
+    chance = min(1.0, share) ** 2 * 0.3
+    return unit * (1 + max(queued, chance))
+
+
+def note_sent(stat: ServerStat) -> None:
+    """Count a request out to a server."""
+    stat.in_flight += 1
+    stat.reported += 1
+
+
+def note_answer(
+    stat: ServerStat,
+    service: ServiceStat,
+    elapsed: float,
+    backlog_at_send: float,
+    report: LoadReport | None,
+    now: float,
+) -> None:
+    """Learn from a request that ran."""
+    stat.failures = 0
+    stat.down_until = NEVER
+    queued = max(0.0, backlog_at_send + 1 - stat.slots) / stat.slots
+    sample = elapsed / (1 + queued)
+    before = stat.unit or service.unit
+    stat.unit = before + UNIT_SMOOTHING * (sample - before)
+    service.unit += SERVICE_SMOOTHING * (sample - service.unit)
+    note_report(stat, service, report, now)
+
+
+def note_report(
+    stat: ServerStat, service: ServiceStat, report: LoadReport | None, now: float
+) -> None:
+    """Take over what a server told of its load."""
+    if report is None:
+        stat.reported = max(0.0, stat.reported - 1)
+        return
+    stat.slots = max(1, report.slots)
+    stat.reported = float(report.running + report.waiting)
+    stat.reported_at = now
+    share = report.running / stat.slots
+    service.running_share += SERVICE_SMOOTHING * (share - service.running_share)
+
+
+def note_full(stat: ServerStat, now: float) -> None:
+    """Note that a server turned a request away because it is full."""
+    stat.reported = stat.slots * (1 + FULL_QUEUE_PER_SLOT)
+    stat.reported_at = now
+
+
+def note_failure(stat: ServerStat, now: float) -> None:
+    """Leave a server alone for a while after it could not be reached."""
+    pause = min(DOWN_SECONDS * 2**stat.failures, MAX_DOWN_SECONDS)
+    stat.failures += 1
+    stat.down_until = now + pause
--- /dev/null
+++ b/src/dragonflyrock/router/state.py
@@ -0,0 +1,107 @@
+"""The rows and statistics of an entry host that routes by the route document."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ..entry.tables import EntryTables
+from ..models import RangeRef, ServerRow
+from ..transport.messages import HostUpdate, RangeLoad
+from .budget import BudgetPolicy, RetryBudget
+from .servers import ServerStat, ServiceStat
+
+__all__ = ["RouterState"]
+
+FIRST_UNIT_SECONDS: Final = 0.1
+MAX_REPORTED_KEYS: Final = 96
+FEWEST_HOSTS: Final = 8
+
+
+class RouterState:
+    """What requests are routed by; used by the event loop's thread only."""
+
+    def __init__(self, policy: BudgetPolicy, clock: Callable[[], float]) -> None:
+        """Start without rows."""
+        self.tables = EntryTables()
+        self.stats: dict[str, ServerStat] = {}
+        self.by_service: dict[str, list[ServerStat]] = {}
+        self.changed = asyncio.Event()
+        self._services: dict[str, ServiceStat] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._policy = policy
+        self._clock = clock
+        self._key_loads: dict[tuple[str, int], tuple[int, float]] = {}
+
+    # Rows
+
+    def apply(self, update: HostUpdate) -> bool:
+        """Apply an update; return whether rows changed."""
+        changed = self.tables.apply(update, update.lease_ms / 1000, self._clock())
+        if changed:
+            self._index_servers()
+            self.changed.set()
+            self.changed = asyncio.Event()
+        return changed
+
+    def _index_servers(self) -> None:
+        """Bring the statistics in line with the server rows."""
+        rows = self.tables.servers
+        for name in [name for name in self.stats if name not in rows]:
+            del self.stats[name]
+        self.by_service = {}
+        for name, row in rows.items():
+            stat = self.stats.get(name)
+            if stat is None:
+                stat = ServerStat(row, slots=max(1, row.slots))
+                self.stats[name] = stat
+            stat.row = row
+            if not row.stopping:
+                self.by_service.setdefault(row.service, []).append(stat)
+
+    def draining(self) -> tuple[RangeRef, ...]:
+        """Return nothing: servers here check who owns a key themselves."""
+        return ()
+
+    def find_owner(self, service: str, key_hash: int) -> ServerRow | None:
+        """Return the server that owns a key, as far as is known here."""
+        row = self.tables.ranges.find(service, key_hash)
+        if row is None or not row.owner:
+            return None
+        return self.tables.servers.get(row.owner.rpartition("@")[0])
+
+    # Statistics
+
+    def service(self, name: str) -> ServiceStat:
+        """Return the statistics of a service."""
+        stat = self._services.get(name)
+        if stat is None:
+            stat = self._services[name] = ServiceStat(FIRST_UNIT_SECONDS)
+        return stat
+
+    def budget(self, name: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(name)
+        if budget is None:
+            budget = self._budgets[name] = RetryBudget(self._policy)
+        return budget
+
+    @property
+    def host_count(self) -> int:
+        """Return among how many hosts shared limits are divided."""
+        return max(len(self.tables.hosts), FEWEST_HOSTS)
+
+    def note_key(self, service: str, key_hash: int, elapsed: float) -> None:
+        """Count a request of a key."""
+        count, busy = self._key_loads.get((service, key_hash), (0, 0.0))
+        self._key_loads[service, key_hash] = (count + 1, busy + elapsed)
+
+    def take_loads(self) -> tuple[RangeLoad, ...]:
+        """Return the busiest keys since the last call."""
+        loads = sorted(self._key_loads.items(), key=lambda item: -item[1][0])
+        self._key_loads = {}
+        return tuple(
+            RangeLoad(service, key_hash, count, round(busy * 1000))
+            for (service, key_hash), (count, busy) in loads[:MAX_REPORTED_KEYS]
+        )
--- /dev/null
+++ b/src/dragonflyrock/routes/split.py
@@ -0,0 +1,47 @@
+"""Splits of a route by weight, with as little variance as there can be."""
+
+from __future__ import annotations
+
+from .models import Route
+
+__all__ = ["SplitCounter"]
+
+
+class SplitCounter:
+    """Hand out the shares of each route by smooth weighted round robin.
+
+    >>> from .models import RouteKind, ServiceShare
+    >>> shares = (ServiceShare("a", 3), ServiceShare("b", 1))
+    >>> route = Route("r", "h", "/", RouteKind.ONCE, shares, 1, 1, 1, 0)
+    >>> counter = SplitCounter()
+    >>> "".join(counter.pick(route) for _ in range(8))
+    'aabaaaba'
+    """
+
+    def __init__(self) -> None:
+        """Start with no share ahead of another."""
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def pick(self, route: Route, start: float = 0.0) -> str:
+        """Return the service of the next request.
+
+        ``start`` (0 to 1) shifts the first pick, so that hosts do not go in step.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credits = self._credits.get(route.name)
+        if credits is None or credits.keys() != {s.service for s in route.shares}:
+            total = sum(share.weight for share in route.shares)
+            credits = {share.service: 0.0 for share in route.shares}
+            credits[route.shares[-1].service] = start * total
+            self._credits[route.name] = credits
+        total = 0.0
+        for share in route.shares:
+            credits[share.service] += share.weight
+            total += share.weight
+        chosen = max(
+            (share.service for share in route.shares if share.weight > 0),
+            key=credits.__getitem__,
+        )
+        credits[chosen] -= total
+        return chosen
--- a/src/dragonflyrock/transport/calls.py
+++ b/src/dragonflyrock/transport/calls.py
@@ -39,7 +39,7 @@
 
     def __init__(self, members: tuple[str, ...], send: Send) -> None:
         """Call the members of all groups by ``send``."""
-        self._members = members
+        self.members = members
         self._send = send
         self._leaders: dict[str, str] = {}
         self._calls: dict[int, _Call] = {}
@@ -92,7 +92,7 @@
         leader = self._leaders.get(group)
         if leader is None or call.attempts > 1:
             self._leaders.pop(group, None)
-            leader = self._members[call.attempts % len(self._members)]
+            leader = self.members[call.attempts % len(self.members)]
         call.attempts += 1
         if not self._send(leader, call.request):
             call.resend_at = now + MOVED_PAUSE_SECONDS
