Balance keys by measured speed of servers, every second, in narrow parts

Cause: servers of one service differ 0.6 to 1.4 in speed, and ranges were divided by slots; at high load the slow ones were over capacity (15 to 25 of 100 reads refused in the first ten seconds, 5 of 100 later). Change: entry hosts report the time of requests that met no queue; the leader takes slots by that time as capacity and moves the narrowest parts that even the use out.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -16,7 +16,7 @@
     plan_balance,
     spread_part,
 )
-from ..transport.messages import RangeLoad
+from ..transport.messages import RangeLoad, ServerSpeed
 from . import commands as c
 from .directed_models import (
     NEVER,
@@ -40,6 +40,9 @@
 
 LOAD_SMOOTHING: Final = 0.5
 LOAD_FLOOR: Final = 0.05
+# Share of a server's measured speed that is kept from one second to the next.
+SPEED_MEMORY: Final = 0.75
+SPEED_PRIOR_REQUESTS: Final = 4.0
 MAX_ENDED_NAMES: Final = 10_000
 JOIN_SECONDS: Final = 5.0
 FAILED_ORDERS: Final = 2
@@ -71,7 +74,7 @@
         self._handovers: dict[tuple[str, int], str] = {}
         self._rates: dict[str, dict[int, float]] = {}
         self._window: dict[str, dict[int, float]] = {}
-        self._busy: dict[str, tuple[float, float]] = {}
+        self._speeds: dict[str, tuple[float, float]] = {}
         self._window_at = now
         self._balance_at = now + timing.settle
         self._join_at = now + JOIN_SECONDS
@@ -148,10 +151,14 @@
         for load in loads:
             window = self._window.setdefault(load.service, {})
             window[load.low] = window.get(load.low, 0.0) + load.requests
-            requests, busy = self._busy.get(load.service, (0.0, 0.0))
-            self._busy[load.service] = (
-                requests + load.requests,
-                busy + load.busy_ms / 1000,
+
+    def add_speeds(self, speeds: tuple[ServerSpeed, ...]) -> None:
+        """Add an entry host's report of how fast servers are."""
+        for speed in speeds:
+            requests, busy = self._speeds.get(speed.name, (0.0, 0.0))
+            self._speeds[speed.name] = (
+                requests + speed.requests,
+                busy + speed.busy_ms / 1000,
             )
 
     # Time
@@ -257,8 +264,11 @@
                     fresh[key] = rate
             self._rates[service] = fresh
         self._window.clear()
-        for service, (requests, busy) in list(self._busy.items()):
-            self._busy[service] = (requests / 2, busy / 2)
+        self._speeds = {
+            name: (requests * SPEED_MEMORY, busy * SPEED_MEMORY)
+            for name, (requests, busy) in self._speeds.items()
+            if requests > LOAD_FLOOR and name in self._state.servers
+        }
         self._window_at = now
 
     def _forget(self, now: float) -> list[c.Command]:
@@ -285,7 +295,24 @@
             if silent or life.failures > FAILED_ORDERS:
                 continue
             found.append(Owner(name, float(max(row.slots, 1))))
-        return sorted(found)
+        return self._weigh(sorted(found))
+
+    def _weigh(self, owners: list[Owner]) -> list[Owner]:
+        """Return owners with their capacity in requests a second.
+
+        What little is known of a server is mixed with the mean of its service.
+        """
+        known = [self._speeds.get(owner.name, (0.0, 0.0)) for owner in owners]
+        requests = sum(count for count, _ in known)
+        if requests < SPEED_PRIOR_REQUESTS:
+            return owners
+        mean = sum(busy for _, busy in known) / requests
+        weighed = []
+        for owner, (count, busy) in zip(owners, known, strict=True):
+            unit = busy + SPEED_PRIOR_REQUESTS * mean
+            unit /= count + SPEED_PRIOR_REQUESTS
+            weighed.append(Owner(owner.name, owner.capacity / max(unit, 0.001)))
+        return weighed
 
     def _keyed(self) -> list[str]:
         """Return the services that are divided by key."""
@@ -387,15 +414,10 @@
         for service in self._keyed():
             if self._is_moving(service):
                 continue
-            requests, busy = self._busy.get(service, (0.0, 0.0))
-            if requests < 10:
-                continue
             loads = KeyLoads(self._rates.get(service, {}))
             parts = self._parts(service)
             owners = self._owners(service, now)
-            pieces = plan_balance(
-                parts, owners, loads, self._timing.key_step, busy / requests
-            )
+            pieces = plan_balance(parts, owners, loads, self._timing.key_step)
             for piece in pieces:
                 self._begin_hot(service, piece.low, piece.high, piece.target, now)
 
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -96,6 +96,7 @@
         """Renew an entry host's lease and return the rows that it lacks."""
         if self._directed is not None:
             self._directed.add_loads(renew.loads)
+            self._directed.add_speeds(renew.speeds)
         else:
             self._moves.add_loads(renew.loads)
         return self._hosts.renew(renew, applied, now)
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from ..models import HostRecord, RangeRef
-from ..transport.messages import HostRenew, HostUpdate, RangeLoad
+from ..transport.messages import HostRenew, HostUpdate, RangeLoad, ServerSpeed
 from .tables import EntryTables
 
 __all__ = ["AgentConfig", "EntryAgent", "RowKeeper"]
@@ -39,6 +39,9 @@
     def take_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call."""
 
+    def take_speeds(self) -> tuple[ServerSpeed, ...]:
+        """Return how fast servers were since the last call."""
+
 
 class EntryAgent:
     """Renew the lease and tell the leader what has drained."""
@@ -102,6 +105,7 @@
             self._gate.tables.hosts_version,
             self._answered_at,
             leaving,
+            self._gate.take_speeds(),
         )
         silence = LEADER_SILENCE_RENEWALS * config.renew
         if self._leader and now - self._heard_at < silence:
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -16,7 +16,7 @@
 from ..errors import Reason, Refusal, Step
 from ..models import QuarantineRow, RangeRef, RangeState, ServerRow
 from ..systems.leases import has_lapsed
-from ..transport.messages import HostUpdate, RangeLoad
+from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .tables import EntryTables
 
 __all__ = ["Flight", "Gate"]
@@ -122,6 +122,10 @@
                 if row.ref in busy or flights.by_ref.get(row.ref)
             )
 
+    def take_speeds(self) -> tuple[ServerSpeed, ...]:
+        """Return nothing: the loads here are times already."""
+        return ()
+
     def take_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call."""
         with self._changed:
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -372,6 +372,8 @@
         note_answer(stat, service, elapsed, backlog, report, now)
         if passage.key_hash is not None:
             self._state.note_key(passage.service, passage.key_hash, elapsed)
+            if report is not None and not report.waiting and backlog < stat.slots:
+                self._state.note_speed(stat.row.name, elapsed)
         fault = self._find_fault(passage, response)
         if fault:
             passage.detail = fault
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -8,7 +8,7 @@
 
 from ..entry.tables import EntryTables
 from ..models import RangeRef, ServerRow
-from ..transport.messages import HostUpdate, RangeLoad
+from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .budget import BudgetPolicy, RetryBudget
 from .servers import ServerStat, ServiceStat
 
@@ -17,6 +17,7 @@
 FIRST_UNIT_SECONDS: Final = 0.1
 MAX_REPORTED_KEYS: Final = 96
 FEWEST_HOSTS: Final = 8
+FEWEST_SPEED_SAMPLES: Final = 3
 
 
 class RouterState:
@@ -33,6 +34,7 @@
         self._policy = policy
         self._clock = clock
         self._key_loads: dict[tuple[str, int], tuple[int, float]] = {}
+        self._speeds: dict[str, tuple[int, float]] = {}
 
     # Rows
 
@@ -97,6 +99,22 @@
         count, busy = self._key_loads.get((service, key_hash), (0, 0.0))
         self._key_loads[service, key_hash] = (count + 1, busy + elapsed)
 
+    def note_speed(self, name: str, elapsed: float) -> None:
+        """Count a request that a server ran while nothing waited there."""
+        count, busy = self._speeds.get(name, (0, 0.0))
+        self._speeds[name] = (count + 1, busy + elapsed)
+
+    def take_speeds(self) -> tuple[ServerSpeed, ...]:
+        """Return the speeds of servers of which enough is known, and forget them."""
+        found = tuple(
+            ServerSpeed(name, count, round(busy * 1000))
+            for name, (count, busy) in self._speeds.items()
+            if count >= FEWEST_SPEED_SAMPLES
+        )
+        for speed in found:
+            del self._speeds[speed.name]
+        return found
+
     def take_loads(self) -> tuple[RangeLoad, ...]:
         """Return the busiest keys since the last call."""
         loads = sorted(self._key_loads.items(), key=lambda item: -item[1][0])
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -18,20 +18,27 @@
     "spread_part",
 ]
 
-# A server is relieved when its load per slot exceeds the mean by this share.
-HOT_RATIO: Final = 1.3
-# Requests under way per slot below which nothing is worth a move.
-BUSY_SHARE: Final = 0.55
-MAX_PIECES_PER_ROUND: Final = 8
+# A server is relieved when it is used more than the mean by this share of itself.
+HOT_EXCESS: Final = 0.08
+# Use of a server below which nothing is worth a move.
+BUSY_SHARE: Final = 0.35
+MAX_PIECES_PER_ROUND: Final = 24
+# Width that one round may move, as a share of all keys, and in great need.
+ROUND_WIDTH: Final = 0.03
+NEEDY_WIDTH: Final = 0.12
+NEEDY_USE: Final = 0.8
 # Parts of a lost server's load that go to different servers.
 SPREAD_PIECES: Final = 3
 
 
 class Owner(NamedTuple):
-    """A server that may own keys, with its slots."""
+    """A server that may own keys.
+
+    ``capacity`` is in requests a second, or in slots while no speed is known.
+    """
 
     name: str
-    slots: float
+    capacity: float
 
 
 class OwnedPart(NamedTuple):
@@ -96,18 +103,18 @@
 
 
 def divide_evenly(owners: Sequence[Owner], step: int) -> list[Piece]:
-    """Divide the whole key space by the owners' slots.
+    """Divide the whole key space by the owners' capacity.
 
     >>> [p.target for p in divide_evenly([Owner("a", 1), Owner("b", 1)], 1)]
     ['a', 'b']
     """
-    total = sum(owner.slots for owner in owners)
+    total = sum(owner.capacity for owner in owners)
     pieces: list[Piece] = []
     low = 0
     given = 0.0
     for owner in owners:
-        given += owner.slots
-        end = KEY_SPACE * int(given) // int(total) // step * step - 1
+        given += owner.capacity
+        end = int(KEY_SPACE * (given / total)) // step * step - 1
         if owner is owners[-1]:
             end = KEY_SPACE - 1
         if end >= low:
@@ -116,18 +123,18 @@
     return pieces
 
 
-def _loads_per_slot(
+def _find_use(
     parts: Sequence[OwnedPart], owners: Sequence[Owner], loads: KeyLoads
 ) -> dict[str, float]:
-    """Return each owner's load per slot; a little width counts as load too."""
-    slots = {owner.name: owner.slots for owner in owners}
-    found = dict.fromkeys(slots, 0.0)
+    """Return each owner's load by its capacity; width counts a little too."""
+    capacity = {owner.name: owner.capacity for owner in owners}
+    found = dict.fromkeys(capacity, 0.0)
     floor = max(loads.total, 1.0) * 0.05
     for part in parts:
         if part.owner in found:
             width = (part.high - part.low + 1) / KEY_SPACE
             load = loads.between(part.low, part.high) + width * floor
-            found[part.owner] += load / slots[part.owner]
+            found[part.owner] += load / capacity[part.owner]
     return found
 
 
@@ -141,10 +148,10 @@
     """Return where the pieces of a part go whose owner is leaving or lost."""
     if not owners:
         return []
-    per_slot = _loads_per_slot(parts, owners, loads)
-    slots = {owner.name: owner.slots for owner in owners}
+    use = _find_use(parts, owners, loads)
+    capacity = {owner.name: owner.capacity for owner in owners}
     total_load = loads.between(part.low, part.high)
-    mean = max(loads.total, 1.0) / sum(slots.values())
+    mean = max(loads.total, 1.0) / len(owners)
     small = total_load < mean * 0.5 and part.high - part.low < KEY_SPACE // 64
     count = 1 if small else min(SPREAD_PIECES, len(owners))
     pieces: list[Piece] = []
@@ -155,10 +162,10 @@
         end = part.high
         if number > 1 and part.high - low + 1 > step:
             end = loads.cut(low, part.high, 1 / number, step)
-        target = min(per_slot, key=lambda name: (per_slot[name], name))
+        target = min(use, key=lambda name: (use[name], name))
         width = (end - low + 1) / KEY_SPACE
         added = loads.between(low, end) + width * max(loads.total, 1.0) * 0.05
-        per_slot[target] += added / slots[target]
+        use[target] += added / capacity[target]
         pieces.append(Piece(low, end, target))
         low = end + 1
     return pieces
@@ -169,40 +176,39 @@
     owners: Sequence[Owner],
     loads: KeyLoads,
     step: int,
-    busy_per_request: float,
 ) -> list[Piece]:
     """Return hot parts that are to go from the busiest servers to idle ones.
 
-    ``loads`` are requests a second and ``busy_per_request`` the seconds that one
-    takes. A part is as narrow as the load that it is to carry allows.
+    ``loads`` and the owners' capacity are in requests a second. A part is as
+    narrow as the load that it is to carry allows.
     """
     if len(owners) < 2:
         return []
-    slots = {owner.name: owner.slots for owner in owners}
-    per_slot = _loads_per_slot(parts, owners, loads)
-    mean = sum(per_slot[name] * slots[name] for name in slots) / sum(slots.values())
+    capacity = {owner.name: owner.capacity for owner in owners}
+    use = _find_use(parts, owners, loads)
+    mean = sum(use[name] * capacity[name] for name in use) / sum(capacity.values())
     current = list(parts)
     pieces: list[Piece] = []
     stuck: set[str] = set()
-    while len(pieces) < MAX_PIECES_PER_ROUND:
-        hot = max((n for n in per_slot if n not in stuck), key=per_slot.__getitem__)
-        cold = min(per_slot, key=per_slot.__getitem__)
-        excess = (per_slot[hot] - mean) * slots[hot]
-        room = (mean - per_slot[cold]) * slots[cold]
-        if per_slot[hot] < mean * HOT_RATIO:
-            break
-        if per_slot[hot] * busy_per_request < BUSY_SHARE:
+    width = 0.0
+    while len(pieces) < MAX_PIECES_PER_ROUND and len(stuck) < len(use):
+        hot = max((name for name in use if name not in stuck), key=use.__getitem__)
+        cold = min(use, key=use.__getitem__)
+        if use[hot] < mean + HOT_EXCESS or use[hot] < BUSY_SHARE:
             break
+        excess = (use[hot] - mean) * capacity[hot]
+        room = (mean - use[cold]) * capacity[cold]
         piece = _find_piece(current, hot, min(excess, room), loads, step)
-        if piece is None:
+        allowed = NEEDY_WIDTH if use[hot] > NEEDY_USE else ROUND_WIDTH
+        if piece is not None:
+            width += (piece[1] - piece[0] + 1) / KEY_SPACE
+        if piece is None or width > allowed:
             stuck.add(hot)
-            if len(stuck) == len(per_slot):
-                break
             continue
         low, high = piece
         moved = loads.between(low, high)
-        per_slot[hot] -= moved / slots[hot]
-        per_slot[cold] += moved / slots[cold]
+        use[hot] -= moved / capacity[hot]
+        use[cold] += moved / capacity[cold]
         current = _carve(current, low, high, cold)
         pieces.append(Piece(low, high, cold))
     return pieces
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -22,6 +22,7 @@
     "RangeLoad",
     "RateDemand",
     "RateGrant",
+    "ServerSpeed",
 ]
 
 
@@ -51,6 +52,14 @@
     busy_ms: float
 
 
+class ServerSpeed(NamedTuple):
+    """Requests that a server ran while nothing waited there, and their time."""
+
+    name: str
+    requests: int
+    busy_ms: float
+
+
 class HostRenew(NamedTuple):
     """Ask the control leader to renew an entry host's lease.
 
@@ -68,6 +77,7 @@
     hosts_version: int = 0
     answered_at: float = 0.0
     leaving: bool = False
+    speeds: tuple[ServerSpeed, ...] = ()
 
 
 class HostUpdate(NamedTuple):
