--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -27,6 +27,7 @@
     Order,
     OrderOutcome,
     OrderResult,
+    ProbeOrder,
     RangeMove,
     ReleaseOrder,
     ServerBeat,
@@ -122,8 +123,7 @@
             if life is not None and now - life.heard_at < self._timing.settle:
                 detail = f"{other.name} at {other.address} was heard just now"
                 return Refusal(Reason.OLD_INCARNATION, Step.ANNOUNCE, beat.name, detail)
-            # Its orders find out whether the earlier life still runs.
-            self._hurry(other.name, now)
+            self._orders.append(ProbeOrder(other, self._health_path(other.service)))
         self._joined_at = now
         self._lives[beat.name] = ServerLife(now, beat.sequence)
         return c.RegisterServer(
@@ -140,11 +140,16 @@
             )
         )
 
-    def _hurry(self, name: str, now: float) -> None:
-        """Renew a server's holds at once."""
-        for hold in self._holds.values():
-            if hold.owner.name == name:
-                hold.renew_at = now
+    def _health_path(self, service: str) -> str:
+        """Return the path at which servers of a service tell who they are."""
+        for routed in self._state.book.document.services:
+            if routed.name == service:
+                return routed.health_path
+        return "/"
+
+    def note_ended(self, names: tuple[str, ...]) -> list[c.Command]:
+        """Take word of entry hosts that another life answers at an address."""
+        return [self._note_ended(name) for name in names if name in self._state.servers]
 
     def add_loads(self, loads: tuple[RangeLoad, ...]) -> None:
         """Add an entry host's report of single keys."""
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -18,6 +18,7 @@
     "Order",
     "OrderOutcome",
     "OrderResult",
+    "ProbeOrder",
     "RangeMove",
     "ReleaseOrder",
     "ServerBeat",
@@ -90,7 +91,14 @@
     epoch: int
 
 
-Order = GrantOrder | ReleaseOrder
+class ProbeOrder(NamedTuple):
+    """Find out which life of a server is at an address; it changes nothing."""
+
+    server: ServerRow
+    path: str
+
+
+Order = GrantOrder | ReleaseOrder | ProbeOrder
 
 
 class OrderOutcome(StrEnum):
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -94,12 +94,16 @@
         self, renew: HostRenew, applied: int, now: float
     ) -> tuple[HostUpdate, list[Effect]]:
         """Renew an entry host's lease and return the rows that it lacks."""
+        ended: list[Effect] = []
         if self._directed is not None:
             self._directed.add_loads(renew.loads)
             self._directed.add_speeds(renew.speeds)
+            for command in self._directed.note_ended(renew.ended):
+                ended += self._proposals.propose(command)
         else:
             self._moves.add_loads(renew.loads)
-        return self._hosts.renew(renew, applied, now)
+        update, effects = self._hosts.renew(renew, applied, now)
+        return update, effects + ended
 
     def live_hosts(self, now: float) -> list[HostRow]:
         """Return the entry hosts that may be dispatching."""
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -42,6 +42,9 @@
     def take_speeds(self) -> tuple[ServerSpeed, ...]:
         """Return how fast servers were since the last call."""
 
+    def take_ended(self) -> tuple[str, ...]:
+        """Return the servers found to have ended since the last call."""
+
 
 class EntryAgent:
     """Renew the lease and tell the leader what has drained."""
@@ -106,6 +109,7 @@
             self._answered_at,
             leaving,
             self._gate.take_speeds(),
+            self._gate.take_ended(),
         )
         silence = LEADER_SILENCE_RENEWALS * config.renew
         if self._leader and now - self._heard_at < silence:
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -126,6 +126,10 @@
         """Return nothing: the loads here are times already."""
         return ()
 
+    def take_ended(self) -> tuple[str, ...]:
+        """Return nothing: servers here tell of their new lives themselves."""
+        return ()
+
     def take_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call."""
         with self._changed:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -205,9 +205,9 @@
                 "order",
                 kind=kind,
                 server=order.server.name,
-                low=order.low,
-                high=order.high,
-                epoch=order.epoch,
+                low=getattr(order, "low", ""),
+                high=getattr(order, "high", ""),
+                epoch=getattr(order, "epoch", ""),
                 outcome=result.outcome,
                 detail=result.detail,
             )
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -11,6 +11,8 @@
     Order,
     OrderOutcome,
     OrderResult,
+    ProbeOrder,
+    ReleaseOrder,
 )
 from ..http import (
     Connections,
@@ -56,7 +58,24 @@
 
 
 def _make_request(order: Order) -> Request:
-    """Return the call of an order; the platform's keys have 16 bits."""
+    """Return the call of an order."""
+    headers = (
+        (b"Host", order.server.address.encode()),
+        (b"Content-Type", b"application/json"),
+        (DIALECT.expected_server, order.server.name.encode()),
+    )
+    match order:
+        case ProbeOrder(_, path):
+            return Request(b"GET", path.encode(), headers[:1], b"")
+        case GrantOrder() | ReleaseOrder():
+            target, body = _make_range_call(order)
+            return Request(b"POST", target, headers, msgspec.json.encode(body))
+
+
+def _make_range_call(
+    order: GrantOrder | ReleaseOrder,
+) -> tuple[bytes, dict[str, object]]:
+    """Return the path and body of an order; the platform's keys have 16 bits."""
     shift = DIALECT.key_shift
     body: dict[str, object] = {
         "from": order.low >> shift,
@@ -70,17 +89,14 @@
         body["holdMs"] = order.hold_ms
         if order.handover:
             body["handover"] = order.handover
-    headers = (
-        (b"Host", order.server.address.encode()),
-        (b"Content-Type", b"application/json"),
-        (DIALECT.expected_server, order.server.name.encode()),
-    )
-    return Request(b"POST", target, headers, msgspec.json.encode(body))
+    return target, body
 
 
 def _read_result(order: Order, response: Response) -> OrderResult:
     """Return what a server's answer tells."""
     detail = f"status {response.status}"
+    if isinstance(order, ProbeOrder):
+        return _read_probe(order, response)
     if response.status == 200:
         token = find_header(response.headers, HANDOVER) or b""
         return OrderResult(order, OrderOutcome.DONE, token.decode("latin-1"))
@@ -91,6 +107,21 @@
         if other is not None and other != order.server.name.encode():
             detail = f"{other.decode('latin-1')} has the address"
             return OrderResult(order, OrderOutcome.OTHER_LIFE, detail=detail)
+    if 400 <= response.status < 500:
+        # Whoever answered has read the order and has not taken it.
+        return OrderResult(order, OrderOutcome.NOT_SENT, detail=detail)
     if find_header(response.headers, DIALECT.not_run) is not None:
         return OrderResult(order, OrderOutcome.NOT_SENT, detail=detail)
     return OrderResult(order, OrderOutcome.UNKNOWN, detail=detail)
+
+
+def _read_probe(order: ProbeOrder, response: Response) -> OrderResult:
+    """Return whether the server that was expected is still at its address."""
+    found = find_header(response.headers, DIALECT.server_name)
+    if found is None:
+        detail = f"status {response.status} without a name"
+        return OrderResult(order, OrderOutcome.UNKNOWN, detail=detail)
+    if found != order.server.name.encode():
+        detail = f"{found.decode('latin-1')} has the address"
+        return OrderResult(order, OrderOutcome.OTHER_LIFE, detail=detail)
+    return OrderResult(order, OrderOutcome.DONE)
--- a/src/dragonflyrock/router/choice.py
+++ b/src/dragonflyrock/router/choice.py
@@ -39,6 +39,8 @@
     """
     best: tuple[tuple[bool, float], ServerStat, float] | None = None
     for stat in stats:
+        if stat.ended:
+            continue
         expected = estimate_wait(stat, service, now)
         cost = expected + HOME_SHARE * service.unit * rank_home(host, stat.row.name)
         if stat.row.zone != zone:
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -63,8 +63,12 @@
 LATE_SHARE: Final = 0.5
 # A request that finds no owner, or one that is not the owner yet, asks again.
 OWNER_WAIT_SECONDS: Final = 0.3
-OWNER_POLL_SECONDS: Final = 0.04
-MAX_BOUNCES: Final = 4
+OWNER_POLL_SECONDS: Final = 0.06
+# A connection that is lost so soon after a request was most likely refused.
+FULL_RESET_SECONDS: Final = 0.012
+MAX_BOUNCES: Final = 2
+# Share of the time told that a request waits for the first rows of a new host.
+FIRST_ROWS_SHARE: Final = 0.25
 SHORTEST_RETRY_SECONDS: Final = 0.05
 LONGEST_RETRY_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
@@ -137,6 +141,8 @@
         now = self._clock()
         dialect = self._config.dialect
         request_id = find_header(request.headers, dialect.request_id) or b""
+        if not self._state.tables.document_version:
+            await self._wait_for_document(request, now)
         if not self._state.tables.document_version:
             return self._reject_unrouted(request_id, 503, "no route document yet")
         host = (find_header(request.headers, b"host") or b"").decode("latin-1")
@@ -153,6 +159,17 @@
         self._tell(passage, response.status, passage.detail)
         return response
 
+    async def _wait_for_document(self, request: Request, now: float) -> None:
+        """Wait for the first rows after a start, for a part of the time told."""
+        told = find_header(request.headers, self._config.dialect.time_left_ms)
+        left = int(told) / 1000 if told is not None and told.isdigit() else 1.0
+        until = now + left * FIRST_ROWS_SHARE
+        while not self._state.tables.document_version:
+            left = until - self._clock()
+            if left <= 0:
+                return
+            await _wait_briefly(self._state.changed, left)
+
     def _reject_unrouted(self, request_id: bytes, status: int, detail: str) -> Response:
         """Answer a request that has no route here."""
         headers: Headers = ((b"Retry-After", b"0.3"),) if status == 503 else ()
@@ -236,6 +253,8 @@
             if owner is None:
                 return _Refused("the key has no owner", OWNER_WAIT_SECONDS)
             stat = self._state.stats[owner.name]
+            if stat.ended:
+                return _Refused("the owner has ended", OWNER_WAIT_SECONDS)
             if now < stat.down_until:
                 return _Refused("the owner cannot be reached", stat.down_until - now)
             expected = estimate_wait(stat, service, now)
@@ -253,7 +272,7 @@
             if found is None:
                 return _Refused("the service has no server", OWNER_WAIT_SECONDS)
             stat, expected = found
-        if passage.sends:
+        if passage.sends and passage.key_hash is None:
             return stat
         limit = (passage.target_at - passage.started) * ADMIT_SHARE
         limit = max(limit, (passage.deadline - now) * LATE_SHARE)
@@ -314,7 +333,7 @@
         ended = self._clock()
         self._connections.give_back(connection)
         if isinstance(result, ExchangeFault):
-            return self._take_fault(passage, stat, result)
+            return self._take_fault(passage, stat, result, ended - now)
         return self._take_answer(passage, stat, result, backlog, ended - now)
 
     def _make_outgoing(
@@ -339,7 +358,11 @@
     # Answers
 
     def _take_fault(
-        self, passage: Passage, stat: ServerStat, fault: ExchangeFault
+        self,
+        passage: Passage,
+        stat: ServerStat,
+        fault: ExchangeFault,
+        elapsed: float,
     ) -> Response | None:
         """Go on after an exchange without an answer, if that is allowed."""
         passage.detail = f"{fault.kind}: {fault.detail}"
@@ -348,6 +371,10 @@
             return None
         passage.may_have_run = True
         passage.avoid.add(stat.row.name)
+        now = self._clock()
+        if fault.kind == FaultKind.LOST and elapsed < FULL_RESET_SECONDS:
+            # A full server may reset instead of answering.
+            note_full(stat, now)
         if passage.route.is_idempotent and self._may_repeat(passage):
             return None
         return self._give_up(passage)
@@ -427,6 +454,9 @@
         note_report(stat, self._state.service(passage.service), report, now)
         if response.status == 421:
             passage.misplaced = True
+            other = find_header(response.headers, self._config.dialect.server_name)
+            if other is not None and other != stat.row.name.encode():
+                self._state.note_ended(stat)
         else:
             note_full(stat, now)
         passage.avoid.add(stat.row.name)
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -59,6 +59,7 @@
     slots: int = 1
     down_until: float = NEVER
     failures: int = 0
+    ended: bool = False
 
 
 def estimate_backlog(stat: ServerStat, service: ServiceStat, now: float) -> float:
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._key_loads: dict[tuple[str, int], tuple[int, float]] = {}
         self._speeds: dict[str, tuple[int, float]] = {}
+        self._ended: set[str] = set()
 
     # Rows
 
@@ -99,6 +100,16 @@
         count, busy = self._key_loads.get((service, key_hash), (0, 0.0))
         self._key_loads[service, key_hash] = (count + 1, busy + elapsed)
 
+    def note_ended(self, stat: ServerStat) -> None:
+        """Note that another life of a server answers at its address."""
+        stat.ended = True
+        self._ended.add(stat.row.name)
+
+    def take_ended(self) -> tuple[str, ...]:
+        """Return the servers found to have ended since the last call."""
+        ended, self._ended = self._ended, set()
+        return tuple(sorted(ended))
+
     def note_speed(self, name: str, elapsed: float) -> None:
         """Count a request that a server ran while nothing waited there."""
         count, busy = self._speeds.get(name, (0, 0.0))
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -66,7 +66,8 @@
     ``sent_at`` is the host's clock in seconds; the lease counts from it.
     ``answered_at`` is the ``sent_at`` of its latest renewal that was answered.
     ``draining`` are ranges that are moving while requests of them are still in
-    flight here or may still run.
+    flight here or may still run. ``ended`` are servers at whose addresses
+    another life has answered.
     """
 
     host: HostRecord
@@ -78,6 +79,7 @@
     answered_at: float = 0.0
     leaving: bool = False
     speeds: tuple[ServerSpeed, ...] = ()
+    ended: tuple[str, ...] = ()
 
 
 class HostUpdate(NamedTuple):
