--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -70,9 +70,9 @@
 class TimeoutSettings(_Table, frozen=True, kw_only=True):
     """Elections, leases and renewals; times in milliseconds."""
 
-    heartbeat_ms: int = 200
-    election_min_ms: int = 550
-    election_max_ms: int = 950
+    heartbeat_ms: int = 150
+    election_min_ms: int = 400
+    election_max_ms: int = 750
     host_lease_ms: int = 4_000
     host_renew_ms: int = 1_000
     hold_ms: int = 6_000
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -58,9 +58,9 @@
 CONNECT_SECONDS: Final = 0.3
 # A request is refused when it would be answered later than this share of its
 # target latency; the work on it would be taken from requests that are in time.
-ADMIT_SHARE: Final = 1.2
+ADMIT_SHARE: Final = 0.9
 # Share of the time left that a request already late may be made to wait.
-LATE_SHARE: Final = 0.5
+LATE_SHARE: Final = 0.25
 # A request that finds no owner, or one that is not the owner yet, asks again.
 OWNER_WAIT_SECONDS: Final = 0.3
 OWNER_POLL_SECONDS: Final = 0.06
