--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -13,6 +13,7 @@
     OwnedPart,
     Owner,
     divide_evenly,
+    find_use,
     plan_balance,
     spread_part,
 )
@@ -46,6 +47,7 @@
 SPEED_PRIOR_REQUESTS: Final = 4.0
 MAX_ENDED_NAMES: Final = 10_000
 JOIN_SECONDS: Final = 5.0
+TELL_SECONDS: Final = 2.0
 FAILED_ORDERS: Final = 2
 
 Report = Callable[..., None]
@@ -72,6 +74,8 @@
         self._holds: dict[tuple[str, int], HeldRange] = {}
         self._moves: list[RangeMove] = []
         self._orders: list[Order] = []
+        self._told_at: dict[str, float] = {}
+        self._granting: list[GrantOrder] = []
         self._handovers: dict[tuple[str, int], str] = {}
         self._rates: dict[str, dict[int, float]] = {}
         self._window: dict[str, dict[int, float]] = {}
@@ -225,7 +229,6 @@
                     known.confirmed_until,
                     known.possible_until,
                     known.renew_at,
-                    known.ordered,
                     known.handover,
                 )
                 if (known.low, known.high) != (row.low, row.high):
@@ -297,11 +300,16 @@
             if row.service != service or row.stopping or life is None:
                 continue
             silent = now - life.heard_at > self._timing.silence
-            if silent or life.failures > FAILED_ORDERS:
+            if silent or self._is_failing(life, now):
                 continue
             found.append(Owner(name, float(max(row.slots, 1))))
         return self._weigh(sorted(found))
 
+    def _is_failing(self, life: ServerLife, now: float) -> bool:
+        """Return whether a server's last orders have failed, and not long ago."""
+        recent = now - life.failed_at < self._timing.silence
+        return recent and life.failures > FAILED_ORDERS
+
     def _weigh(self, owners: list[Owner]) -> list[Owner]:
         """Return owners with their capacity in requests a second.
 
@@ -391,9 +399,9 @@
             return "ended"
         if row.stopping:
             return "leaving"
-        if now >= hold.until and not hold.ordered and hold.renew_at > NEVER:
+        if now >= hold.until and not self._is_granting(hold):
             life = self._lives.get(name)
-            if life is not None and life.failures > FAILED_ORDERS:
+            if life is not None and self._is_failing(life, now):
                 return "unreachable"
         return ""
 
@@ -422,10 +430,32 @@
             loads = KeyLoads(self._rates.get(service, {}))
             parts = self._parts(service)
             owners = self._owners(service, now)
+            self._tell_use(service, parts, owners, loads, now)
             pieces = plan_balance(parts, owners, loads, self._timing.key_step)
             for piece in pieces:
                 self._begin_hot(service, piece.low, piece.high, piece.target, now)
 
+    def _tell_use(
+        self,
+        service: str,
+        parts: list[OwnedPart],
+        owners: list[Owner],
+        loads: KeyLoads,
+        now: float,
+    ) -> None:
+        """Report now and then how evenly a service's servers are used."""
+        if now - self._told_at.get(service, NEVER) < TELL_SECONDS or not owners:
+            return
+        self._told_at[service] = now
+        use = find_use(parts, owners, loads)
+        shown = " ".join(
+            f"{owner.name}={use[owner.name]:.2f}/{owner.capacity:.0f}"
+            for owner in owners
+        )
+        self._report(
+            "server-use", service=service, detail=f"{len(parts)} ranges: {shown}"
+        )
+
     def _begin_hot(
         self, service: str, low: int, high: int, target: str, now: float
     ) -> None:
@@ -461,7 +491,9 @@
         )
         move.started_at = now
         hold = self._cover(service, low)
-        if source and hold is not None and now < hold.until:
+        # A first grant that is under way may give the part to its owner yet.
+        held = hold is not None and (now < hold.until or self._is_granting(hold))
+        if source and held:
             move.stage = MoveStage.PENDING
         self._moves.append(move)
         self._report(
@@ -507,7 +539,7 @@
         if hold is None or hold.owner.name != move.source:
             move.stage = MoveStage.FREE
             return
-        if hold.ordered:
+        if self._is_granting(move):
             return
         # Only the rest of the hold is renewed from now on.
         move.free_at = hold.until
@@ -558,7 +590,7 @@
         """Order the grants that are due, except on parts that are moving."""
         timing = self._timing
         for hold in self._holds.values():
-            if hold.ordered or now < hold.renew_at:
+            if now < hold.renew_at or self._is_granting(hold):
                 continue
             row = self._state.servers.get(hold.owner.name)
             address = row.address if row is not None else hold.owner.address
@@ -589,24 +621,36 @@
             self._orders.append(self._grant(hold, low, hold.high))
 
     def _grant(self, hold: HeldRange, low: int, high: int) -> GrantOrder:
-        """Return the order that grants a part of a hold, and count it."""
-        hold.ordered += 1
+        """Return the order that grants a part of a hold, and note it."""
         owner = self._state.servers.get(hold.owner.name, hold.owner)
         hold_ms = int(self._timing.hold * 1000)
-        return GrantOrder(
+        order = GrantOrder(
             owner, hold.service, low, high, hold.epoch, hold_ms, hold.handover
         )
+        self._granting.append(order)
+        return order
+
+    def _is_granting(self, part: HeldRange | RangeMove) -> bool:
+        """Return whether a grant that overlaps a part is under way."""
+        return any(
+            order.service == part.service
+            and order.low <= part.high
+            and part.low <= order.high
+            for order in self._granting
+        )
 
     # Results
 
     def complete(self, result: OrderResult, now: float) -> c.Command | None:
         """Take the end of an order; return a command that follows from it."""
         order = result.order
+        self._granting = [item for item in self._granting if item is not order]
         life = self._lives.setdefault(order.server.name, ServerLife(NEVER))
         if result.outcome in (OrderOutcome.DONE, OrderOutcome.NEWER):
             life.failures = 0
         elif result.outcome != OrderOutcome.OTHER_LIFE:
             life.failures += 1
+            life.failed_at = now
         if result.outcome == OrderOutcome.OTHER_LIFE:
             return self._note_ended(order.server.name)
         match order:
@@ -624,7 +668,6 @@
         for hold in self._holds.values():
             if hold.owner.name == name:
                 hold.confirmed_until = hold.possible_until = NEVER
-                hold.ordered = 0
         for move in self._moves:
             if move.source == name and move.stage != MoveStage.COMMITTING:
                 move.stage = MoveStage.FREE
@@ -635,28 +678,33 @@
         self, order: GrantOrder, result: OrderResult, now: float
     ) -> c.Command | None:
         """Note until when a server may hold a range."""
-        hold = self._cover(order.service, order.low)
-        if hold is None or hold.owner.name != order.server.name:
-            return None
-        hold.ordered = max(0, hold.ordered - 1)
         until = now + self._timing.outlast
-        match result.outcome:
-            case OrderOutcome.DONE:
-                if hold.epoch == order.epoch:
+        command: c.Command | None = None
+        # The range may have been cut while the order was under way.
+        for hold in self._holds.values():
+            same = (hold.service, hold.owner.name, hold.epoch) == (
+                order.service,
+                order.server.name,
+                order.epoch,
+            )
+            if not same or hold.high < order.low or order.high < hold.low:
+                continue
+            match result.outcome:
+                case OrderOutcome.DONE:
                     hold.confirmed_until = max(hold.confirmed_until, until)
                     hold.handover = ""
-            case OrderOutcome.NEWER:
-                part = c.RangePart(
-                    hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
-                )
-                hold.renew_at = now + self._timing.renew
-                return c.AssignRanges(hold.service, (part,))
-            case OrderOutcome.UNKNOWN:
-                hold.possible_until = max(hold.possible_until, until)
-                hold.renew_at = now + self._timing.retry
-            case OrderOutcome.NOT_SENT:
-                hold.renew_at = now + self._timing.retry
-        return None
+                case OrderOutcome.NEWER:
+                    part = c.RangePart(
+                        hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
+                    )
+                    hold.renew_at = now + self._timing.renew
+                    command = c.AssignRanges(hold.service, (part,))
+                case OrderOutcome.UNKNOWN:
+                    hold.possible_until = max(hold.possible_until, until)
+                    hold.renew_at = now + self._timing.retry
+                case OrderOutcome.NOT_SENT:
+                    hold.renew_at = now + self._timing.retry
+        return command
 
     def _complete_release(
         self, order: ReleaseOrder, result: OrderResult, now: float
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -127,6 +127,7 @@
     heard_at: float
     sequence: int = 0
     failures: int = 0
+    failed_at: float = NEVER
 
 
 @dataclass(slots=True)
@@ -135,8 +136,7 @@
 
     ``confirmed_until`` follows from an answered grant, and ``possible_until``
     from one without an answer, which may still be carried out later: neither a
-    later answer nor a release takes that back. ``ordered`` counts the grants
-    under way.
+    later answer nor a release takes that back.
     """
 
     service: str
@@ -147,7 +147,6 @@
     confirmed_until: float = NEVER
     possible_until: float = NEVER
     renew_at: float = NEVER
-    ordered: int = 0
     handover: str = ""
 
     @property
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -27,6 +27,7 @@
     LoadReport,
     ServerStat,
     estimate_backlog,
+    estimate_unit,
     estimate_wait,
     note_answer,
     note_failure,
@@ -258,6 +259,7 @@
             if now < stat.down_until:
                 return _Refused("the owner cannot be reached", stat.down_until - now)
             expected = estimate_wait(stat, service, now)
+            passage.server = stat.row.name
         else:
             target = passage.route.target_ms / 1000
             found = choose_server(
@@ -277,7 +279,13 @@
         limit = (passage.target_at - passage.started) * ADMIT_SHARE
         limit = max(limit, (passage.deadline - now) * LATE_SHARE)
         if expected > limit:
-            return _Refused(f"expected after {expected:.3f} s", expected - limit)
+            age = min(now - stat.reported_at, 99.0)
+            unit = estimate_unit(stat, service, now)
+            detail = (
+                f"expected after {expected:.3f} s, limit {limit:.3f} s,"
+                f" unit {unit:.3f} s, reported {stat.reported:.1f} {age:.2f} s ago"
+            )
+            return _Refused(detail, expected - limit)
         return stat
 
     async def _wait_for_owner(self, passage: Passage, why: _Refused) -> bool:
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -12,6 +12,7 @@
     "LoadReport",
     "ServerStat",
     "ServiceStat",
+    "estimate_unit",
     "estimate_wait",
     "note_answer",
     "note_failure",
@@ -21,7 +22,11 @@
 NEVER: Final = float("-inf")
 # A new measurement's weight in the mean time that a server needs.
 UNIT_SMOOTHING: Final = 0.12
+QUEUED_SMOOTHING: Final = 0.06
 SERVICE_SMOOTHING: Final = 0.05
+# A server's own mean is forgotten in this time when no request measures it, so
+# that one which is refused requests because it seemed slow gets some again.
+UNIT_MEMORY_SECONDS: Final = 1.5
 # A report tells little once the requests that it counted have ended.
 REPORT_AGE_UNITS: Final = 2.0
 # How long a server that refused a connection is left alone, doubling each time.
@@ -54,6 +59,7 @@
     row: ServerRow
     in_flight: int = 0
     unit: float = 0.0
+    unit_at: float = NEVER
     reported: float = 0.0
     reported_at: float = NEVER
     slots: int = 1
@@ -62,10 +68,18 @@
     ended: bool = False
 
 
+def estimate_unit(stat: ServerStat, service: ServiceStat, now: float) -> float:
+    """Return the time that a request takes at a server where none waits."""
+    if not stat.unit:
+        return service.unit
+    kept = exp(-(now - stat.unit_at) / UNIT_MEMORY_SECONDS)
+    return service.unit + (stat.unit - service.unit) * kept
+
+
 def estimate_backlog(stat: ServerStat, service: ServiceStat, now: float) -> float:
     """Return how many requests are probably at a server."""
     usual = service.running_share * stat.slots
-    unit = stat.unit or service.unit
+    unit = estimate_unit(stat, service, now)
     fading = 0.0
     if stat.reported_at > NEVER:
         fading = exp(-(now - stat.reported_at) / (REPORT_AGE_UNITS * unit))
@@ -75,7 +89,7 @@
 
 def estimate_wait(stat: ServerStat, service: ServiceStat, now: float) -> float:
     """Return the expected time until a request sent now is answered."""
-    unit = stat.unit or service.unit
+    unit = estimate_unit(stat, service, now)
     backlog = estimate_backlog(stat, service, now)
     share = backlog / stat.slots
     queued = max(0.0, backlog + 1 - stat.slots) / stat.slots
@@ -101,11 +115,17 @@
     """Learn from a request that ran."""
     stat.failures = 0
     stat.down_until = NEVER
+    before = estimate_unit(stat, service, now)
+    waiting = report.waiting if report is not None else 0
     queued = max(0.0, backlog_at_send + 1 - stat.slots) / stat.slots
     sample = elapsed / (1 + queued)
-    before = stat.unit or service.unit
-    stat.unit = before + UNIT_SMOOTHING * (sample - before)
-    service.unit += SERVICE_SMOOTHING * (sample - service.unit)
+    if not waiting and backlog_at_send < stat.slots:
+        service.unit += SERVICE_SMOOTHING * (sample - service.unit)
+        stat.unit = before + UNIT_SMOOTHING * (sample - before)
+    else:
+        # How long it waited is a guess, so it tells less.
+        stat.unit = before + QUEUED_SMOOTHING * (sample - before)
+    stat.unit_at = now
     note_report(stat, service, report, now)
 
 
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -14,6 +14,7 @@
     "OwnedPart",
     "Piece",
     "divide_evenly",
+    "find_use",
     "plan_balance",
     "spread_part",
 ]
@@ -123,7 +124,7 @@
     return pieces
 
 
-def _find_use(
+def find_use(
     parts: Sequence[OwnedPart], owners: Sequence[Owner], loads: KeyLoads
 ) -> dict[str, float]:
     """Return each owner's load by its capacity; width counts a little too."""
@@ -148,7 +149,7 @@
     """Return where the pieces of a part go whose owner is leaving or lost."""
     if not owners:
         return []
-    use = _find_use(parts, owners, loads)
+    use = find_use(parts, owners, loads)
     capacity = {owner.name: owner.capacity for owner in owners}
     total_load = loads.between(part.low, part.high)
     mean = max(loads.total, 1.0) / len(owners)
@@ -185,7 +186,7 @@
     if len(owners) < 2:
         return []
     capacity = {owner.name: owner.capacity for owner in owners}
-    use = _find_use(parts, owners, loads)
+    use = find_use(parts, owners, loads)
     mean = sum(use[name] * capacity[name] for name in use) / sum(capacity.values())
     current = list(parts)
     pieces: list[Piece] = []
--- /dev/null
+++ b/tests/control/test_directed.py
@@ -0,0 +1,203 @@
+"""Ranges granted by orders: one holder a key, and every key served again."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import example, given, seed, settings
+from hypothesis import strategies as st
+
+from dragonflyrock.control import commands as c
+from dragonflyrock.control.directed_models import GrantOrder, OrderOutcome, OrderResult
+
+from .directed_world import KEYS, SERVICE, STEP, TIMING, World
+
+# A hold, the drift of a server's clock, an order's wait and two rounds of renewals.
+SETTLED_SECONDS = TIMING.outlast + TIMING.order_timeout + 2 * TIMING.renew + 4.0
+
+
+def start(number: int, servers: int = 4) -> World:
+    """Return a world in which every key is held."""
+    world = World(number, servers)
+    world.run(5.0)
+    assert world.unserved() == []
+    return world
+
+
+def test_keys_are_shared_out_once_servers_have_come() -> None:
+    world = start(1)
+    owners = {row.owner for row in world.state.ranges.of_service(SERVICE)}
+    assert len(owners) == 4
+    assert world.problems == []
+
+
+def test_a_leaving_server_has_no_key_after_two_seconds() -> None:
+    for number in range(8):
+        world = start(number)
+        life = world.lives["s1"]
+        life.leaving = True
+        world.run(1.2)
+        assert world.state.servers["s1"].stopping
+        world.run(0.8)
+        assert not any("s1" in world.holders(key) for key in range(KEYS))
+        assert world.unserved() == []
+        assert world.problems == []
+
+
+def test_a_restarted_servers_keys_are_served_before_its_hold_has_run_out() -> None:
+    for number in range(8):
+        world = start(number)
+        world.crash(world.lives["s1"], 1.0)
+        # The new life announces itself within a second, and is probed at once.
+        world.run(3.5)
+        assert world.unserved() == []
+        assert world.problems == []
+
+
+def test_a_silent_servers_keys_are_served_after_its_hold() -> None:
+    for number in range(8):
+        world = start(number)
+        world.lives["s2"].cut = True
+        world.run(SETTLED_SECONDS)
+        assert not any("s2" in world.holders(key) for key in range(KEYS))
+        assert world.unserved() == []
+        assert world.problems == []
+
+
+def test_a_range_that_is_cut_while_a_grant_is_under_way_moves_on() -> None:
+    """A count of grants was copied to both parts, and one part waited for ever."""
+    world = start(3)
+    _, orders = world.leader.tick(world.now + TIMING.renew)
+    order, *others = (item for item in orders if isinstance(item, GrantOrder))
+    for item in others:
+        world.leader.complete(OrderResult(item, OrderOutcome.NOT_SENT), world.now)
+    middle = order.low + (order.high - order.low) // 2 // STEP * STEP
+    other = next(n for n in world.lives if n != order.server.name)
+    part = c.RangePart(middle, order.high, order.epoch, f"{other}@0")
+    world.commit(c.AssignRanges(SERVICE, (part,)))
+    _, more = world.leader.tick(world.now + TIMING.renew)
+    for again in more:
+        world.leader.complete(OrderResult(again, OrderOutcome.NOT_SENT), world.now)
+    done = OrderResult(order, OrderOutcome.DONE)
+    world.leader.complete(done, world.now + TIMING.renew)
+    world.lives[order.server.name].leaving = True
+    world.run(SETTLED_SECONDS)
+    assert not any(order.server.name in world.holders(key) for key in range(KEYS))
+    assert world.unserved() == []
+
+
+def test_a_server_that_leaves_with_its_first_grant_under_way_is_asked() -> None:
+    """It had no confirmed hold yet, and its keys were given out at once."""
+    world = start(200)
+    world.crash(world.lives["s4"], 1.0)
+    world.run(1.7)
+    world.lives["s1"].leaving = True
+    for _ in range(30):
+        world.run(0.1)
+        assert world.problems == []
+
+
+def test_a_server_that_failed_orders_gets_keys_again() -> None:
+    """Its failures were never forgotten once it held nothing."""
+    world = start(2)
+    for name in ("s2", "s3"):
+        world.lives[name].cut = True
+    world.run(SETTLED_SECONDS)
+    for life in world.lives.values():
+        life.cut = False
+    world.lives["s1"].leaving = world.lives["s4"].leaving = True
+    world.run(SETTLED_SECONDS * 2)
+    assert world.unserved() == []
+
+
+def test_hot_neighbours_are_spread_within_three_seconds() -> None:
+    world = start(4)
+    row = world.state.ranges.find(SERVICE, 4 * STEP)
+    assert row is not None
+    world.heat(4, 5, 6, 7)
+    world.run(4.0)
+    owners = {world.holders(key)[0] for key in (4, 5, 6, 7)}
+    assert len(owners) >= 3
+    assert world.problems == []
+
+
+def test_a_new_leader_keeps_the_owners() -> None:
+    world = start(5)
+    before = [world.holders(key) for key in range(KEYS)]
+    world.change_leader()
+    world.run(3.0)
+    assert [world.holders(key) for key in range(KEYS)] == before
+
+
+def test_a_late_grant_is_waited_out_after_a_release() -> None:
+    for number in range(8):
+        world = start(number)
+        world.faults.late = 0.5
+        world.run(3.0)
+        world.lives["s1"].leaving = True
+        world.run(3.0)
+        world.faults.late = 0.0
+        world.run(SETTLED_SECONDS * 2)
+        assert world.problems == []
+        assert world.unserved() == []
+
+
+ACTION = st.sampled_from(
+    ["crash", "leave", "cut", "heal", "leader", "heat", "cool", "late", "lost", "join"]
+)
+
+
+@seed(20261203)
+@settings(max_examples=30, deadline=None)
+@example(200, ["heal", "crash", "leave"])
+@example(2, ["cut", "cut", "leave", "heat", "cut", "leave"])
+@given(st.integers(0, 10_000), st.lists(ACTION, max_size=8))
+def test_no_key_has_two_holders_through_any_failures(
+    number: int, actions: list[str]
+) -> None:
+    world = start(number)
+    for action in actions:
+        up = [life for life in world.lives.values() if life.up and not life.leaving]
+        life = world.random.choice(up) if up else None
+        match action:
+            case "crash" if life is not None:
+                world.crash(life, world.random.uniform(0.5, 5.0))
+            case "leave" if life is not None and len(up) > 2:
+                life.leaving = True
+            case "cut" if life is not None:
+                life.cut = True
+            case "heal":
+                for known in world.lives.values():
+                    known.cut = False
+            case "leader":
+                world.change_leader()
+            case "heat":
+                world.heat(*range(10, 14))
+            case "cool":
+                world.heat()
+            case "late":
+                world.faults.late = 0.3
+                world.faults.unanswered = 0.2
+            case "lost":
+                world.faults.lost = 0.3
+            case "join":
+                world.start_server(f"10.0.1.{len(world.lives)}:80")
+        world.run(world.random.uniform(0.1, 3.0))
+    assert world.problems == []
+    world.faults.late = world.faults.lost = world.faults.unanswered = 0.0
+    for known in world.lives.values():
+        known.cut = False
+    world.heat()
+    world.run(SETTLED_SECONDS * 2)
+    assert world.problems == []
+    assert world.unserved() == []
+
+
+@pytest.mark.parametrize("outcome", [OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT])
+def test_an_order_without_an_answer_is_sent_again(outcome: OrderOutcome) -> None:
+    world = start(6)
+    _, orders = world.leader.tick(world.now + TIMING.renew)
+    order = next(order for order in orders if isinstance(order, GrantOrder))
+    world.leader.complete(OrderResult(order, outcome), world.now + TIMING.renew)
+    later = world.now + TIMING.renew + TIMING.retry + 0.01
+    _, again = world.leader.tick(later)
+    assert order in again
