Keep the longest hold where ranges are joined

Cause: after a join only the first part's hold was kept, so a range whose first part was never granted could be given out while its owner still held the rest (found by schedule 1, heal leave crash crash leave crash cut; now an example). Change: a row follows all former holds of its owner that it overlaps.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -208,53 +208,43 @@
     def _sync_holds(self, now: float, inherited: float) -> None:
         """Bring the holds in line with the committed rows."""
         old, self._holds = self._holds, {}
+        by_service: dict[str, list[HeldRange]] = {}
+        for hold in old.values():
+            by_service.setdefault(hold.service, []).append(hold)
         for row in self._state.ranges:
-            if not row.owner:
-                continue
-            key = (row.service, row.low)
-            name = row.owner.rpartition("@")[0]
-            owner = self._state.servers.get(name)
-            known = old.get(key) or self._find_cover(old, row)
-            same = known is not None and (known.epoch, known.owner.name) == (
-                row.epoch,
-                name,
-            )
-            if known is not None and same:
-                hold = HeldRange(
-                    row.service,
-                    row.low,
-                    row.high,
-                    owner or known.owner,
-                    row.epoch,
-                    known.confirmed_until,
-                    known.possible_until,
-                    known.renew_at,
-                    known.handover,
-                )
-                if (known.low, known.high) != (row.low, row.high):
-                    hold.renew_at = min(hold.renew_at, now + self._timing.retry)
-            else:
-                gone = ServerRow(name, row.service, "", "", 0, 0, 0, True)
-                hold = HeldRange(
-                    row.service, row.low, row.high, owner or gone, row.epoch
-                )
-                hold.confirmed_until = inherited
-                hold.renew_at = now
-                hold.handover = self._handovers.pop(key, "")
-                if known is not None and known.owner.name == name:
-                    hold.confirmed_until = known.confirmed_until
-                    hold.possible_until = known.possible_until
-            self._holds[key] = hold
-
-    @staticmethod
-    def _find_cover(
-        holds: dict[tuple[str, int], HeldRange], row: RangeRow
-    ) -> HeldRange | None:
-        """Return the former hold in which a row lies."""
-        for hold in holds.values():
-            if hold.service == row.service and hold.low <= row.low <= hold.high:
-                return hold
-        return None
+            if row.owner:
+                former = by_service.get(row.service, [])
+                hold = self._follow(row, former, now, inherited)
+                self._holds[row.service, row.low] = hold
+
+    def _follow(
+        self, row: RangeRow, former: list[HeldRange], now: float, inherited: float
+    ) -> HeldRange:
+        """Return the hold of a row, with what its owner held of it before.
+
+        The row may be a part of a former hold, or several that were joined.
+        """
+        name = row.owner.rpartition("@")[0]
+        parts = [
+            hold
+            for hold in former
+            if hold.owner.name == name and hold.low <= row.high and row.low <= hold.high
+        ]
+        gone = ServerRow(name, row.service, "", "", 0, 0, 0, True)
+        owner = self._state.servers.get(name) or (parts[0].owner if parts else gone)
+        hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
+        hold.confirmed_until = inherited
+        hold.renew_at = now
+        hold.handover = self._handovers.pop((row.service, row.low), "")
+        for part in parts:
+            hold.confirmed_until = max(hold.confirmed_until, part.confirmed_until)
+            hold.possible_until = max(hold.possible_until, part.possible_until)
+        if len(parts) == 1 and parts[0].epoch == row.epoch:
+            hold.renew_at = parts[0].renew_at
+            hold.handover = hold.handover or parts[0].handover
+            if (parts[0].low, parts[0].high) != (row.low, row.high):
+                hold.renew_at = min(hold.renew_at, now + self._timing.retry)
+        return hold
 
     def _fold_loads(self, now: float) -> None:
         """Fold the reports of the last second into smoothed rates."""
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -150,6 +150,7 @@
 @settings(max_examples=30, deadline=None)
 @example(200, ["heal", "crash", "leave"])
 @example(2, ["cut", "cut", "leave", "heat", "cut", "leave"])
+@example(1, ["heal", "leave", "crash", "crash", "leave", "crash", "cut"])
 @given(st.integers(0, 10_000), st.lists(ACTION, max_size=8))
 def test_no_key_has_two_holders_through_any_failures(
     number: int, actions: list[str]
