Count the load of a key by what is asked for, not by what is served

Cause: only answered requests were counted, so a server that refused most of its requests looked half used and kept its keys (one of 14 servers refused 519 and served 272 while the leader took it as 0.5 used).

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -213,6 +213,8 @@
         if routed is not None and routed.keyed:
             key = find_header(request.headers, dialect.key) or b"0"
             key_hash = int(key) << dialect.key_shift if key.isdigit() else 0
+            # What is refused counts too: a key is moved by what it is asked for.
+            self._state.note_key(service, key_hash)
         self._state.budget(service).note_first(now)
         return Passage(
             request,
@@ -406,7 +408,6 @@
             return self._take_not_run(passage, stat, response, report)
         note_answer(stat, service, elapsed, backlog, report, now)
         if passage.key_hash is not None:
-            self._state.note_key(passage.service, passage.key_hash, elapsed)
             if report is not None and not report.waiting and backlog < stat.slots:
                 self._state.note_speed(stat.row.name, elapsed)
         fault = self._find_fault(passage, response)
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -33,7 +33,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._policy = policy
         self._clock = clock
-        self._key_loads: dict[tuple[str, int], tuple[int, float]] = {}
+        self._key_loads: dict[tuple[str, int], int] = {}
         self._speeds: dict[str, tuple[int, float]] = {}
         self._ended: set[str] = set()
 
@@ -95,10 +95,10 @@
         """Return among how many hosts shared limits are divided."""
         return max(len(self.tables.hosts), FEWEST_HOSTS)
 
-    def note_key(self, service: str, key_hash: int, elapsed: float) -> None:
+    def note_key(self, service: str, key_hash: int) -> None:
         """Count a request of a key."""
-        count, busy = self._key_loads.get((service, key_hash), (0, 0.0))
-        self._key_loads[service, key_hash] = (count + 1, busy + elapsed)
+        key = (service, key_hash)
+        self._key_loads[key] = self._key_loads.get(key, 0) + 1
 
     def note_ended(self, stat: ServerStat) -> None:
         """Note that another life of a server answers at its address."""
@@ -128,9 +128,9 @@
 
     def take_loads(self) -> tuple[RangeLoad, ...]:
         """Return the busiest keys since the last call."""
-        loads = sorted(self._key_loads.items(), key=lambda item: -item[1][0])
+        loads = sorted(self._key_loads.items(), key=lambda item: -item[1])
         self._key_loads = {}
         return tuple(
-            RangeLoad(service, key_hash, count, round(busy * 1000))
-            for (service, key_hash), (count, busy) in loads[:MAX_REPORTED_KEYS]
+            RangeLoad(service, key_hash, count, 0)
+            for (service, key_hash), count in loads[:MAX_REPORTED_KEYS]
         )
