Quarantine over all hosts, beats acknowledged in their zone, renewals each half second

Cause: a request that ends its servers was only known to the host that sent it; beats crossed zones twice; hot parts were seen a second late. Change: a server found gone after a request was lost there is a strike, committed by the leader and in force on all hosts; an answer absolves. A follower that hears its leader acknowledges beats that change nothing and tells of them once a second.

--- a/src/dragonflyrock/control/const.py
+++ b/src/dragonflyrock/control/const.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+CONTROL_GROUP: Final = "control"
 MAX_REMEMBERED_CHANGES: Final = 10_000
 MAX_SUSPECTS: Final = 1_000
 SUSPECT_MS: Final = 60_000
--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -113,6 +113,14 @@
             return c.StopServer(beat.name)
         return None
 
+    def note_heard(self, heard: tuple[tuple[str, int], ...], now: float) -> None:
+        """Take servers that a follower has heard, with their last sequences."""
+        for name, sequence in heard:
+            life = self._lives.get(name)
+            if life is not None and name in self._state.servers:
+                life.heard_at = now
+                life.sequence = max(life.sequence, sequence)
+
     def _hear_new(self, beat: ServerBeat, now: float) -> c.Command | Refusal | None:
         """Take the first announcement of a life."""
         if beat.ended:
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -24,6 +24,7 @@
 )
 from . import calls
 from . import commands as c
+from .const import CONTROL_GROUP
 from .directed_models import DirectedTiming, Order, OrderResult, ServerBeat
 from .effects import SendOrder
 from .leader import (
@@ -42,8 +43,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CONTROL_GROUP: Final = "control"
-
 Send = Callable[[str, LinkMessage], object]
 Post = Callable[[Callable[[], None]], None]
 
@@ -231,6 +230,11 @@
         )
         self._control.propose(c.COMMANDS.encode(command), notify)
 
+    def note_heard(self, heard: tuple[tuple[str, int], ...], now: float) -> None:
+        """Take word of a follower, if this member leads."""
+        if self._leader is not None and self._control.replica.role == Role.LEADER:
+            self._leader.note_heard(heard, now)
+
     def complete_order(self, result: OrderResult, now: float) -> None:
         """Take the end of an order; a leader without a lease notes it too."""
         if self._leader is not None and self._control.replica.role == Role.LEADER:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any, Final
 
-from ..consensus import open_group
+from ..consensus import Role, open_group
 from ..control.calls import CALLS, BeatAccepted, Propose, ReadRoutes
 from ..control.commands import COMMANDS, RESULTS, ChangeRoutes, Done, PutRoutes
 from ..control.directed_models import Order, OrderOutcome, OrderResult, ServerBeat
@@ -19,7 +19,13 @@
 from ..routes import RouteDocument
 from ..transport.calls import CallTable
 from ..transport.links import Received
-from ..transport.messages import CallAnswer, CallRequest, ConsensusMessage, HostRenew
+from ..transport.messages import (
+    CallAnswer,
+    CallRequest,
+    ConsensusMessage,
+    HostRenew,
+    ServersHeard,
+)
 from .loop import NodeLoop
 from .metrics import make_metrics_server
 from .settings import (
@@ -34,6 +40,9 @@
 TICK_SECONDS: Final = 0.05
 # A caller waits one second; it is told before that that nothing is known.
 CALL_SECONDS: Final = 0.9
+# A follower that heard no heartbeat for this long may be cut off.
+LEADER_HEARD_SECONDS: Final = 0.6
+TELL_HEARD_SECONDS: Final = 1.0
 HAND_OVER_SECONDS: Final = 0.3
 
 OrderSender = Callable[[Order, float], Awaitable[OrderResult]]
@@ -53,7 +62,9 @@
         self._send_order = send_order
         self._timing = make_directed_timing(settings)
         self._orders: set[asyncio.Task[None]] = set()
-        state = ControlState()
+        self._state = state = ControlState()
+        self._heard: dict[str, int] = {}
+        self._told_at = 0.0
         voters = settings.seed_names if settings.node.forming else ()
         if settings.node.name not in voters:
             voters = ()
@@ -129,13 +140,56 @@
 
     # Calls from the control address
 
+    @property
+    def control_address(self) -> str:
+        """Return the ``ip:port`` at which this node is called."""
+        return self._settings.listen.control
+
+    def is_near(self, beat: ServerBeat) -> bool:
+        """Return whether a server is in this node's availability zone."""
+        return beat.zone == self._settings.node.availability_zone
+
     async def hear(self, beat: ServerBeat) -> BeatAccepted | Refusal:
-        """Take a backend server's announcement."""
+        """Take a backend server's announcement.
+
+        One that changes nothing is acknowledged here, and told to the leader with
+        others; what binds goes to the leader at once.
+        """
+        if self._is_known(beat):
+            self._heard[beat.name] = beat.sequence
+            return BeatAccepted()
         answer = await self._call(beat)
         if isinstance(answer, BeatAccepted | Refusal):
             return answer
         return _no_leader(Step.ANNOUNCE)
 
+    def _is_known(self, beat: ServerBeat) -> bool:
+        """Return whether a beat only repeats what is committed.
+
+        A node that has not heard the leader just now knows nothing for sure.
+        """
+        replica = self._group.replica
+        now = self._loop.clock()
+        if replica.role == Role.LEADER or now - replica.heard_at > LEADER_HEARD_SECONDS:
+            return False
+        row = self._state.servers.get(beat.name)
+        return (
+            row is not None
+            and not beat.ended
+            and (row.service, row.address, row.stopping)
+            == (beat.service, beat.address, beat.leaving)
+        )
+
+    def _tell_heard(self, now: float) -> None:
+        """Tell the leader which servers were heard here since the last time."""
+        if not self._heard or now - self._told_at < TELL_HEARD_SECONDS:
+            return
+        self._told_at = now
+        heard, self._heard = self._heard, {}
+        leader = self._group.replica.leader
+        if leader:
+            self._loop.send(leader, ServersHeard(tuple(heard.items())))
+
     async def put_routes(self, command: PutRoutes | ChangeRoutes) -> Done | Refusal:
         """Have a change of the route document committed."""
         body = await self._call_raw(Propose(COMMANDS.encode(command)))
@@ -228,6 +282,8 @@
                 self._member.receive_call(sender, message, now)
             case CallAnswer():
                 self._calls.answer(sender, message, now)
+            case ServersHeard(heard):
+                self._member.note_heard(heard, now)
 
     def _tick(self, now: float) -> None:
         """Let time pass."""
@@ -237,6 +293,7 @@
         self._calls.members = tuple(known)
         self._calls.note_leader(CONTROL_GROUP, replica.leader)
         self._calls.tick(now)
+        self._tell_heard(now)
         self._member.tick(now)
         if replica.role != self._role:
             self._role = replica.role
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -7,12 +7,16 @@
 from random import Random
 from typing import Final
 
+from ..control.calls import CALLS, Propose
+from ..control.commands import COMMANDS, AbsolveRequest, StrikeRequest
+from ..control.const import CONTROL_GROUP
 from ..entry.agent import AgentConfig, EntryAgent
 from ..http import Connections, HttpServer, Request, Response, WireLimits, make_response
 from ..models import HostRecord
 from ..router import Dialect, Router, RouterConfig, RouterState
+from ..transport.calls import CallTable
 from ..transport.links import Received
-from ..transport.messages import HostUpdate
+from ..transport.messages import CallAnswer, HostUpdate
 from .loop import NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings, make_budget_policy
@@ -24,6 +28,7 @@
 # After a stop signal the balancer needs two missed checks to send no more here.
 LAST_ARRIVAL_SECONDS: Final = 2.6
 STOP_MARGIN_SECONDS: Final = 0.6
+REPORT_SECONDS: Final = 2.0
 
 
 class EntryNode:
@@ -45,7 +50,9 @@
             self._loop.metrics,
             clock,
             Random(),
+            self,
         )
+        self._calls = CallTable(settings.seed_names, self._loop.send)
         self._callers = HttpServer(self._router.handle, WireLimits())
         self._ready = HttpServer(self._answer_ready, WireLimits())
         self._metrics = make_metrics_server(settings, self._loop.metrics)
@@ -124,9 +131,43 @@
     def _receive(self, received: Received, now: float) -> None:
         """Take a message."""
         message = received.message
-        if isinstance(message, HostUpdate):
-            self._agent.receive(message, now)
-            self._note_document()
+        match message:
+            case HostUpdate():
+                self._agent.receive(message, now)
+                self._calls.note_leader(CONTROL_GROUP, message.leader)
+                self._note_document()
+            case CallAnswer():
+                self._calls.answer(received.sender, message, now)
+
+    # Requests that end servers
+
+    def strike(self, fingerprint: str, method: str, target: str, server: str) -> None:
+        """Have the leader count a server that ended while it ran a request."""
+        now_ms = int(time.time() * 1000)
+        self._propose(
+            StrikeRequest(fingerprint, "", method, target, server, now_ms), fingerprint
+        )
+
+    def absolve(self, fingerprint: str) -> None:
+        """Have the leader drop a suspect that was answered."""
+        self._propose(AbsolveRequest(fingerprint), fingerprint)
+
+    def _propose(self, command: StrikeRequest | AbsolveRequest, name: str) -> None:
+        """Commit a command; its outcome comes back with the rows."""
+        kind = type(command).__name__
+        lines = self._loop.lines
+
+        def tell(answer: bytes | None) -> None:
+            outcome = "no answer" if answer is None else "answered"
+            lines.add("crash-report", kind=kind, fingerprint=name[:16], outcome=outcome)
+
+        self._calls.start(
+            CONTROL_GROUP,
+            CALLS.encode(Propose(COMMANDS.encode(command))),
+            REPORT_SECONDS,
+            tell,
+            self._loop.clock(),
+        )
 
     def _note_document(self) -> None:
         """Apply the limits of a new route document, and tell of it."""
@@ -151,6 +192,7 @@
     def _tick(self, now: float) -> None:
         """Renew, and drop old connections."""
         self._agent.tick(now)
+        self._calls.tick(now)
         in_touch = self.state.tables.lease_until > now
         if in_touch != self._was_in_touch:
             self._was_in_touch = in_touch
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -74,7 +74,7 @@
     election_min_ms: int = 400
     election_max_ms: int = 750
     host_lease_ms: int = 4_000
-    host_renew_ms: int = 1_000
+    host_renew_ms: int = 500
     hold_ms: int = 6_000
     hold_renew_ms: int = 2_000
 
--- a/src/dragonflyrock/platform/control_calls.py
+++ b/src/dragonflyrock/platform/control_calls.py
@@ -88,7 +88,10 @@
         result = await self._node.hear(beat)
         if isinstance(result, Refusal):
             return _answer(_find_status(result), result.detail)
-        return make_response(200, b"{}")
+        body: dict[str, str] = {}
+        if self._node.is_near(beat):
+            body["heartbeatAddress"] = self._node.control_address
+        return make_response(200, msgspec.json.encode(body))
 
 
 def _find_status(refusal: Refusal) -> int:
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
+from ..entry.request import make_fingerprint
 from ..http import (
     Connections,
     ExchangeFault,
@@ -103,6 +104,17 @@
     avoid: set[str] = field(default_factory=set)
     server: str = ""
     detail: str = ""
+    fingerprint: str = ""
+
+
+class CrashReports(Protocol):
+    """Where a request is told of that was at work on a server when it ended."""
+
+    def strike(self, fingerprint: str, method: str, target: str, server: str) -> None:
+        """Tell that a server ended while it ran a request."""
+
+    def absolve(self, fingerprint: str) -> None:
+        """Tell that a suspect request was answered."""
 
 
 class _Refused(NamedTuple):
@@ -124,6 +136,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         random: Random,
+        crashes: CrashReports,
     ) -> None:
         """Route by ``state`` over ``connections``."""
         self._config = config
@@ -133,6 +146,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
+        self._crashes = crashes
         self._splits = SplitCounter()
         self._split_start = rank_home(config.host, "split")
         self._longest: dict[str, float] = {}
@@ -231,6 +245,8 @@
 
     async def _run(self, passage: Passage) -> Response:
         """Send a request until it is answered, refused, or out of time."""
+        if self._is_quarantined(passage):
+            return self._own(503, "the request is in quarantine", passage.request_id)
         while True:
             now = self._clock()
             if now >= passage.deadline:
@@ -248,6 +264,55 @@
                 passage.misplaced = False
                 await _wait_briefly(changed, OWNER_POLL_SECONDS)
 
+    # Requests that end servers
+
+    def _find_fingerprint(self, passage: Passage) -> str:
+        """Return what a request has in common with the same one sent again."""
+        if not passage.fingerprint:
+            request = passage.request
+            passage.fingerprint = make_fingerprint(
+                passage.route.host,
+                request.method.decode("latin-1"),
+                request.target.decode("latin-1"),
+                request.body,
+            )
+        return passage.fingerprint
+
+    def _is_quarantined(self, passage: Passage) -> bool:
+        """Return whether a request is known to end the servers that run it."""
+        quarantines = self._state.tables.quarantines
+        if not quarantines:
+            return False
+        row = quarantines.get(self._find_fingerprint(passage))
+        if row is None or not row.refused:
+            return False
+        passage.detail = "quarantined"
+        return True
+
+    async def _check_crash(self, passage: Passage, stat: ServerStat) -> None:
+        """Find out whether a server ended while it ran a request, and tell of it."""
+        opened = await self._connections.connect(stat.row.address, CONNECT_SECONDS)
+        if not isinstance(opened, ExchangeFault):
+            self._connections.give_back(opened)
+            return
+        note_failure(stat, self._clock())
+        self._connections.drop(stat.row.address)
+        fingerprint = self._find_fingerprint(passage)
+        self._lines.add(
+            "server-lost",
+            id=passage.request_id.decode("latin-1"),
+            server=stat.row.name,
+            fingerprint=fingerprint[:16],
+            detail=opened.detail,
+        )
+        request = passage.request
+        self._crashes.strike(
+            fingerprint,
+            request.method.decode("latin-1"),
+            request.target.decode("latin-1"),
+            stat.row.name,
+        )
+
     def _choose(self, passage: Passage, now: float) -> ServerStat | _Refused:
         """Return the server to send to, or why there is none."""
         service = self._state.service(passage.service)
@@ -343,6 +408,9 @@
         ended = self._clock()
         self._connections.give_back(connection)
         if isinstance(result, ExchangeFault):
+            lost = result.kind == FaultKind.LOST
+            if lost and ended - now >= FULL_RESET_SECONDS:
+                await self._check_crash(passage, stat)
             return self._take_fault(passage, stat, result, ended - now)
         return self._take_answer(passage, stat, result, backlog, ended - now)
 
@@ -407,9 +475,9 @@
             passage.detail = f"server answered {response.status}, not run"
             return self._take_not_run(passage, stat, response, report)
         note_answer(stat, service, elapsed, backlog, report, now)
-        if passage.key_hash is not None:
-            if report is not None and not report.waiting and backlog < stat.slots:
-                self._state.note_speed(stat.row.name, elapsed)
+        idle = report is not None and not report.waiting and backlog < stat.slots
+        if passage.key_hash is not None and idle:
+            self._state.note_speed(stat.row.name, elapsed)
         fault = self._find_fault(passage, response)
         if fault:
             passage.detail = fault
@@ -418,6 +486,9 @@
             if passage.route.is_idempotent and self._may_repeat(passage):
                 return None
             return self._give_up(passage)
+        quarantines = self._state.tables.quarantines
+        if quarantines and self._find_fingerprint(passage) in quarantines:
+            self._crashes.absolve(passage.fingerprint)
         headers = tuple(
             (name, value)
             for name, value in response.headers
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -23,6 +23,7 @@
     "RateDemand",
     "RateGrant",
     "ServerSpeed",
+    "ServersHeard",
 ]
 
 
@@ -148,6 +149,12 @@
     standby: bool
 
 
+class ServersHeard(NamedTuple):
+    """Directed servers that a follower has heard, with their last sequences."""
+
+    heard: tuple[tuple[str, int], ...]
+
+
 LinkMessage = (
     ConsensusMessage
     | HostRenew
@@ -156,6 +163,7 @@
     | CallAnswer
     | RateDemand
     | RateGrant
+    | ServersHeard
 )
 
 MESSAGES: Final = Codec(
@@ -168,6 +176,7 @@
         CallAnswer,
         RateDemand,
         RateGrant,
+        ServersHeard,
     ]
 )
 
