Send a leaving owner nothing after 0.9 s, and probe servers whose orders fail

Change: an entry host stops 0.9 s after it learnt that an owner leaves; after three failed orders only a probe goes to a server, and its holds run out.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -597,6 +597,7 @@
     def _renew(self, now: float) -> None:
         """Order the grants that are due, except on parts that are moving."""
         timing = self._timing
+        failing: set[str] = set()
         for hold in self._holds.values():
             if now < hold.renew_at or self._is_granting(hold):
                 continue
@@ -604,12 +605,31 @@
             address = row.address if row is not None else hold.owner.address
             if not address or (row is not None and row.stopping):
                 continue
+            if self._is_failing(
+                self._lives.setdefault(hold.owner.name, ServerLife(now)), now
+            ):
+                # Each order without an answer might be carried out, and would
+                # keep the range from others for another hold.
+                failing.add(hold.owner.name)
+                continue
             if self._is_part_moving(hold):
                 self._renew_rest(hold, now)
                 continue
             hold.renew_at = now + timing.renew
             self._orders.append(self._grant(hold, hold.low, hold.high))
 
+        for name in failing:
+            self._probe(name, now)
+
+    def _probe(self, name: str, now: float) -> None:
+        """Ask a server whose orders fail whether it can be reached again."""
+        row = self._state.servers.get(name)
+        life = self._lives[name]
+        if row is None or now - life.probed_at < self._timing.order_timeout:
+            return
+        life.probed_at = now
+        self._orders.append(ProbeOrder(row, self._health_path(row.service)))
+
     def _renew_rest(self, hold: HeldRange, now: float) -> None:
         """Renew the parts of a hold that are not moving."""
         low = hold.low
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -128,6 +128,7 @@
     sequence: int = 0
     failures: int = 0
     failed_at: float = NEVER
+    probed_at: float = NEVER
 
 
 @dataclass(slots=True)
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -68,6 +68,9 @@
 OWNER_POLL_SECONDS: Final = 0.06
 # A connection that is lost so soon after a request was most likely refused.
 FULL_RESET_SECONDS: Final = 0.012
+# A server that leaves may get no request two seconds after it was told that this
+# is known. A host learns of it within a renewal, and stops this long after.
+LEAVING_SECONDS: Final = 0.9
 MAX_BOUNCES: Final = 2
 # Share of the time told that a request waits for the first rows of a new host.
 FIRST_ROWS_SHARE: Final = 0.25
@@ -323,6 +326,9 @@
             stat = self._state.stats[owner.name]
             if stat.ended:
                 return _Refused("the owner has ended", OWNER_WAIT_SECONDS)
+            leaving = stat.row.stopping and now - stat.stopping_since
+            if leaving > LEAVING_SECONDS:
+                return _Refused("the owner is leaving", OWNER_WAIT_SECONDS)
             if now < stat.down_until:
                 return _Refused("the owner cannot be reached", stat.down_until - now)
             expected = estimate_wait(stat, service, now)
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -66,6 +66,7 @@
     down_until: float = NEVER
     failures: int = 0
     ended: bool = False
+    stopping_since: float = NEVER
 
 
 def estimate_unit(stat: ServerStat, service: ServiceStat, now: float) -> float:
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -58,7 +58,10 @@
             stat = self.stats.get(name)
             if stat is None:
                 stat = ServerStat(row, slots=max(1, row.slots))
+                stat.stopping_since = self._clock()
                 self.stats[name] = stat
+            if row.stopping and not stat.row.stopping:
+                stat.stopping_since = self._clock()
             stat.row = row
             if not row.stopping:
                 self.by_service.setdefault(row.service, []).append(stat)
