Admit three quarters of the target, and remember what a server usually has at hand

Change: reports fade towards the server's usual backlog, itself forgotten in half a second; requests are let in up to 0.75 of their target.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -60,7 +60,7 @@
 CONNECT_SECONDS: Final = 0.3
 # A request is refused when it would be answered later than this share of its
 # target latency; the work on it would be taken from requests that are in time.
-ADMIT_SHARE: Final = 0.9
+ADMIT_SHARE: Final = 0.75
 # Share of the time left that a request already late may be made to wait.
 LATE_SHARE: Final = 0.25
 # A request that finds no owner, or one that is not the owner yet, asks again.
@@ -273,14 +273,22 @@
         """Return what a request has in common with the same one sent again."""
         if not passage.fingerprint:
             request = passage.request
-            passage.fingerprint = make_fingerprint(
-                passage.route.host,
-                request.method.decode("latin-1"),
-                request.target.decode("latin-1"),
-                request.body,
+            host = passage.route.host.encode("latin-1")
+            passage.fingerprint = self.find_fingerprint(
+                request.method, host, request.target, request.body
             )
         return passage.fingerprint
 
+    @staticmethod
+    def find_fingerprint(method: bytes, host: bytes, target: bytes, body: bytes) -> str:
+        """Return the name of a request that ends servers, whoever sends it."""
+        return make_fingerprint(
+            host.decode("latin-1"),
+            method.decode("latin-1"),
+            target.decode("latin-1"),
+            body,
+        )
+
     def _is_quarantined(self, passage: Passage) -> bool:
         """Return whether a request is known to end the servers that run it."""
         quarantines = self._state.tables.quarantines
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -27,6 +27,10 @@
 # A server's own mean is forgotten in this time when no request measures it, so
 # that one which is refused requests because it seemed slow gets some again.
 UNIT_MEMORY_SECONDS: Final = 1.5
+# What a server usually has at hand, beside what it told last; other hosts send to
+# it too, so a long queue does not empty as soon as this host sends it nothing.
+USUAL_SMOOTHING: Final = 0.2
+USUAL_MEMORY_SECONDS: Final = 0.5
 # A report tells little once the requests that it counted have ended.
 REPORT_AGE_UNITS: Final = 2.0
 # How long a server that refused a connection is left alone, doubling each time.
@@ -61,6 +65,7 @@
     unit: float = 0.0
     unit_at: float = NEVER
     reported: float = 0.0
+    usual: float = 0.0
     reported_at: float = NEVER
     slots: int = 1
     down_until: float = NEVER
@@ -83,7 +88,9 @@
     unit = estimate_unit(stat, service, now)
     fading = 0.0
     if stat.reported_at > NEVER:
-        fading = exp(-(now - stat.reported_at) / (REPORT_AGE_UNITS * unit))
+        age = now - stat.reported_at
+        fading = exp(-age / (REPORT_AGE_UNITS * unit))
+        usual += (stat.usual - usual) * exp(-age / USUAL_MEMORY_SECONDS)
     expected = usual + (stat.reported - usual) * fading
     return max(expected, float(stat.in_flight))
 
@@ -139,6 +146,7 @@
         return
     stat.slots = max(1, report.slots)
     stat.reported = float(report.running + report.waiting)
+    stat.usual += USUAL_SMOOTHING * (stat.reported - stat.usual)
     stat.reported_at = now
     share = report.running / stat.slots
     service.running_share += SERVICE_SMOOTHING * (share - service.running_share)
--- a/tests/common.py
+++ b/tests/common.py
@@ -33,3 +33,10 @@
         except OSError:
             return False
     return True
+
+
+def free_port() -> int:
+    """Return a port that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,107 @@
+"""The platform's bodies as the product's types, and back."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from dragonflyrock.platform.beats import decode_beat
+from dragonflyrock.platform.documents import (
+    UnreadableError,
+    decode_change,
+    decode_document,
+    digest_change,
+    encode_document,
+)
+from dragonflyrock.routes import RouteKind, apply_change
+
+RULE = {
+    "name": "r-1",
+    "kind": "unsafe",
+    "targetLatencyMs": 250,
+    "priority": 1,
+    "match": {"pathPrefix": "/x/"},
+    "action": {
+        "trafficSplit": [
+            {"service": "s1", "weight": 90},
+            {"service": "s2", "weight": 10},
+        ],
+        "timeoutMs": 800,
+        "maxAttempts": 2,
+    },
+    "later": {"a": [1]},
+}
+CONFIG = {
+    "version": "r7",
+    "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000, "newer": 1},
+    "listeners": [{"host": "h.example", "rules": [RULE]}],
+    "clusters": [{"name": "s1", "sharded": True, "warmS": 2.0}, {"name": "s2"}],
+}
+
+
+def test_a_configuration_comes_back_as_it_was_put_with_fields_not_known_here() -> None:
+    document = decode_document(json.dumps(CONFIG).encode())
+    assert json.loads(encode_document(document)) == CONFIG
+
+
+def test_a_rule_is_read_into_the_products_words() -> None:
+    route = decode_document(json.dumps(CONFIG).encode()).routes[0]
+    assert (route.host, route.prefix, route.kind) == (
+        "h.example",
+        "/x/",
+        RouteKind.ONCE,
+    )
+    assert [share.weight for share in route.shares] == [90, 10]
+    assert (route.timeout_ms, route.target_ms, route.max_attempts) == (800, 250, 2)
+
+
+def test_a_patch_changes_named_items() -> None:
+    document = decode_document(json.dumps(CONFIG).encode())
+    patch = {
+        "version": "r9",
+        "upsert": {
+            "listeners": [{"host": "h.example", "rules": [{**RULE, "name": "n"}]}]
+        },
+        "remove": {"routes": ["r-1"]},
+    }
+    changed = apply_change(document, decode_change(json.dumps(patch).encode()))
+    assert changed.version == 9
+    assert [route.name for route in changed.routes] == ["n"]
+    assert len(changed.services) == 2
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        json.dumps(CONFIG).encode()[:-20],
+        json.dumps({**CONFIG, "version": "12x"}).encode(),
+        json.dumps({**CONFIG, "listeners": 3}).encode(),
+        json.dumps({k: v for k, v in CONFIG.items() if k != "clusters"}).encode(),
+        b"\xff\xfe{}",
+    ],
+)
+def test_what_cannot_be_read_in_full_is_refused(body: bytes) -> None:
+    with pytest.raises(UnreadableError):
+        decode_document(body)
+
+
+def test_the_same_call_has_the_same_digest_and_another_has_not() -> None:
+    assert digest_change(b"/p", 1, b"x") == digest_change(b"/p", 1, b"x")
+    assert digest_change(b"/p", 2, b"x") != digest_change(b"/p", 1, b"x")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b'{"service":"s","address":"1.2.3.4","zone":"a","slots":2,"state":"ready",'
+        b'"sequence":1}',
+        b'{"service":"s","address":"1.2.3.4:5","zone":"a","slots":2,"state":"odd",'
+        b'"sequence":1}',
+    ],
+)
+def test_a_beat_that_cannot_be_read_is_refused(body: bytes) -> None:
+    with pytest.raises(UnreadableError):
+        decode_beat("i-1", body)
--- /dev/null
+++ b/tests/router/test_decisions.py
@@ -0,0 +1,94 @@
+"""Decisions of an entry host without a network: budget, choice, estimates."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.models import ServerRow
+from dragonflyrock.router.budget import BudgetPolicy, RetryBudget
+from dragonflyrock.router.choice import choose_server
+from dragonflyrock.router.servers import (
+    LoadReport,
+    ServerStat,
+    ServiceStat,
+    estimate_unit,
+    estimate_wait,
+    note_answer,
+    note_failure,
+    note_full,
+)
+
+IDLE = LoadReport(0, 0, 2)
+
+
+def make_stat(name: str, zone: str = "a") -> ServerStat:
+    """Return a server of which nothing is known yet."""
+    row = ServerRow(name, "s", f"{name}:80", zone, 0, 2, 0, True)
+    return ServerStat(row, slots=2)
+
+
+@pytest.mark.parametrize("rate", [1, 7, 40])
+def test_all_hosts_together_keep_the_budget_of_repeats(rate: int) -> None:
+    policy = BudgetPolicy(0.2, 10.0, 62.0)
+    hosts = [RetryBudget(policy) for _ in range(11)]
+    repeats = 0
+    for tick in range(100):
+        for host in hosts:
+            for _ in range(rate):
+                host.note_first(tick / 10)
+                repeats += host.take(tick / 10, len(hosts))
+    assert repeats <= 0.2 * 100 * 11 * rate + 62
+
+
+def test_a_server_in_the_own_zone_is_taken_while_it_is_in_time() -> None:
+    near, far = make_stat("near", "a"), make_stat("far", "b")
+    service = ServiceStat(0.1)
+    chosen = choose_server([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
+    assert chosen is not None
+    assert chosen[0] is near
+    near.in_flight = 8
+    chosen = choose_server([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
+    assert chosen is not None
+    assert chosen[0] is far
+
+
+def test_hosts_prefer_different_idle_servers() -> None:
+    stats = [make_stat(f"s{number}") for number in range(12)]
+    service = ServiceStat(0.1)
+    first = set()
+    for number in range(11):
+        chosen = choose_server(
+            stats, service, f"host-{number}", "a", 0.4, frozenset(), 0.0
+        )
+        assert chosen is not None
+        first.add(chosen[0].row.name)
+    assert len(first) > 5
+
+
+def test_a_server_that_could_not_be_reached_is_left_alone_for_a_while() -> None:
+    stats = [make_stat("one"), make_stat("two")]
+    service = ServiceStat(0.1)
+    note_failure(stats[0], 10.0)
+    chosen = choose_server(stats, service, "h", "a", 0.4, frozenset(), 10.1)
+    assert chosen is not None
+    assert chosen[0] is stats[1]
+
+
+def test_slowness_is_forgotten_when_nothing_measures_it() -> None:
+    """A server that seemed slow was refused everything, and so stayed slow."""
+    service = ServiceStat(0.1)
+    stat = make_stat("one")
+    for number in range(100):
+        note_answer(stat, service, 0.5, 0.0, IDLE, number / 100)
+    service.unit = 0.1
+    assert estimate_unit(stat, service, 1.0) > 0.3
+    assert estimate_unit(stat, service, 8.0) < 0.12
+
+
+def test_a_full_server_is_expected_to_take_long_and_then_to_have_emptied() -> None:
+    service = ServiceStat(0.1)
+    stat = make_stat("one")
+    before = estimate_wait(stat, service, 0.0)
+    note_full(stat, 0.0)
+    assert estimate_wait(stat, service, 0.0) > 3 * before
+    assert estimate_wait(stat, service, 2.0) == pytest.approx(before, rel=0.05)
--- /dev/null
+++ b/tests/routes/test_book.py
@@ -0,0 +1,93 @@
+"""The route document: compare and set, resends, and what is refused."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.errors import Reason, Refusal
+from dragonflyrock.routes import (
+    Route,
+    RouteBook,
+    RouteChange,
+    RouteDocument,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+    find_faults,
+)
+from dragonflyrock.routes.book import RowChanges
+
+SERVICES = tuple(RoutedService(n, "/health", 100, False, 0.0) for n in ("a", "b"))
+
+
+def make_route(name: str = "r1", **changes: object) -> Route:
+    """Return a valid route."""
+    route = Route(
+        name,
+        "h.example",
+        f"/{name}/",
+        RouteKind.ONCE,
+        (ServiceShare("a", 1.0),),
+        1000.0,
+        2,
+        200.0,
+        1,
+    )
+    return route._replace(**changes)  # type: ignore[arg-type]
+
+
+def make_document(version: int, *routes: Route) -> RouteDocument:
+    """Return a valid document."""
+    return RouteDocument(version, routes or (make_route(),), SERVICES)
+
+
+def test_two_changes_on_one_version_are_not_both_accepted() -> None:
+    book = RouteBook()
+    assert isinstance(book.put(0, "first", make_document(3)), RowChanges)
+    refused = book.put(0, "second", make_document(3, make_route("r2")))
+    assert isinstance(refused, Refusal)
+    assert refused.reason == Reason.VERSION_CONFLICT
+    assert book.document.routes[0].name == "r1"
+
+
+def test_an_accepted_change_is_known_after_a_restart() -> None:
+    book = RouteBook()
+    book.put(0, "first", make_document(3))
+    book.change(3, "next", RouteChange(5, removed_routes=("r1",)))
+    other = RouteBook()
+    other.load(book.dump())
+    assert other.find_accepted("first") == 3
+    assert other.find_accepted("next") == 5
+    assert other.document == book.document
+
+
+def test_a_change_replaces_in_place_and_tells_what_it_touched() -> None:
+    book = RouteBook()
+    book.put(0, "first", make_document(1, make_route("r1"), make_route("r2")))
+    change = RouteChange(2, (make_route("r1", priority=0), make_route("r3")))
+    changed = book.change(1, "second", change)
+    assert isinstance(changed, RowChanges)
+    assert changed.routes == ("r1", "r3")
+    assert [route.name for route in book.document.routes] == ["r1", "r2", "r3"]
+
+
+@pytest.mark.parametrize(
+    ("route", "told"),
+    [
+        (make_route(shares=(ServiceShare("nowhere", 1.0),)), "unknown service"),
+        (make_route(shares=(ServiceShare("a", 0.0),)), "add up to 0"),
+        (
+            make_route(shares=(ServiceShare("a", 2.0), ServiceShare("b", -1.0))),
+            "below 0",
+        ),
+        (make_route(target_ms=61_000.0), "target latency"),
+    ],
+)
+def test_an_invalid_document_is_refused_with_the_item(route: Route, told: str) -> None:
+    faults = find_faults(make_document(2, route), 1)
+    assert any("r1" in fault and told in fault for fault in faults)
+
+
+def test_a_version_that_is_not_above_the_current_one_is_refused() -> None:
+    assert find_faults(make_document(4), 4)
+    assert not find_faults(make_document(5), 4)
