Check for a crash beside the request, not before its next send

Cause: after a lost connection the host tried the server again, up to 0.3 s where it was dark, before it sent an idempotent request elsewhere.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -153,6 +153,7 @@
         self._splits = SplitCounter()
         self._split_start = rank_home(config.host, "split")
         self._longest: dict[str, float] = {}
+        self._checks: set[asyncio.Task[None]] = set()
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -424,7 +425,10 @@
         if isinstance(result, ExchangeFault):
             lost = result.kind == FaultKind.LOST
             if lost and ended - now >= FULL_RESET_SECONDS:
-                await self._check_crash(passage, stat)
+                # The request does not wait for it: a dark server answers nothing.
+                check = asyncio.create_task(self._check_crash(passage, stat))
+                self._checks.add(check)
+                check.add_done_callback(self._checks.discard)
             return self._take_fault(passage, stat, result, ended - now)
         return self._take_answer(passage, stat, result, backlog, ended - now)
 
