Send no more requests to a server that answers nothing

Change: a server that has requests under way and has answered none for six times its usual time is passed over, a request of a key it owns is refused at once with Retry-After, and an answer that never came counts as a failed connection.

--- a/src/dragonflyrock/router/choice.py
+++ b/src/dragonflyrock/router/choice.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ..hashing import hash_score
-from .servers import ServerStat, ServiceStat, estimate_wait
+from .servers import ServerStat, ServiceStat, estimate_wait, is_silent
 
 __all__ = ["choose_server", "rank_home"]
 
@@ -45,7 +45,8 @@
         cost = expected + HOME_SHARE * service.unit * rank_home(host, stat.row.name)
         if stat.row.zone != zone:
             cost += ZONE_SHARE * target
-        poor = stat.row.name in avoid or now < stat.down_until
+        down = now < stat.down_until or is_silent(stat, service, now)
+        poor = stat.row.name in avoid or down
         key = (poor, cost)
         if best is None or key < best[0]:
             best = (key, stat, expected)
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -30,6 +30,7 @@
     estimate_backlog,
     estimate_unit,
     estimate_wait,
+    is_silent,
     note_answer,
     note_failure,
     note_full,
@@ -340,6 +341,8 @@
                 return _Refused("the owner is leaving", OWNER_WAIT_SECONDS)
             if now < stat.down_until:
                 return _Refused("the owner cannot be reached", stat.down_until - now)
+            if is_silent(stat, service, now):
+                return _Refused("the owner answers nothing", OWNER_WAIT_SECONDS)
             expected = estimate_wait(stat, service, now)
             passage.server = stat.row.name
         else:
@@ -405,7 +408,7 @@
             return self._give_up(passage)
         service = self._state.service(passage.service)
         backlog = estimate_backlog(stat, service, now)
-        note_sent(stat)
+        note_sent(stat, now)
         passage.sends += 1
         passage.offered = True
         outgoing = self._make_outgoing(passage, stat, left)
@@ -415,12 +418,15 @@
                     outgoing, dialect.request_id, passage.request_id
                 )
         except TimeoutError:
+            # A server that runs answers at its deadline, if only with a failure.
+            note_failure(stat, self._clock())
             passage.may_have_run = True
             passage.detail = "no answer in time"
             return self._give_up(passage)
         finally:
             stat.in_flight -= 1
         ended = self._clock()
+        stat.heard_at = ended
         self._connections.give_back(connection)
         if isinstance(result, ExchangeFault):
             lost = result.kind == FaultKind.LOST
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -14,6 +14,7 @@
     "ServiceStat",
     "estimate_unit",
     "estimate_wait",
+    "is_silent",
     "note_answer",
     "note_failure",
     "note_sent",
@@ -31,6 +32,9 @@
 # it too, so a long queue does not empty as soon as this host sends it nothing.
 USUAL_SMOOTHING: Final = 0.2
 USUAL_MEMORY_SECONDS: Final = 0.5
+# A server that has answered none of its requests for so long gets no more of them.
+SILENT_UNITS: Final = 6.0
+SILENT_SECONDS: Final = 0.4
 # A report tells little once the requests that it counted have ended.
 REPORT_AGE_UNITS: Final = 2.0
 # How long a server that refused a connection is left alone, doubling each time.
@@ -70,6 +74,7 @@
     slots: int = 1
     down_until: float = NEVER
     failures: int = 0
+    heard_at: float = NEVER
     ended: bool = False
     stopping_since: float = NEVER
 
@@ -106,8 +111,22 @@
     return unit * (1 + max(queued, chance))
 
 
-def note_sent(stat: ServerStat) -> None:
+def is_silent(stat: ServerStat, service: ServiceStat, now: float) -> bool:
+    """Return whether requests are under way to a server that answers nothing.
+
+    A slow server still answers now and then; one that lost power never does, and
+    its connections do not tell.
+    """
+    if not stat.in_flight:
+        return False
+    patience = max(SILENT_UNITS * estimate_unit(stat, service, now), SILENT_SECONDS)
+    return now - stat.heard_at > patience
+
+
+def note_sent(stat: ServerStat, now: float) -> None:
     """Count a request out to a server."""
+    if not stat.in_flight:
+        stat.heard_at = now
     stat.in_flight += 1
     stat.reported += 1
 
--- a/tests/load/model.py
+++ b/tests/load/model.py
@@ -165,7 +165,7 @@
             return
         server = self.servers[name]
         backlog = estimate_backlog(stat, service, self.now)
-        note_sent(stat)
+        note_sent(stat, self.now)
         if server.running < 2:
             self._begin(server, host, key, self.now, backlog)
         elif len(server.queue) < QUEUE:
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -13,9 +13,11 @@
     ServiceStat,
     estimate_unit,
     estimate_wait,
+    is_silent,
     note_answer,
     note_failure,
     note_full,
+    note_sent,
 )
 
 IDLE = LoadReport(0, 0, 2)
@@ -74,6 +76,21 @@
     assert chosen[0] is stats[1]
 
 
+def test_a_server_that_answers_nothing_gets_no_more_requests() -> None:
+    """One that lost power took requests until each had run out of time."""
+    service = ServiceStat(0.1)
+    dark, other = make_stat("dark"), make_stat("other")
+    note_sent(dark, 0.0)
+    assert not is_silent(dark, service, 0.5)
+    assert is_silent(dark, service, 0.7)
+    other.in_flight, other.heard_at = 20, 0.7
+    chosen = choose_server([dark, other], service, "h", "a", 9.0, frozenset(), 0.7)
+    assert chosen is not None
+    assert chosen[0] is other
+    dark.heard_at = 0.65
+    assert not is_silent(dark, service, 0.7)
+
+
 def test_slowness_is_forgotten_when_nothing_measures_it() -> None:
     """A server that seemed slow was refused everything, and so stayed slow."""
     service = ServiceStat(0.1)
