Split the router and the directed leader, and tell of a reload

The passage of a request, its headers and the reported loads have modules of their own; a SIGHUP reads the settings file anew and tells whether it is good (it is in force at the next start). No decision changed.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -34,17 +34,13 @@
     ServerBeat,
     ServerLife,
 )
+from .reported_loads import ReportedLoads
 from .state import ControlState
 
 __all__ = ["DirectedLeader"]
 
 _LOGGER = logging.getLogger(__name__)
 
-LOAD_SMOOTHING: Final = 0.5
-LOAD_FLOOR: Final = 0.05
-# Share of a server's measured speed that is kept from one second to the next.
-SPEED_MEMORY: Final = 0.75
-SPEED_PRIOR_REQUESTS: Final = 4.0
 MAX_ENDED_NAMES: Final = 10_000
 JOIN_SECONDS: Final = 5.0
 TELL_SECONDS: Final = 2.0
@@ -79,10 +75,7 @@
         self._told_at: dict[str, float] = {}
         self._granting: list[GrantOrder] = []
         self._handovers: dict[tuple[str, int], str] = {}
-        self._rates: dict[str, dict[int, float]] = {}
-        self._window: dict[str, dict[int, float]] = {}
-        self._speeds: dict[str, tuple[float, float]] = {}
-        self._window_at = now
+        self._loads = ReportedLoads(now)
         self._balance_at = now + timing.settle
         self._join_at = now + JOIN_SECONDS
         self._joined_at = now
@@ -167,18 +160,11 @@
 
     def add_loads(self, loads: tuple[RangeLoad, ...]) -> None:
         """Add an entry host's report of single keys."""
-        for load in loads:
-            window = self._window.setdefault(load.service, {})
-            window[load.low] = window.get(load.low, 0.0) + load.requests
+        self._loads.add_keys(loads)
 
     def add_speeds(self, speeds: tuple[ServerSpeed, ...]) -> None:
         """Add an entry host's report of how fast servers are."""
-        for speed in speeds:
-            requests, busy = self._speeds.get(speed.name, (0.0, 0.0))
-            self._speeds[speed.name] = (
-                requests + speed.requests,
-                busy + speed.busy_ms / 1000,
-            )
+        self._loads.add_speeds(speeds)
 
     # Time
 
@@ -188,7 +174,7 @@
         if self._state.revision != self._seen_revision:
             self._seen_revision = self._state.revision
             self._sync_holds(now, inherited=NEVER)
-        self._fold_loads(now)
+        self._loads.fold(now)
         commands += self._forget(now)
         self._start_services(now)
         self._relieve_leaving(now)
@@ -256,29 +242,6 @@
                 hold.renew_at = min(hold.renew_at, now + self._timing.retry)
         return hold
 
-    def _fold_loads(self, now: float) -> None:
-        """Fold the reports of the last second into smoothed rates."""
-        elapsed = now - self._window_at
-        if elapsed < 1.0:
-            return
-        for service in self._window.keys() | self._rates.keys():
-            window = self._window.get(service, {})
-            rates = self._rates.get(service, {})
-            fresh: dict[int, float] = {}
-            for key in window.keys() | rates.keys():
-                rate = rates.get(key, 0.0)
-                rate += LOAD_SMOOTHING * (window.get(key, 0.0) / elapsed - rate)
-                if rate > LOAD_FLOOR:
-                    fresh[key] = rate
-            self._rates[service] = fresh
-        self._window.clear()
-        self._speeds = {
-            name: (requests * SPEED_MEMORY, busy * SPEED_MEMORY)
-            for name, (requests, busy) in self._speeds.items()
-            if requests > LOAD_FLOOR and name in self._state.servers
-        }
-        self._window_at = now
-
     def _forget(self, now: float) -> list[c.Command]:
         """Drop servers that have left or been silent for long."""
         commands: list[c.Command] = []
@@ -303,30 +266,13 @@
             if silent or self._is_failing(life, now):
                 continue
             found.append(Owner(name, float(max(row.slots, 1))))
-        return self._weigh(sorted(found))
+        return self._loads.weigh(sorted(found))
 
     def _is_failing(self, life: ServerLife, now: float) -> bool:
         """Return whether a server's last orders have failed, and not long ago."""
         recent = now - life.failed_at < self._timing.silence
         return recent and life.failures > FAILED_ORDERS
 
-    def _weigh(self, owners: list[Owner]) -> list[Owner]:
-        """Return owners with their capacity in requests a second.
-
-        What little is known of a server is mixed with the mean of its service.
-        """
-        known = [self._speeds.get(owner.name, (0.0, 0.0)) for owner in owners]
-        requests = sum(count for count, _ in known)
-        if requests < SPEED_PRIOR_REQUESTS:
-            return owners
-        mean = sum(busy for _, busy in known) / requests
-        weighed = []
-        for owner, (count, busy) in zip(owners, known, strict=True):
-            unit = busy + SPEED_PRIOR_REQUESTS * mean
-            unit /= count + SPEED_PRIOR_REQUESTS
-            weighed.append(Owner(owner.name, owner.capacity / max(unit, 0.001)))
-        return weighed
-
     def _keyed(self) -> list[str]:
         """Return the services that are divided by key."""
         document = self._state.book.document
@@ -376,7 +322,7 @@
                     parts = self._parts(service)
                 part = OwnedPart(hold.low, hold.high, hold.owner.name)
                 others = [owner for owner in owners if owner.name != hold.owner.name]
-                loads = KeyLoads(self._rates.get(service, {}))
+                loads = self._loads.of_service(service)
                 pieces = spread_part(part, parts, others, loads, self._timing.key_step)
                 for piece in pieces:
                     self._begin(
@@ -435,7 +381,7 @@
         for service in self._keyed():
             if len(self._moves) > MAX_MOVES:
                 continue
-            loads = KeyLoads(self._rates.get(service, {}))
+            loads = self._loads.of_service(service)
             parts = self._parts(service)
             owners = self._owners(service, now)
             self._tell_use(service, parts, owners, loads, now)
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -128,6 +128,10 @@
         """Begin to end; may be called more than once."""
         self._stopping.set()
 
+    def reload(self, problem: str) -> None:
+        """Tell that the settings file was read anew, or why it was refused."""
+        self._loop.reload(problem)
+
     async def _finish(self) -> None:
         """Hand the leadership over, and close."""
         self._loop.lines.add("stopping")
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -102,6 +102,10 @@
         """Begin to end; may be called more than once."""
         self._stopping.set()
 
+    def reload(self, problem: str) -> None:
+        """Tell that the settings file was read anew, or why it was refused."""
+        self._loop.reload(problem)
+
     async def _finish(self) -> None:
         """Take requests while the balancer still sends some, then end."""
         self._loop.lines.add("stopping", busy=self._callers.busy)
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -132,6 +132,11 @@
             if self.failure is not None and not self.failure.done():
                 self.failure.set_exception(error)
 
+    def reload(self, problem: str) -> None:
+        """Tell of a changed settings file; it is in force at the next start."""
+        outcome = "refused" if problem else "read"
+        self.lines.add("reload", outcome=outcome, detail=problem)
+
     async def wait_for_end(self, stopping: asyncio.Event) -> None:
         """Return when the node is told to stop, or a part of it has failed."""
         assert self.failure is not None
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -16,16 +16,24 @@
 __all__ = ["main"]
 
 
-async def _run(settings: NodeSettings) -> None:
+def _check_again(path: Path) -> str:
+    """Read the settings file anew; return why it is refused, or an empty text."""
+    try:
+        load_node_settings(path)
+    except DragonflyrockError as error:
+        return str(error)
+    return ""
+
+
+async def _run(settings: NodeSettings, path: Path) -> None:
     """Run the role that the settings name, until a signal ends it."""
     loop = asyncio.get_running_loop()
-    # A changed file takes effect at the next start; nothing in it is reloadable.
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     if settings.node.role == "entry":
         from ..node.entry import EntryNode  # noqa: PLC0415 (one role a process)
 
         entry = EntryNode(settings, DIALECT)
         loop.add_signal_handler(signal.SIGTERM, entry.stop)
+        loop.add_signal_handler(signal.SIGHUP, lambda: entry.reload(_check_again(path)))
         await entry.run()
         return
     from ..node.control import ControlNode  # noqa: PLC0415 (one role a process)
@@ -34,16 +42,16 @@
 
     control = ControlNode(settings, OrderCalls().send)
     loop.add_signal_handler(signal.SIGTERM, control.stop)
+    loop.add_signal_handler(signal.SIGHUP, lambda: control.reload(_check_again(path)))
     await control.run(ControlCalls(control).handle)
 
 
 def main() -> int:
     """Run a node by the settings file that the environment names."""
     logging.basicConfig(level="INFO", stream=sys.stderr)
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = load_node_settings(Path(path))
-        asyncio.run(_run(settings))
+        asyncio.run(_run(load_node_settings(path), path))
     except DragonflyrockError as error:
         print(f"dragonflyrock: step={error.step}: {error}", file=sys.stderr)
         return 2
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -4,9 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from random import Random
-from typing import Final, NamedTuple, Protocol
+from typing import Final, NamedTuple
 
 from ..entry.request import make_fingerprint
 from ..http import (
@@ -24,6 +23,8 @@
 from ..routes import Route, SplitCounter
 from .choice import choose_server, rank_home
 from .dialect import Dialect
+from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
+from .models import CrashReports, Passage, Refused
 from .servers import (
     LoadReport,
     ServerStat,
@@ -41,21 +42,6 @@
 
 __all__ = ["Router", "RouterConfig"]
 
-HOP_HEADERS: Final = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 # A server answers at its own deadline; its answer needs this long to arrive.
 ANSWER_SLACK_SECONDS: Final = 0.02
 CONNECT_SECONDS: Final = 0.3
@@ -88,46 +74,6 @@
     dialect: Dialect
 
 
-@dataclass(slots=True)
-class Passage:
-    """A request on its way; times in seconds of the runtime's clock."""
-
-    request: Request
-    request_id: bytes
-    route: Route
-    service: str
-    key_hash: int | None
-    started: float
-    deadline: float
-    target_at: float
-    sends: int = 0
-    bounces: int = 0
-    offered: bool = False
-    may_have_run: bool = False
-    misplaced: bool = False
-    avoid: set[str] = field(default_factory=set)
-    server: str = ""
-    detail: str = ""
-    fingerprint: str = ""
-
-
-class CrashReports(Protocol):
-    """Where a request is told of that was at work on a server when it ended."""
-
-    def strike(self, fingerprint: str, method: str, target: str, server: str) -> None:
-        """Tell that a server ended while it ran a request."""
-
-    def absolve(self, fingerprint: str) -> None:
-        """Tell that a suspect request was answered."""
-
-
-class _Refused(NamedTuple):
-    """A request that has not run and will not: why, and when to come back."""
-
-    detail: str
-    retry_after: float
-
-
 class Router:
     """Answer callers' requests by the rows and statistics of this host."""
 
@@ -257,7 +203,7 @@
             if now >= passage.deadline:
                 return self._give_up(passage)
             chosen = self._choose(passage, now)
-            if isinstance(chosen, _Refused):
+            if isinstance(chosen, Refused):
                 if await self._wait_for_owner(passage, chosen):
                     continue
                 return self._refuse(passage, chosen)
@@ -326,23 +272,23 @@
             stat.row.name,
         )
 
-    def _choose(self, passage: Passage, now: float) -> ServerStat | _Refused:
+    def _choose(self, passage: Passage, now: float) -> ServerStat | Refused:
         """Return the server to send to, or why there is none."""
         service = self._state.service(passage.service)
         if passage.key_hash is not None:
             owner = self._state.find_owner(passage.service, passage.key_hash)
             if owner is None:
-                return _Refused("the key has no owner", OWNER_WAIT_SECONDS)
+                return Refused("the key has no owner", OWNER_WAIT_SECONDS)
             stat = self._state.stats[owner.name]
             if stat.ended:
-                return _Refused("the owner has ended", OWNER_WAIT_SECONDS)
+                return Refused("the owner has ended", OWNER_WAIT_SECONDS)
             leaving = stat.row.stopping and now - stat.stopping_since
             if leaving > LEAVING_SECONDS:
-                return _Refused("the owner is leaving", OWNER_WAIT_SECONDS)
+                return Refused("the owner is leaving", OWNER_WAIT_SECONDS)
             if now < stat.down_until:
-                return _Refused("the owner cannot be reached", stat.down_until - now)
+                return Refused("the owner cannot be reached", stat.down_until - now)
             if is_silent(stat, service, now):
-                return _Refused("the owner answers nothing", OWNER_WAIT_SECONDS)
+                return Refused("the owner answers nothing", OWNER_WAIT_SECONDS)
             expected = estimate_wait(stat, service, now)
             passage.server = stat.row.name
         else:
@@ -357,7 +303,7 @@
                 now,
             )
             if found is None:
-                return _Refused("the service has no server", OWNER_WAIT_SECONDS)
+                return Refused("the service has no server", OWNER_WAIT_SECONDS)
             stat, expected = found
         if passage.sends and passage.key_hash is None:
             return stat
@@ -370,10 +316,10 @@
                 f"expected after {expected:.3f} s, limit {limit:.3f} s,"
                 f" unit {unit:.3f} s, reported {stat.reported:.1f} {age:.2f} s ago"
             )
-            return _Refused(detail, expected - limit)
+            return Refused(detail, expected - limit)
         return stat
 
-    async def _wait_for_owner(self, passage: Passage, why: _Refused) -> bool:
+    async def _wait_for_owner(self, passage: Passage, why: Refused) -> bool:
         """Wait for newer rows where a key has no owner; return whether to go on."""
         if passage.key_hash is None or why.detail.startswith("expected"):
             return False
@@ -410,8 +356,7 @@
         backlog = estimate_backlog(stat, service, now)
         note_sent(stat, now)
         passage.sends += 1
-        passage.offered = True
-        outgoing = self._make_outgoing(passage, stat, left)
+        outgoing = make_outgoing(passage.request, dialect, stat.row.name, left)
         try:
             async with asyncio.timeout(left + ANSWER_SLACK_SECONDS):
                 result = await connection.exchange(
@@ -438,25 +383,6 @@
             return self._take_fault(passage, stat, result, ended - now)
         return self._take_answer(passage, stat, result, backlog, ended - now)
 
-    def _make_outgoing(
-        self, passage: Passage, stat: ServerStat, left: float
-    ) -> Request:
-        """Return the request as it goes to a server."""
-        dialect = self._config.dialect
-        request = passage.request
-        skipped = {dialect.time_left_ms, dialect.expected_server}
-        named = find_header(request.headers, b"connection")
-        if named:
-            skipped.update(part.strip().lower() for part in named.split(b","))
-        headers = [
-            (name, value)
-            for name, value in request.headers
-            if name.lower() not in HOP_HEADERS and name.lower() not in skipped
-        ]
-        headers.append((dialect.time_left_ms, b"%d" % max(1, int(left * 1000))))
-        headers.append((dialect.expected_server, stat.row.name.encode()))
-        return request._replace(headers=tuple(headers))
-
     # Answers
 
     def _take_fault(
@@ -493,7 +419,7 @@
         dialect = self._config.dialect
         now = self._clock()
         service = self._state.service(passage.service)
-        report = self._read_load(response)
+        report = read_load(response, dialect)
         told_not_run = find_header(response.headers, dialect.not_run) is not None
         if told_not_run or response.status == 421:
             passage.detail = f"server answered {response.status}, not run"
@@ -502,7 +428,7 @@
         idle = report is not None and not report.waiting and backlog < stat.slots
         if passage.key_hash is not None and idle:
             self._state.note_speed(stat.row.name, elapsed)
-        fault = self._find_fault(passage, response)
+        fault = find_answer_fault(response, dialect, passage.request_id)
         if fault:
             passage.detail = fault
             passage.may_have_run = True
@@ -513,38 +439,7 @@
         quarantines = self._state.tables.quarantines
         if quarantines and self._find_fingerprint(passage) in quarantines:
             self._crashes.absolve(passage.fingerprint)
-        headers = tuple(
-            (name, value)
-            for name, value in response.headers
-            if name.lower() not in HOP_HEADERS
-        )
-        return response._replace(headers=headers)
-
-    def _find_fault(self, passage: Passage, response: Response) -> str:
-        """Return why an answer cannot be a whole answer to this request."""
-        dialect = self._config.dialect
-        if not 200 <= response.status < 300:
-            return ""
-        echoed = find_header(response.headers, dialect.request_id)
-        if echoed != passage.request_id:
-            return "the answer does not bear the request's id"
-        if dialect.signature and find_header(response.headers, dialect.signature) is (
-            None
-        ):
-            return "the answer bears no signature"
-        if find_header(response.headers, b"content-encoding") is not None:
-            return "the answer is encoded"
-        return ""
-
-    def _read_load(self, response: Response) -> LoadReport | None:
-        """Return what a server tells of its load."""
-        told = find_header(response.headers, self._config.dialect.load)
-        if told is None:
-            return None
-        parts = told.split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return None
-        return LoadReport(*(int(part) for part in parts))
+        return response._replace(headers=end_to_end(response.headers))
 
     def _take_not_run(
         self,
@@ -567,7 +462,7 @@
         passage.bounces += 1
         if passage.bounces > MAX_BOUNCES or not self._may_repeat(passage):
             wait = estimate_wait(stat, self._state.service(passage.service), now)
-            return self._refuse(passage, _Refused(passage.detail, wait))
+            return self._refuse(passage, Refused(passage.detail, wait))
         return None
 
     def _may_repeat(self, passage: Passage) -> bool:
@@ -587,7 +482,7 @@
 
     # Ends
 
-    def _refuse(self, passage: Passage, why: _Refused) -> Response:
+    def _refuse(self, passage: Passage, why: Refused) -> Response:
         """Answer that a request has not run, and when to come back."""
         if passage.may_have_run:
             return self._give_up(passage)
@@ -611,7 +506,7 @@
     def _tell(self, passage: Passage, status: int, detail: str) -> None:
         """Write the line of a request, and count it."""
         elapsed = self._clock() - passage.started
-        outcome = "answered" if passage.offered else "refused"
+        outcome = "answered" if passage.sends else "refused"
         self._metrics.requests.labels(passage.service, outcome, str(status)).inc()
         self._metrics.request_seconds.labels(passage.service).observe(elapsed)
         self._lines.add(
--- a/src/dragonflyrock/routes/models.py
+++ b/src/dragonflyrock/routes/models.py
@@ -85,10 +85,7 @@
 
 
 class RouteChange(NamedTuple):
-    """Named items to add or replace, and names to remove.
-
-    ``strange`` names parts of the change that were not understood.
-    """
+    """Named items to add or replace, and names to remove."""
 
     version: int
     routes: tuple[Route, ...] = ()
