--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -36,7 +36,7 @@
         self.settings = settings
         self.clock = time.monotonic
         self.metrics = Metrics()
-        self.lines = LineLog(settings.node.label, 1, time.monotonic)
+        self.lines = LineLog(settings.node.label, 1, time.monotonic, blocking=False)
         self.events = LineEvents(settings.node.name, self.lines)
         self._links = Links(
             settings.node.name,
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -12,7 +12,12 @@
     receive,
     take_output,
 )
-from dragonflyrock.consensus.models import AppendAnswer, VoteAnswer, VoteRequest
+from dragonflyrock.consensus.models import (
+    AppendAnswer,
+    JoinRequest,
+    VoteAnswer,
+    VoteRequest,
+)
 from dragonflyrock.errors import Reason, Refusal
 
 from .common import Cluster
@@ -252,3 +257,46 @@
         answer = AppendAnswer(follower.hard.term, True, follower.log.last_index, clock)
         receive(follower, member, answer, clock)
     assert follower.commit == before
+
+
+def admit(cluster: Cluster, seconds: float) -> None:
+    """Let the leader admit who waits, as a control node does at each tick."""
+    for _ in range(int(seconds / 0.1)):
+        leader = cluster.leader()
+        if leader is not None:
+            membership.admit_waiting(leader)
+        cluster.run(0.1)
+
+
+def test_a_wiped_voter_replaces_its_former_self_without_an_operator() -> None:
+    cluster = Cluster("abc", seed=12)
+    leader = cluster.settle()
+    for number in range(10):
+        cluster.propose(b"%d" % number)
+    cluster.run(0.5)
+    lost = next(n for n in "abc" if n != leader.me.name)
+    before = leader.configuration.find(lost)
+    cluster.wipe(lost)
+    admit(cluster, 4.0)
+    assert leader.configuration.has_voter(lost)
+    assert leader.configuration.find(lost) != before
+    cluster.propose(b"after")
+    cluster.run(0.5)
+    assert cluster.commands(lost)[-1] == b"after"
+
+
+def test_a_follower_passes_a_join_on_to_the_leader_once() -> None:
+    cluster = Cluster("abc", seed=13)
+    leader = cluster.settle()
+    cluster.run(0.5)
+    follower = next(r for n, r in cluster.replicas.items() if n != leader.me.name)
+    take_output(follower)
+    joiner = Member("d", "new")
+    receive(follower, joiner, JoinRequest("new"), cluster.now)
+    passed = take_output(follower).messages
+    assert [(item.peer, item.message) for item in passed] == [
+        (leader.me.name, JoinRequest("new", "d"))
+    ]
+    receive(leader, follower.me, JoinRequest("new", "d"), cluster.now)
+    assert leader.waiting["d"] == joiner
+    assert take_output(leader).messages == []
