--- a/tests/router/bench.py
+++ b/tests/router/bench.py
@@ -75,7 +75,7 @@
         )
         self.arrived: list[tuple[str, Request]] = []
         self.rows: dict[str, ServerRow] = {}
-        self._servers: list[HttpServer] = []
+        self.servers: list[HttpServer] = []
         self._revision = 0
 
     async def add_server(self, name: str, answer: Answer | None = None) -> ServerRow:
@@ -88,7 +88,7 @@
         server = HttpServer(handle, WireLimits())
         port = free_port()
         await server.start(f"127.0.0.1:{port}")
-        self._servers.append(server)
+        self.servers.append(server)
         row = ServerRow(name, "s", f"127.0.0.1:{port}", "a", 0, 2, 0, True)
         self.rows[name] = row
         return row
@@ -133,7 +133,7 @@
     def close(self) -> None:
         """Stop every server."""
         self.connections.close()
-        for server in self._servers:
+        for server in self.servers:
             server.close()
 
 
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -7,9 +7,10 @@
 import pytest
 
 from dragonflyrock.http import Request, Response, find_header, make_response
-from dragonflyrock.models import QuarantineRow
+from dragonflyrock.models import QuarantineRow, ServerRow
 from dragonflyrock.router.exchange import LEAVING_SECONDS
 from dragonflyrock.routes import RouteKind
+from tests.common import free_port
 
 from .bench import Bench, answer_well, play
 
@@ -169,3 +170,54 @@
         assert len(bench.arrived) == 1
 
     play(scene)
+
+
+def test_a_server_that_ends_while_it_runs_a_request_is_told_of() -> None:
+    async def scene(bench: Bench) -> None:
+        async def crash(request: Request) -> Response:
+            await asyncio.sleep(0.05)
+            bench.servers[0].close()
+            await asyncio.sleep(5)
+            return await answer_well(request)
+
+        await bench.add_server("one", crash)
+        bench.apply(RouteKind.ONCE)
+        assert (await bench.ask()).status == 502
+        await asyncio.sleep(0.2)
+        assert bench.reports.struck == ["one"]
+
+    play(scene)
+
+
+def test_a_lost_connection_to_a_server_that_lives_is_no_strike() -> None:
+    async def scene(bench: Bench) -> None:
+        async def cut(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        port = free_port()
+        server = await asyncio.start_server(cut, "127.0.0.1", port)
+        address = f"127.0.0.1:{port}"
+        bench.rows["one"] = ServerRow("one", "s", address, "a", 0, 2, 0, True)
+        bench.apply(RouteKind.ONCE)
+        assert (await bench.ask()).status == 502
+        await asyncio.sleep(0.2)
+        assert bench.reports.struck == []
+        server.close()
+
+    play(scene)
+
+
+def test_an_answer_absolves_a_suspect() -> None:
+    async def scene(bench: Bench) -> None:
+        await bench.add_server("one")
+        bench.apply()
+        name = bench.router.find_fingerprint(b"GET", b"h", b"/p/x", b"")
+        row = QuarantineRow(name, "", "GET", "/p/x", ("a",), False, 0, 9)
+        bench.state.tables.quarantines[name] = row
+        assert (await bench.ask()).status == 200
+        assert bench.reports.absolved == [name]
+
+    play(scene)
