Send to the full owner of a key once, and refuse at once where it is unreachable

A request whose owner cannot be reached waited 0.3 s for rows that seldom come; which refusals waited was told by the text. Change: Refused.rows_help says whether newer rows may help; a shed by a key's owner is final. Both tests failed before. The admission rule is a module of its own, which the load model now plays with clients that come back.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -21,6 +21,7 @@
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
 from ..routes import Route, SplitCounter
+from .admission import find_limit
 from .choice import choose_server, rank_home
 from .dialect import Dialect
 from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
@@ -45,11 +46,6 @@
 # A server answers at its own deadline; its answer needs this long to arrive.
 ANSWER_SLACK_SECONDS: Final = 0.02
 CONNECT_SECONDS: Final = 0.3
-# A request is refused when it would be answered later than this share of its
-# target latency; the work on it would be taken from requests that are in time.
-ADMIT_SHARE: Final = 0.75
-# Share of the time left that a request already late may be made to wait.
-LATE_SHARE: Final = 0.25
 # A request that finds no owner, or one that is not the owner yet, asks again.
 OWNER_WAIT_SECONDS: Final = 0.3
 OWNER_POLL_SECONDS: Final = 0.06
@@ -278,13 +274,13 @@
         if passage.key_hash is not None:
             owner = self._state.find_owner(passage.service, passage.key_hash)
             if owner is None:
-                return Refused("the key has no owner", OWNER_WAIT_SECONDS)
+                return Refused("the key has no owner", OWNER_WAIT_SECONDS, True)
             stat = self._state.stats[owner.name]
             if stat.ended:
-                return Refused("the owner has ended", OWNER_WAIT_SECONDS)
+                return Refused("the owner has ended", OWNER_WAIT_SECONDS, True)
             leaving = stat.row.stopping and now - stat.stopping_since
             if leaving > LEAVING_SECONDS:
-                return Refused("the owner is leaving", OWNER_WAIT_SECONDS)
+                return Refused("the owner is leaving", OWNER_WAIT_SECONDS, True)
             if now < stat.down_until:
                 return Refused("the owner cannot be reached", stat.down_until - now)
             if is_silent(stat, service, now):
@@ -307,8 +303,7 @@
             stat, expected = found
         if passage.sends and passage.key_hash is None:
             return stat
-        limit = (passage.target_at - passage.started) * ADMIT_SHARE
-        limit = max(limit, (passage.deadline - now) * LATE_SHARE)
+        limit = find_limit(passage.target_at - now, passage.deadline - now)
         if expected > limit:
             age = min(now - stat.reported_at, 99.0)
             unit = estimate_unit(stat, service, now)
@@ -320,8 +315,8 @@
         return stat
 
     async def _wait_for_owner(self, passage: Passage, why: Refused) -> bool:
-        """Wait for newer rows where a key has no owner; return whether to go on."""
-        if passage.key_hash is None or why.detail.startswith("expected"):
+        """Wait for newer rows where they may help; return whether to go on."""
+        if not why.rows_help:
             return False
         until = min(passage.started + OWNER_WAIT_SECONDS, passage.deadline)
         left = until - self._clock()
@@ -460,7 +455,9 @@
             note_full(stat, now)
         passage.avoid.add(stat.row.name)
         passage.bounces += 1
-        if passage.bounces > MAX_BOUNCES or not self._may_repeat(passage):
+        # The full owner of a key would be as full for a second send.
+        only = passage.key_hash is not None and response.status != 421
+        if only or passage.bounces > MAX_BOUNCES or not self._may_repeat(passage):
             wait = estimate_wait(stat, self._state.service(passage.service), now)
             return self._refuse(passage, Refused(passage.detail, wait))
         return None
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -44,7 +44,11 @@
 
 
 class Refused(NamedTuple):
-    """A request that has not run and will not: why, and when to come back."""
+    """A request that has not run and will not: why, and when to come back.
+
+    With ``rows_help`` newer rows may name a server that takes it.
+    """
 
     detail: str
     retry_after: float
+    rows_help: bool = False
--- a/tests/load/model.py
+++ b/tests/load/model.py
@@ -15,7 +15,7 @@
 
 from dragonflyrock.hashing import KEY_SPACE
 from dragonflyrock.models import ServerRow
-from dragonflyrock.router.exchange import ADMIT_SHARE
+from dragonflyrock.router.admission import find_limit
 from dragonflyrock.router.servers import (
     LoadReport,
     ServerStat,
@@ -53,6 +53,26 @@
     hot_share: float = 0.4
     seconds: float = 12.0
     balanced: bool = True
+    # How often a client comes back, and until when after its first attempt.
+    retries: int = 0
+    deadline: float = 1.2
+
+
+class Ask(NamedTuple):
+    """A client's request for a key, and how often it has come back."""
+
+    key: int
+    first: float
+    tries: int = 0
+
+
+class Sent(NamedTuple):
+    """A request at a server, and how many were there before it."""
+
+    ask: Ask
+    host: int
+    since: float
+    backlog: float
 
 
 @dataclass(slots=True)
@@ -62,7 +82,7 @@
     name: str
     speed: float
     running: int = 0
-    queue: deque[tuple[int, int, float, float]] = field(default_factory=deque)
+    queue: deque[Sent] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
@@ -118,11 +138,13 @@
             self.now, _, event = heappop(self._events)
             match event:
                 case ("ask",):
-                    self._ask()
+                    self._arrive()
+                case ("return", Ask() as ask):
+                    self._ask(ask)
                 case ("balance",):
                     self._balance()
-                case ("end", str(name), int(host), int(key), float(since), float(at)):
-                    self._end(self.servers[name], host, key, since, at)
+                case ("end", str(name), Sent() as sent):
+                    self._end(self.servers[name], sent)
         return self
 
     def between(self, first: int, last: int, *, cold: bool = False) -> Outcome:
@@ -142,11 +164,12 @@
         self._count += 1
         heappush(self._events, (when, self._count, event))
 
-    def _note(self, key: int, since: float, end: str) -> None:
+    def _note(self, ask: Ask, end: str) -> None:
         """Count how a request ended."""
-        counted = [self.outcomes.setdefault(int(since), Outcome())]
-        if not 1000 <= key < 1000 + self.plan.hot_keys:
-            counted.append(self.others.setdefault(int(since), Outcome()))
+        second = int(ask.first)
+        counted = [self.outcomes.setdefault(second, Outcome())]
+        if not 1000 <= ask.key < 1000 + self.plan.hot_keys:
+            counted.append(self.others.setdefault(second, Outcome()))
         for outcome in counted:
             setattr(outcome, end, getattr(outcome, end) + 1)
 
@@ -157,52 +180,68 @@
             return 1000 + self.random.randrange(self.plan.hot_keys)
         return self.random.randrange(KEYS)
 
-    def _ask(self) -> None:
-        """Have a host take a request, and decide on it."""
+    def _arrive(self) -> None:
+        """Have a client make a request."""
         self._at(self.now + self.random.expovariate(self.plan.rate), ("ask",))
+        self._ask(Ask(self._draw_key(), self.now))
+
+    def _ask(self, ask: Ask) -> None:
+        """Have a host take a request, and decide on it."""
         host = self.random.randrange(self.plan.hosts)
-        key = self._draw_key()
+        key = ask.key
         self.asked[key] = self.asked.get(key, 0.0) + 1
         name = next(p.owner for p in self.parts if p.low <= key * STEP <= p.high)
         stat, service = self.stats[host][name], self.services[host]
         expected = estimate_wait(stat, service, self.now)
-        if expected > self.plan.target * ADMIT_SHARE:
-            self._note(key, self.now, "refused")
+        limit = find_limit(
+            ask.first + self.plan.target - self.now,
+            ask.first + self.plan.deadline - self.now,
+        )
+        if expected > limit:
+            self._refuse(ask, "refused", expected - limit)
             return
         server = self.servers[name]
-        backlog = estimate_backlog(stat, service, self.now)
+        sent = Sent(ask, host, self.now, estimate_backlog(stat, service, self.now))
         note_sent(stat, self.now)
         if server.running < 2:
-            self._begin(server, host, key, self.now, backlog)
+            self._begin(server, sent)
         elif len(server.queue) < QUEUE:
-            server.queue.append((host, key, self.now, backlog))
+            server.queue.append(sent)
         else:
             stat.in_flight -= 1
             note_full(stat, self.now)
-            self._note(key, self.now, "shed")
+            self._refuse(ask, "shed", self.plan.work)
+
+    def _refuse(self, ask: Ask, end: str, wait: float) -> None:
+        """Tell a client when to come back; one that gives up is counted."""
+        left = ask.first + self.plan.deadline - self.now
+        again = min(max(wait, 0.05) * self.random.uniform(1, 2), left * 0.3)
+        if ask.tries >= self.plan.retries or left <= 0:
+            self._note(ask, end)
+            return
+        self._at(self.now + again, ("return", ask._replace(tries=ask.tries + 1)))
 
-    def _begin(
-        self, server: Server, host: int, key: int, since: float, backlog: float
-    ) -> None:
+    def _begin(self, server: Server, sent: Sent) -> None:
         """Have a server run a request."""
         server.running += 1
         work = self.plan.work / server.speed * self.random.uniform(0.7, 1.3)
-        self._at(self.now + work, ("end", server.name, host, key, since, backlog))
+        self._at(self.now + work, ("end", server.name, sent))
 
-    def _end(
-        self, server: Server, host: int, key: int, since: float, backlog: float
-    ) -> None:
+    def _end(self, server: Server, sent: Sent) -> None:
         """Answer a request, and begin the next one."""
         server.running -= 1
         if server.queue:
-            self._begin(server, *server.queue.popleft())
-        elapsed = self.now - since
-        self._note(key, since, "in_time" if elapsed <= self.plan.target else "late")
-        stat = self.stats[host][server.name]
+            self._begin(server, server.queue.popleft())
+        in_time = self.now - sent.ask.first <= self.plan.target
+        self._note(sent.ask, "in_time" if in_time else "late")
+        stat = self.stats[sent.host][server.name]
         stat.in_flight -= 1
         report = LoadReport(server.running, len(server.queue), 2)
-        note_answer(stat, self.services[host], elapsed, backlog, report, self.now)
-        if not report.waiting and backlog < 2:
+        elapsed = self.now - sent.since
+        note_answer(
+            stat, self.services[sent.host], elapsed, sent.backlog, report, self.now
+        )
+        if not report.waiting and sent.backlog < 2:
             count, busy = self.speeds[server.name]
             self.speeds[server.name] = (count + 1, busy + elapsed)
 
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -8,7 +8,7 @@
 
 from dragonflyrock.http import Request, Response, find_header, make_response
 from dragonflyrock.models import QuarantineRow, ServerRow
-from dragonflyrock.router.exchange import LEAVING_SECONDS
+from dragonflyrock.router.exchange import LEAVING_SECONDS, OWNER_WAIT_SECONDS
 from dragonflyrock.routes import RouteKind
 from tests.common import free_port
 
@@ -131,6 +131,43 @@
     play(scene)
 
 
+def test_the_full_owner_of_a_key_gets_a_request_once() -> None:
+    """The second send used the budget of repeats up, and found it as full."""
+
+    async def scene(bench: Bench) -> None:
+        async def fill_up(request: Request) -> Response:
+            """Answer fast, so that a queue there is thought short, and then shed."""
+            if len(bench.arrived) > 60:
+                return await shed(request)
+            return await answer_well(request)
+
+        await bench.add_server("one", fill_up)
+        bench.apply(owner="one")
+        for _ in range(60):
+            assert (await bench.ask()).status == 200
+        answer = await bench.ask()
+        assert answer.status == 503
+        assert find_header(answer.headers, b"retry-after") is not None
+        assert len(bench.arrived) == 61
+
+    play(scene)
+
+
+def test_an_owner_that_cannot_be_reached_means_an_answer_at_once() -> None:
+    async def scene(bench: Bench) -> None:
+        address = f"127.0.0.1:{free_port()}"
+        bench.rows["one"] = ServerRow("one", "s", address, "a", 0, 2, 0, True)
+        bench.apply(owner="one")
+        await bench.ask()
+        changed = bench.state.changed
+        answer = await asyncio.wait_for(bench.ask(), OWNER_WAIT_SECONDS / 2)
+        assert answer.status == 503
+        assert find_header(answer.headers, b"retry-after") is not None
+        assert not changed.is_set()
+
+    play(scene)
+
+
 def test_a_key_without_an_owner_waits_for_newer_rows() -> None:
     async def scene(bench: Bench) -> None:
         await bench.add_server("one")
