Drop a silent voter from a group of even size, and let it join again

Cause: a control machine that was replaced for good stayed a voter beside its successor. Of four voters, one gone for good and one wiped, two are no quorum, for ever: the wiped one can only be admitted by a leader. Ruled out: dropping on silence alone in any group; three voters of which one is silent bear no more without it. Change: the leader drops a voter that acknowledged nothing for 2 s when the group is even and has four or more; a member that no configuration names asks to join, also with a log (a removed voter by its vote requests, a learner whose entry was lost by JoinRequest). An opened log is synced before it counts: what a killed process had written without a sync could be acknowledged and then be lost with the power. The existing sync test now forgets the sync at the opening; what it demands of writes is unchanged.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .log import encode_configuration
+from .membership import on_join_request
 from .models import (
     Configuration,
     EntryKind,
@@ -38,6 +39,9 @@
         _start_forming(replica, now)
     elif replica.configuration.has_voter(replica.me.name):
         _start_election(replica, now, pre=True, transfer=False)
+    else:
+        # A leader that knew of this member was lost, or it was removed.
+        _ask_to_join(replica)
 
 
 def _check_quorum(replica: Replica, now: float) -> None:
@@ -50,13 +54,19 @@
 
 def _start_forming(replica: Replica, now: float) -> None:
     """Ask for the first vote, or where the group exists, say that we wait."""
-    for name in dict.fromkeys((*replica.initial_voters, *replica.join_peers)):
-        if name != replica.me.name:
-            send(replica, name, JoinRequest(replica.me.identity))
+    _ask_to_join(replica)
     if replica.me.name in replica.initial_voters:
         _start_election(replica, now, pre=True, transfer=False)
 
 
+def _ask_to_join(replica: Replica) -> None:
+    """Tell whoever may know the leader that this member waits."""
+    names = (*replica.initial_voters, *replica.join_peers, *replica.others)
+    for name in dict.fromkeys(names):
+        if name != replica.me.name:
+            send(replica, name, JoinRequest(replica.me.identity))
+
+
 def _start_election(replica: Replica, now: float, *, pre: bool, transfer: bool) -> None:
     """Become a candidate and ask the others."""
     replica.role = Role.CANDIDATE
@@ -125,6 +135,10 @@
     replica: Replica, sender: Member, request: VoteRequest, now: float
 ) -> None:
     """Grant or refuse a vote."""
+    stranger = replica.configuration.find(sender.name) is None
+    if stranger and not replica.is_new and not request.forming:
+        # It was removed while it was away, and takes itself for a voter.
+        on_join_request(replica, sender, JoinRequest(sender.identity))
     if not request.pre and request.term > replica.hard.term:
         if not _may_vote(replica, sender, request, now):
             _answer(replica, sender, request, granted=False)
--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -12,6 +12,7 @@
 __all__ = [
     "add_learner",
     "admit_waiting",
+    "drop_silent",
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
@@ -19,10 +20,15 @@
 ]
 
 PROMOTION_GAP_ENTRIES: Final = 64
+# A voter that acknowledged nothing for so long is taken as lost; a restart takes
+# about one second, and a successor is to count within four.
+SILENT_VOTER_SECONDS: Final = 2.0
+# A group of two is not made one of one: that would bear no loss at all.
+FEWEST_TO_DROP_FROM: Final = 4
 
 
 def on_join_request(replica: Replica, sender: Member, request: JoinRequest) -> None:
-    """Remember a member with an empty log, and tell the leader of it."""
+    """Remember a member that is in no configuration, and tell the leader of it."""
     member = Member(request.name or sender.name, request.identity)
     if replica.configuration.find(member.name) != member:
         replica.waiting[member.name] = member
@@ -45,6 +51,26 @@
         return
 
 
+def drop_silent(replica: Replica, now: float) -> None:
+    """Remove a silent voter from a group of even size.
+
+    With one voter fewer the group bears the loss of as many others as with it, and
+    of one more if that voter is lost for good. One that comes back asks to join.
+    """
+    voters = replica.configuration.voters
+    even = len(voters) % 2 == 0
+    if replica.role != Role.LEADER or not even or len(voters) < FEWEST_TO_DROP_FROM:
+        return
+    for voter in voters:
+        progress = replica.peers.get(voter.name)
+        if voter == replica.me or progress is None:
+            continue
+        heard_at = max(progress.acked_sent_at, replica.became_leader_at)
+        if now - heard_at > SILENT_VOTER_SECONDS:
+            remove_member(replica, voter.name)
+            return
+
+
 def _change(replica: Replica, configuration: Configuration) -> int | Refusal:
     """Append a configuration unless another one is still uncommitted."""
     if replica.role != Role.LEADER or replica.commit < replica.term_start_index:
@@ -65,7 +91,7 @@
         detail = f"{name} is a member; remove it first"
         return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, name, detail)
     if name not in replica.waiting:
-        detail = f"{name} has not asked to join with an empty data folder"
+        detail = f"{name} has not asked to join"
         return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, detail)
     voters, learners = replica.configuration
     changed = Configuration(voters, (*learners, replica.waiting[name]))
--- a/src/dragonflyrock/consensus/storage.py
+++ b/src/dragonflyrock/consensus/storage.py
@@ -132,6 +132,8 @@
         snapshot = _read_snapshot(folder / _SNAPSHOT_FILE)
         recovered = _read_log(folder / _LOG_FILE, identity, snapshot)
         log = (folder / _LOG_FILE).open("ab")
+        # What a killed process wrote and did not sync counts from here on.
+        os.fsync(log.fileno())
     except OSError as error:
         detail = f"{folder}: {error.strerror or error}"
         raise StorageError(detail, step="open") from error
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -288,6 +288,7 @@
             self._run(leader.tick(now))
             if self._config.directed is not None:
                 membership.admit_waiting(self._control.replica)
+                membership.drop_silent(self._control.replica, now)
 
     def flush(self, now: float) -> None:
         """Persist, send and apply; then tell the entry hosts what changed."""
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -5,9 +5,11 @@
 import pytest
 
 from dragonflyrock.consensus import (
+    Configuration,
     HardState,
     Member,
     Role,
+    SnapshotImage,
     membership,
     receive,
     take_output,
@@ -20,7 +22,7 @@
 )
 from dragonflyrock.errors import Reason, Refusal
 
-from .common import Cluster
+from .common import Cluster, Disk
 
 
 @pytest.mark.parametrize("names", ["a", "abc", "abcde"])
@@ -265,6 +267,7 @@
         leader = cluster.leader()
         if leader is not None:
             membership.admit_waiting(leader)
+            membership.drop_silent(leader, cluster.clocks[leader.me.name])
         cluster.run(0.1)
 
 
@@ -300,3 +303,67 @@
     receive(leader, follower.me, JoinRequest("new", "d"), cluster.now)
     assert leader.waiting["d"] == joiner
     assert take_output(leader).messages == []
+
+
+def replace_voter(cluster: Cluster) -> tuple[str, str]:
+    """Lose a follower for good, have "d" join; return the lost and the other one."""
+    leader = cluster.settle()
+    cluster.propose(b"before")
+    cluster.run(0.5)
+    lost, other = (name for name in "abc" if name != leader.me.name)
+    cluster.stop(lost)
+    cluster.run(1.0)
+    cluster.wipe("d")
+    admit(cluster, 4.0)
+    return lost, other
+
+
+def test_a_group_whose_lost_voter_was_replaced_bears_one_more_loss() -> None:
+    """The lost one stayed a voter: two of four were no quorum, for ever."""
+    for seed in range(5):
+        cluster = Cluster("abc", seed)
+        lost, other = replace_voter(cluster)
+        leader = cluster.settle()
+        assert leader.configuration.has_voter("d")
+        assert not leader.configuration.has_voter(lost)
+        cluster.wipe(other)
+        cluster.run(2.0)
+        assert cluster.settle() is not None
+        admit(cluster, 4.0)
+        cluster.propose(b"after")
+        cluster.run(0.5)
+        assert cluster.commands(other) == [b"before", b"after"]
+
+
+def test_a_dropped_voter_that_returns_with_its_log_is_a_voter_again() -> None:
+    cluster = Cluster("abc", seed=21)
+    lost, _ = replace_voter(cluster)
+    cluster.propose(b"while it was away")
+    cluster.start(lost)
+    admit(cluster, 4.0)
+    leader = cluster.settle()
+    assert leader.configuration.has_voter(lost)
+    assert len(leader.configuration.voters) == 4
+    assert cluster.commands(lost) == [b"before", b"while it was away"]
+
+
+def test_a_learner_that_hears_no_leader_asks_again() -> None:
+    """The entry that named it may have been lost with the leader of that time."""
+    cluster = Cluster("abc", seed=22)
+    leader = cluster.settle()
+    cluster.run(0.5)
+    names = leader.configuration
+    learner = Configuration(names.voters, (Member("d", "d-9"),))
+    cluster.disks["d"] = Disk("d-9", SnapshotImage(1, 1, learner, b""))
+    cluster.start("d")
+    cluster.run(2.0)
+    assert leader.waiting["d"] == Member("d", "d-9")
+
+
+def test_an_odd_group_keeps_its_silent_voter() -> None:
+    cluster = Cluster("abc", seed=23)
+    leader = cluster.settle()
+    lost = next(name for name in "abc" if name != leader.me.name)
+    cluster.stop(lost)
+    admit(cluster, 6.0)
+    assert cluster.settle().configuration.has_voter(lost)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -147,6 +147,7 @@
     synced: list[int] = []
     monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_size))
     storage, _ = open_storage(folder)
+    synced.clear()
     storage.write(Output(entries=make_entries(11, 11)))
     assert synced == [(folder / "log").stat().st_size]
     storage.save_snapshot(SnapshotImage(11, 1), ())
@@ -154,6 +155,18 @@
     assert len(synced) == 1 + 4
 
 
+def test_what_a_killed_process_wrote_is_synced_before_it_counts(
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A power loss after the restart could have undone what was acknowledged."""
+    synced: list[int] = []
+    size = (folder / "log").stat().st_size
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_size))
+    storage, _ = open_storage(folder)
+    storage.close()
+    assert synced == [size]
+
+
 def test_a_full_disk_is_an_error_with_its_step(tmp_path: Path) -> None:
     storage, _ = open_storage(tmp_path)
     storage._log.close()
