Send rows once to each host, and move keys only for more than chance

Each push of new rows also repeated what was under way, and was acknowledged by a renewal and its answer. Change: the leader remembers up to which revision it has sent rows, and sends them again only when a later answer has arrived without them; a host that finds rows missing says so at once; entry nodes acknowledge with the next renewal; a server is relieved when its use exceeds the mean by 1.5 deviations of chance.

--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..systems.leases import extend_given, has_lapsed
 from ..transport.messages import HostRenew, HostUpdate
@@ -23,6 +23,26 @@
 HOST_MEMORY_DEADLINES: Final = 2
 
 
+class SentRows(NamedTuple):
+    """The rows that were sent to a host and that it has not acknowledged yet.
+
+    They went out before or with the answer to the host's renewal of ``renewed_at``,
+    its own clock; ``asked`` tells that they were that answer.
+    """
+
+    revision: int
+    renewed_at: float
+    asked: bool
+
+    def is_lost(self, revision: int, answered_at: float) -> bool:
+        """Return whether a host has taken a later message, but not these rows."""
+        if revision >= self.revision:
+            return False
+        if self.asked:
+            return answered_at >= self.renewed_at
+        return answered_at > self.renewed_at
+
+
 class HostLeases:
     """The leader's side of the entry hosts' leases."""
 
@@ -42,6 +62,7 @@
         self._tables = tables
         self._timing = timing
         self._proposals = proposals
+        self._sent: dict[str, SentRows] = {}
         self._names: tuple[str, ...] = ()
         self._counter = 0
         self._version = 0
@@ -80,6 +101,9 @@
             until = extend_given(until, now, lease, self._timing.drift)
         row = self._make_row(renew, until)
         self._tables.hosts[record.holder] = row
+        sent = self._sent.get(record.holder)
+        if sent is not None and sent.is_lost(renew.revision, renew.answered_at):
+            del self._sent[record.holder]
         return self._update(row, renew.sent_at, lease_ms, applied), effects
 
     @staticmethod
@@ -100,14 +124,23 @@
         """Forget a host that stops with nothing in flight."""
         holder = renew.host.holder
         self._tables.hosts.pop(holder, None)
+        self._sent.pop(holder, None)
         update = self._update(self._make_row(renew, NEVER), renew.sent_at, 0, applied)
         return update, self._proposals.propose(c.ForgetHost(holder))
 
     def _update(
         self, row: HostRow, sent_at: float, lease_ms: int, applied: int
     ) -> HostUpdate:
-        """Return an update with what a host lacks."""
-        delta = self._state.delta_after(row.revision, applied)
+        """Return an update with what a host lacks and was not sent yet."""
+        holder = row.record.holder
+        sent = self._sent.get(holder)
+        base = row.revision
+        if sent is not None and sent.revision > base:
+            base = sent.revision
+        delta = self._state.delta_after(base, applied)
+        if delta.revision > base:
+            asked = bool(sent_at)
+            self._sent[holder] = SentRows(delta.revision, row.sent_at, asked)
         version = self._version
         hosts = None if row.hosts_version == version else self._names
         return HostUpdate(
@@ -137,7 +170,9 @@
         self.list_hosts(now)
         effects: list[Effect] = []
         for host in self.live(now):
-            if host.revision >= self._state.revision:
+            sent = self._sent.get(host.record.holder)
+            revision = max(host.revision, sent.revision if sent is not None else 0)
+            if revision >= self._state.revision:
                 continue
             update = self._update(host, 0.0, 0, applied)
             effects.append(PushUpdate(host.record.name, update))
@@ -150,5 +185,6 @@
         for holder, host in list(self._tables.hosts.items()):
             if has_lapsed(host.lease_until + memory, now):
                 del self._tables.hosts[holder]
+                self._sent.pop(holder, None)
                 effects += self._proposals.propose(c.ForgetHost(holder))
         return effects
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -18,11 +18,16 @@
 
 
 class AgentConfig(NamedTuple):
-    """Who this host is; ``renew`` is the time between renewals in seconds."""
+    """Who this host is; ``renew`` is the time between renewals in seconds.
+
+    With ``prompt`` new rows are acknowledged at once, as a leader needs that waits
+    for them before it goes on.
+    """
 
     host: HostRecord
     voters: tuple[str, ...]
     renew: float
+    prompt: bool = True
 
 
 class RowKeeper(Protocol):
@@ -71,11 +76,13 @@
         self._answered_at = 0.0
 
     def receive(self, update: HostUpdate, now: float) -> None:
-        """Apply an update, and acknowledge new rows at once."""
+        """Apply an update; acknowledge new rows, or tell of missing ones, at once."""
         self._leader = update.leader
         self._leaders[update.leader] = None
         self._heard_at = now
-        if self._gate.apply(update):
+        delta = update.delta
+        missing = not delta.full and delta.base > self._gate.tables.revision
+        if (self._gate.apply(update) and self._config.prompt) or missing:
             self._urgent = True
         self._without_lease = bool(update.sent_at) and not update.lease_ms
         self._answered_at = max(self._answered_at, update.sent_at)
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -68,6 +68,7 @@
                 record,
                 settings.seed_names,
                 settings.timeouts.host_renew_ms / 1000,
+                prompt=False,
             ),
             self.state,
             self._loop.send,
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Sequence
+from math import sqrt
 from typing import Final, NamedTuple
 
 from ..hashing import KEY_SPACE
@@ -19,8 +20,11 @@
     "spread_part",
 ]
 
-# A server is relieved when it is used more than the mean by this share of itself.
+# A server is relieved when it is used more than the mean by this share of itself,
+# and by so many times what chance alone makes of its requests in a few seconds.
 HOT_EXCESS: Final = 0.08
+CHANCE_DEVIATIONS: Final = 1.5
+RATE_SECONDS: Final = 3.0
 # Use of a server below which nothing is worth a move.
 BUSY_SHARE: Final = 0.35
 MAX_PIECES_PER_ROUND: Final = 24
@@ -219,8 +223,13 @@
     while len(pieces) < MAX_PIECES_PER_ROUND and len(stuck) < len(use):
         hot = max((name for name in use if name not in stuck), key=use.__getitem__)
         cold = min(use, key=use.__getitem__)
+        spread = sqrt(use[hot] / capacity[hot] / RATE_SECONDS)
+        excess = max(HOT_EXCESS, CHANCE_DEVIATIONS * spread)
         if use[hot] < mean + HOT_EXCESS or use[hot] < BUSY_SHARE:
             break
+        if use[hot] < mean + excess:
+            stuck.add(hot)
+            continue
         excess = (use[hot] - mean) * capacity[hot]
         room = (mean - use[cold]) * capacity[cold]
         piece = _find_some_piece(current, hot, min(excess, room), loads, step)
