Join ranges beside moves, and have only senders ask whether a link lives

Both ends of each link asked the other every 0.5 s. Change: a span is joined when no part of it moves; the sending side of a link asks each second and waits one (silence is still found within 2 s).

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -299,10 +299,12 @@
 
     def _is_part_moving(self, hold: HeldRange) -> bool:
         """Return whether a part of a hold is on its way."""
+        return self._is_span_moving(hold.service, hold.low, hold.high)
+
+    def _is_span_moving(self, service: str, low: int, high: int) -> bool:
+        """Return whether a part of a span of keys is on its way."""
         return any(
-            move.service == hold.service
-            and move.low <= hold.high
-            and hold.low <= move.high
+            move.service == service and move.low <= high and low <= move.high
             for move in self._moves
         )
 
@@ -418,10 +420,7 @@
             inside = hold.low <= low and high <= hold.high
             if hold.service != service or not inside:
                 continue
-            if any(
-                move.service == service and move.low <= high and low <= move.high
-                for move in self._moves
-            ):
+            if self._is_span_moving(service, low, high):
                 return
             self._begin(
                 service, low, high, hold.epoch, hold.owner.name, target, "hot", now
@@ -523,7 +522,7 @@
 
     def _join(self, now: float) -> list[c.Command]:
         """Join neighbouring ranges of one owner, so that fewer are renewed."""
-        if now < self._join_at or self._moves:
+        if now < self._join_at:
             return []
         self._join_at = now + JOIN_SECONDS
         commands: list[c.Command] = []
@@ -533,7 +532,9 @@
             for end in range(1, len(rows) + 1):
                 if end < len(rows) and rows[end].owner == rows[start].owner:
                     continue
-                if end - start > 1 and rows[start].owner:
+                span = service, rows[start].low, rows[end - 1].high
+                still = not self._is_span_moving(*span)
+                if end - start > 1 and rows[start].owner and still:
                     commands.append(
                         c.JoinRanges(service, rows[start].low, rows[end - 1].high)
                     )
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -19,8 +19,9 @@
 
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 SEND_QUEUE_MESSAGES: Final = 10_000
-HEARTBEAT_MS: Final = 500
-HEARTBEAT_TIMEOUT_MS: Final = 1500
+# A connection that went silent is dropped within the sum of the two.
+HEARTBEAT_MS: Final = 1000
+HEARTBEAT_TIMEOUT_MS: Final = 1000
 RECONNECT_MS: Final = 50
 RECONNECT_MAX_MS: Final = 500
 CONNECT_TIMEOUT_MS: Final = 1000
@@ -91,8 +92,6 @@
     def _configure(socket: zmq.Socket[bytes]) -> None:
         """Set the options that all sockets share."""
         socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
@@ -110,6 +109,9 @@
             old.close()
         socket = self._context.socket(zmq.PUSH)
         self._configure(socket)
+        # Only the side that sends must find out; the other one answers.
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         if self._keys is not None:
--- a/tests/control/directed_world.py
+++ b/tests/control/directed_world.py
@@ -309,6 +309,15 @@
                 missing.append(key)
         return missing
 
+    def unserved_for(self, seconds: float) -> list[int]:
+        """Return the keys that are unserved all the while; one may be moving."""
+        missing = set(self.unserved())
+        until = self.now + seconds
+        while self.now < until and missing:
+            self.run(TICK)
+            missing &= set(self.unserved())
+        return sorted(missing)
+
 
 def _keys(low: int, high: int) -> range:
     """Return the keys of a range."""
