Pack large updates once for all hosts, and pace a leader's orders

Each of 80 hosts then lacked some 400 kB, which the leader collected and encoded anew for each; it stalled for 0.6 to 1 s after each election, longer than the election time, so that terms 2 to 25 followed each other until second 35, and each new leader sent the same again. Change: what most hosts lack is collected once for each applied entry; an update of 24 rows or more goes as a PackedUpdate, encoded and compressed once for all hosts that lack the same; orders are taken at 500 a second, since a new leader owes one for each range. Links unpack; one that does not unpack is dropped and counted as any other frame. Tests: tests/transport/test_packing.py, and the pacing on the paused clock, which failed before. Not covered: a host of older code cannot read a PackedUpdate.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -47,6 +47,10 @@
 FAILED_ORDERS: Final = 2
 # Parts on their way at once; each costs a release, a commit and a grant.
 MAX_MOVES: Final = 64
+# An order costs a leader about half a millisecond. A new leader owes one for each
+# range; all at once they would keep it from its heartbeats, and end its lead.
+ORDERS_PER_SECOND: Final = 500.0
+ORDER_BURST: Final = 25.0
 
 Report = Callable[..., None]
 
@@ -72,6 +76,8 @@
         self._holds: dict[tuple[str, int], HeldRange] = {}
         self._moves: list[RangeMove] = []
         self._orders: list[Order] = []
+        self._order_credit = ORDER_BURST
+        self._ordered_at = now
         self._told_at: dict[str, float] = {}
         self._granting: list[GrantOrder] = []
         self._handovers: dict[tuple[str, int], str] = {}
@@ -182,8 +188,17 @@
         commands += self._advance(now)
         commands += self._join(now)
         self._renew(now)
-        orders, self._orders = self._orders, []
-        return commands, orders
+        return commands, self._take_orders(now)
+
+    def _take_orders(self, now: float) -> list[Order]:
+        """Return the oldest orders, as many as may be sent now."""
+        gained = (now - self._ordered_at) * ORDERS_PER_SECOND
+        self._ordered_at = now
+        self._order_credit = min(ORDER_BURST, self._order_credit + gained)
+        count = min(int(self._order_credit), len(self._orders))
+        self._order_credit -= count
+        orders, self._orders = self._orders[:count], self._orders[count:]
+        return orders
 
     def settle(self, command: c.Command) -> None:
         """Note that a proposed command is over, whether or not it was applied."""
--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -4,6 +4,7 @@
 
 from typing import Final, NamedTuple
 
+from ..models import Delta
 from ..systems.leases import extend_given, has_lapsed
 from ..transport.messages import HostRenew, HostUpdate
 from . import commands as c
@@ -63,6 +64,8 @@
         self._timing = timing
         self._proposals = proposals
         self._sent: dict[str, SentRows] = {}
+        self._deltas: dict[int, Delta] = {}
+        self._deltas_at = 0
         self._names: tuple[str, ...] = ()
         self._counter = 0
         self._version = 0
@@ -137,7 +140,7 @@
         base = row.revision
         if sent is not None and sent.revision > base:
             base = sent.revision
-        delta = self._state.delta_after(base, applied)
+        delta = self._find_delta(base, applied)
         if delta.revision > base:
             asked = bool(sent_at)
             self._sent[holder] = SentRows(delta.revision, row.sent_at, asked)
@@ -147,6 +150,16 @@
             self._term, self._name, sent_at, lease_ms, delta, version, hosts
         )
 
+    def _find_delta(self, base: int, applied: int) -> Delta:
+        """Return what changed after a revision; most hosts lack the same."""
+        if self._deltas_at != applied:
+            self._deltas.clear()
+            self._deltas_at = applied
+        delta = self._deltas.get(base)
+        if delta is None:
+            delta = self._deltas[base] = self._state.delta_after(base, applied)
+        return delta
+
     def list_hosts(self, now: float) -> None:
         """Give the list of live hosts a new version if it changed."""
         live = {host.record.name for host in self.live(now)}
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -20,8 +20,10 @@
     CallRequest,
     ConsensusMessage,
     HostRenew,
+    HostUpdate,
     LinkMessage,
 )
+from ..transport.packing import UpdatePacker
 from . import calls
 from . import commands as c
 from .const import CONTROL_GROUP
@@ -103,6 +105,7 @@
         self._leader: ControlLeader | None = None
         self._pushed_revision = 0
         self._send_order = send_order
+        self._packer = UpdatePacker()
         self._pusher = self._make_pusher(post)
 
     def _make_pusher(self, post: Post) -> Pusher:
@@ -143,9 +146,14 @@
                 self._send(known, renew)
             return
         update, effects = leader.renew_host(renew, self._control.applied, now)
-        self._send(renew.host.name, update)
+        self._send_update(renew.host.name, update)
         self._run(effects)
 
+    def _send_update(self, host: str, update: HostUpdate) -> None:
+        """Send a host rows, packed unless they stay in this process."""
+        inside = host == self._config.name
+        self._send(host, update if inside else self._packer.pack(update))
+
     def receive_call(self, sender: str, request: CallRequest, now: float) -> None:
         """Answer a call, or tell who leads the group."""
         group = self._groups.get(request.group)
@@ -351,7 +359,7 @@
                 case ProposeCommand(command):
                     self._propose_own(command)
                 case PushUpdate(host, update):
-                    self._send(host, update)
+                    self._send_update(host, update)
                 case PushGrants(server, grants):
                     self._pusher.push(server, grants)
                 case SendOrder(order) if self._send_order is not None:
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -11,7 +11,8 @@
 from ..codec import CodecError
 from ..observe import HybridClock
 from ..observe.metrics import Metrics
-from .messages import MESSAGES, Envelope, LinkMessage
+from .messages import MESSAGES, Envelope, LinkMessage, PackedUpdate
+from .packing import unpack_update
 
 __all__ = ["CurveKeys", "Links", "Received"]
 
@@ -156,6 +157,8 @@
                 raise CodecError("not an envelope")
             sender = envelope.sender
             message = MESSAGES.decode(envelope.body)
+            if isinstance(message, PackedUpdate):
+                message = unpack_update(message)
         except CodecError as error:
             self._metrics.dropped_frames.inc()
             _LOGGER.warning("step=receive peer=%s: frame dropped: %s", sender, error)
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -19,6 +19,7 @@
     "HostRenew",
     "HostUpdate",
     "LinkMessage",
+    "PackedUpdate",
     "RangeLoad",
     "RateDemand",
     "RateGrant",
@@ -100,6 +101,18 @@
     hosts: tuple[str, ...] | None
 
 
+class PackedUpdate(NamedTuple):
+    """A ``HostUpdate`` whose delta is encoded and compressed; see ``packing``."""
+
+    term: int
+    leader: str
+    sent_at: float
+    lease_ms: int
+    delta: bytes
+    hosts_version: int
+    hosts: tuple[str, ...] | None
+
+
 class CallRequest(NamedTuple):
     """A call to the leader of a group; the answer carries the same id."""
 
@@ -159,6 +172,7 @@
     ConsensusMessage
     | HostRenew
     | HostUpdate
+    | PackedUpdate
     | CallRequest
     | CallAnswer
     | RateDemand
@@ -172,6 +186,7 @@
         ConsensusMessage,
         HostRenew,
         HostUpdate,
+        PackedUpdate,
         CallRequest,
         CallAnswer,
         RateDemand,
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from dragonflyrock.control import commands as c
+from dragonflyrock.control import directed
 from dragonflyrock.control.directed_models import GrantOrder, OrderOutcome, OrderResult
 
 from .directed_world import KEYS, SERVICE, STEP, TIMING, World
@@ -225,3 +226,18 @@
     later = world.now + TIMING.renew + TIMING.retry + 0.01
     _, again = world.leader.tick(later)
     assert order in again
+
+
+def test_a_new_leader_does_not_send_all_orders_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hundreds at once stalled it past the election time, and the next one too."""
+    world = start(7)
+    monkeypatch.setattr(directed, "ORDERS_PER_SECOND", 100.0)
+    monkeypatch.setattr(directed, "ORDER_BURST", 4.0)
+    world.change_leader()
+    _, first = world.leader.tick(world.now)
+    assert len(first) <= 4
+    world.run(SETTLED_SECONDS)
+    assert world.problems == []
+    assert world.unserved_for(HANDOVER_SECONDS) == []
--- /dev/null
+++ b/tests/transport/test_packing.py
@@ -0,0 +1,51 @@
+"""Large updates: packed once for all hosts, whole when they arrive."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.codec import CodecError
+from dragonflyrock.models import Delta, RangeRow, RangeState
+from dragonflyrock.transport.messages import MESSAGES, HostUpdate, PackedUpdate
+from dragonflyrock.transport.packing import UpdatePacker, unpack_update
+
+
+def make_update(rows: int, sent_at: float = 1.0) -> HostUpdate:
+    """Return an update with some ranges."""
+    ranges = tuple(
+        RangeRow("s", n, n, f"server-{n % 7}@0", n, RangeState.ACTIVE, "", n)
+        for n in range(rows)
+    )
+    return HostUpdate(1, "l", sent_at, 10, Delta(0, 9, True, ranges), 3, ("a",))
+
+
+def test_a_packed_update_is_whole_and_much_shorter() -> None:
+    update = make_update(2_000)
+    packed = UpdatePacker().pack(update)
+    assert isinstance(packed, PackedUpdate)
+    sent = MESSAGES.encode(packed)
+    assert len(sent) < len(MESSAGES.encode(update)) / 3
+    assert unpack_update(MESSAGES.decode(sent)) == update
+
+
+def test_hosts_that_lack_the_same_get_the_same_bytes() -> None:
+    packer = UpdatePacker()
+    first = packer.pack(make_update(50))
+    second = packer.pack(make_update(50, sent_at=2.0))
+    assert isinstance(first, PackedUpdate)
+    assert isinstance(second, PackedUpdate)
+    assert first.delta is second.delta
+    assert second.sent_at == 2.0
+
+
+def test_a_small_update_is_sent_as_it_is() -> None:
+    update = make_update(3)
+    assert UpdatePacker().pack(update) is update
+
+
+def test_a_damaged_one_is_told() -> None:
+    packed = UpdatePacker().pack(make_update(50))
+    assert isinstance(packed, PackedUpdate)
+    for delta in (packed.delta[:-8], b"x" + packed.delta):
+        with pytest.raises(CodecError):
+            unpack_update(packed._replace(delta=delta))
