--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -233,11 +233,13 @@
 ) -> None:
     """Hundreds at once stalled it past the election time, and the next one too."""
     world = start(7)
-    monkeypatch.setattr(directed, "ORDERS_PER_SECOND", 100.0)
-    monkeypatch.setattr(directed, "ORDER_BURST", 4.0)
+    monkeypatch.setattr(directed, "ORDERS_PER_SECOND", 20.0)
+    monkeypatch.setattr(directed, "ORDER_BURST", 2.0)
     world.change_leader()
     _, first = world.leader.tick(world.now)
-    assert len(first) <= 4
+    assert len(first) == 2
+    # These orders are not carried out, so another leader goes on.
+    world.change_leader()
     world.run(SETTLED_SECONDS)
     assert world.problems == []
     assert world.unserved_for(HANDOVER_SECONDS) == []
