Tell a request that the host cut from one whose client left

The handler is now cancelled with its reason, and "stopped" counts requests taken since the signal on connections from before it (kept) and after it (new), and those cut. No change of behaviour.

--- a/src/dragonflyrock/http/__init__.py
+++ b/src/dragonflyrock/http/__init__.py
@@ -13,9 +13,10 @@
     find_header,
     make_response,
 )
-from .server import HttpServer
+from .server import CUT_BY_HOST, HttpServer, StopCounts
 
 __all__ = [
+    "CUT_BY_HOST",
     "Connections",
     "ExchangeFault",
     "FaultKind",
@@ -24,6 +25,7 @@
     "Request",
     "Response",
     "ServerConnection",
+    "StopCounts",
     "WireLimits",
     "find_header",
     "make_response",
--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -7,13 +7,13 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 import httptools
 
 from .models import Headers, Request, Response, WireLimits, encode_head, make_response
 
-__all__ = ["Handler", "HttpServer"]
+__all__ = ["CUT_BY_HOST", "Handler", "HttpServer", "StopCounts"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -22,10 +22,20 @@
 SWEEP_SECONDS: Final = 0.5
 # A client may stay idle for the whole time told; the margin covers its own clock.
 IDLE_MARGIN_SECONDS: Final = 1.0
+# The message with which a handler is cancelled where its client has not left.
+CUT_BY_HOST: Final = "cut: the host ended"
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class StopCounts(NamedTuple):
+    """Requests taken while draining, by their connection, and requests cut."""
+
+    kept: int = 0
+    new: int = 0
+    cut: int = 0
+
+
 class HttpServer:
     """Listen at one address; each request is handed to ``handler`` when whole.
 
@@ -38,6 +48,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.counts = StopCounts()
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -67,7 +78,21 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
         for connection in list(self.connections):
-            connection.close()
+            connection.cut()
+
+    def count_taken(self, opened_draining: bool) -> None:
+        """Count a request that was taken while draining."""
+        if not self.draining:
+            return
+        counts = self.counts
+        if opened_draining:
+            self.counts = counts._replace(new=counts.new + 1)
+        else:
+            self.counts = counts._replace(kept=counts.kept + 1)
+
+    def count_cut(self) -> None:
+        """Count a request whose connection this server closes."""
+        self.counts = self.counts._replace(cut=self.counts.cut + 1)
 
     def _sweep(self) -> None:
         """Close connections that were idle, or sent a request, for too long."""
@@ -93,6 +118,7 @@
         self._partial = False
         self._refused = 0
         self._ending = False
+        self._opened_draining = server.draining
         self._reset_message()
 
     @property
@@ -231,6 +257,7 @@
         if self._task is not None or self._ending or not self._waiting:
             return
         request, keep = self._waiting.popleft()
+        self._server.count_taken(self._opened_draining)
         self._task = self._loop.create_task(self._serve(request, keep))
 
     async def _serve(self, request: Request, keep: bool) -> None:
@@ -296,6 +323,13 @@
         elif now - self._since > limits.idle_timeout + IDLE_MARGIN_SECONDS:
             self.close()
 
+    def cut(self) -> None:
+        """Close the connection, and give up the request under way."""
+        if self._task is not None:
+            self._server.count_cut()
+            self._task.cancel(CUT_BY_HOST)
+        self.close()
+
     def close(self) -> None:
         """Close the connection after what was written."""
         self._ending = True
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -94,7 +94,8 @@
         await self._loop.wait_for_end(self._stopping)
         if not failure.done():
             await self._finish()
-        self._loop.lines.add("stopped")
+        counts = self._callers.counts
+        self._loop.lines.add("stopped", **counts._asdict())
         self._loop.close()
         if failure.done():
             failure.result()
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -9,6 +9,7 @@
 
 from ..entry.request import make_fingerprint
 from ..http import (
+    CUT_BY_HOST,
     Connections,
     ExchangeFault,
     FaultKind,
@@ -115,8 +116,9 @@
         passage = self._open(request, request_id, route, now)
         try:
             response = await self._run(passage)
-        except asyncio.CancelledError:
-            self._tell(passage, 0, "client left")
+        except asyncio.CancelledError as error:
+            reason = CUT_BY_HOST if CUT_BY_HOST in error.args else "client left"
+            self._tell(passage, 0, reason)
             raise
         self._tell(passage, response.status, passage.detail)
         return response
