Stop taking requests before the end of the grace time, and answer what was taken

Cause: a stopping host had one limit, its end (0.6 s before the grace time is over). It read requests until then, whatever their deadlines, and then closed every connection. It was to end earlier once nobody called, but the balancer sends connections to hosts that are not ready while fewer than half of a zone are, so that never came true. Class: work is accepted without regard to the time that is left to finish it.

Now: for 2.6 s after the signal requests are taken as before. Then the host accepts no connection, closes idle ones, and answers what is under way; a request that crosses this is taken only if its deadline is before the host's end, and refused as not run otherwise. A request that outlasts the grace time all the same gets a 502 or 504 in place of a closed connection.

--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -22,6 +22,8 @@
 SWEEP_SECONDS: Final = 0.5
 # A client may stay idle for the whole time told; the margin covers its own clock.
 IDLE_MARGIN_SECONDS: Final = 1.0
+# The first request of a new connection arrives within this time.
+FIRST_REQUEST_SECONDS: Final = 0.3
 # The message with which a handler is cancelled where its client has not left.
 CUT_BY_HOST: Final = "cut: the host ended"
 
@@ -71,10 +73,25 @@
         """Return how many connections have a request under way."""
         return sum(connection.is_busy for connection in self.connections)
 
-    def close(self) -> None:
-        """Stop listening, and close every connection."""
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
         if self._server is not None:
             self._server.close()
+
+    def close_idle(self) -> int:
+        """Close connections that wait for no answer; return how many others remain.
+
+        A connection that was opened just now counts as one whose request is under way.
+        """
+        now = asyncio.get_running_loop().time()
+        for connection in list(self.connections):
+            if connection.is_idle(now):
+                connection.close()
+        return sum(not connection.is_ending for connection in self.connections)
+
+    def close(self) -> None:
+        """Stop listening, and close every connection."""
+        self.stop_listening()
         if self._sweeper is not None:
             self._sweeper.cancel()
         for connection in list(self.connections):
@@ -119,6 +136,7 @@
         self._refused = 0
         self._ending = False
         self._opened_draining = server.draining
+        self._asked = False
         self._reset_message()
 
     @property
@@ -126,6 +144,17 @@
         """Return whether a request is under way."""
         return self._task is not None
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether the connection was closed, and nothing is under way."""
+        return self._ending and not self.is_busy
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the client waits for no answer, and is not about to."""
+        if self.is_busy or self._partial or self._ending:
+            return False
+        return self._asked or now - self._since > FIRST_REQUEST_SECONDS
+
     def _reset_message(self) -> None:
         """Forget the request that was being read."""
         self._target = b""
@@ -190,6 +219,7 @@
         """Begin a request."""
         self._reset_message()
         self._partial = True
+        self._asked = True
         self._since = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -272,7 +302,7 @@
             _LOGGER.exception("step=answer: internal error")
             response = make_response(500)
         self._task = None
-        keep = keep and not self._server.draining
+        keep = keep and not self._server.draining and not self._ending
         self._write(response, request.method, keep)
         if not keep:
             self.close()
@@ -324,11 +354,13 @@
             self.close()
 
     def cut(self) -> None:
-        """Close the connection, and give up the request under way."""
-        if self._task is not None:
-            self._server.count_cut()
-            self._task.cancel(CUT_BY_HOST)
-        self.close()
+        """Close the connection, after a last answer to the request under way."""
+        if self._task is None:
+            self.close()
+            return
+        self._ending = True
+        self._server.count_cut()
+        self._task.cancel(CUT_BY_HOST)
 
     def close(self) -> None:
         """Close the connection after what was written."""
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -13,7 +13,7 @@
 from ..entry.agent import AgentConfig, EntryAgent
 from ..http import Connections, HttpServer, Request, Response, WireLimits, make_response
 from ..models import HostRecord
-from ..router import Dialect, Router, RouterConfig, RouterState
+from ..router import Dialect, Router, RouterConfig, RouterState, plan_drain
 from ..transport.calls import CallTable
 from ..transport.links import Received
 from ..transport.messages import CallAnswer, HostUpdate
@@ -25,9 +25,7 @@
 
 TICK_SECONDS: Final = 0.1
 SWEEP_SECONDS: Final = 1.0
-# After a stop signal the balancer needs two missed checks to send no more here.
-LAST_ARRIVAL_SECONDS: Final = 2.6
-STOP_MARGIN_SECONDS: Final = 0.6
+DRAIN_POLL_SECONDS: Final = 0.05
 REPORT_SECONDS: Final = 2.0
 
 
@@ -109,22 +107,22 @@
         self._loop.reload(problem)
 
     async def _finish(self) -> None:
-        """Take requests while the balancer still sends some, then end."""
+        """Take requests while the balancer still sends some, answer them, and end."""
+        clock = self._loop.clock
         self._loop.lines.add("stopping", busy=self._callers.busy)
         self._callers.draining = True
-        clock = self._loop.clock
-        began = clock()
         grace = self._settings.bounds.stop_grace_ms / 1000
-        until = began + grace - STOP_MARGIN_SECONDS
-        while clock() < until:
-            await asyncio.sleep(0.05)
-            if clock() - began > LAST_ARRIVAL_SECONDS and not self._callers.busy:
-                break
+        self._router.drain = drain = plan_drain(clock(), grace)
+        while clock() < drain.last_arrival:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._callers.stop_listening()
+        while self._callers.close_idle() and clock() < drain.end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         self._agent.renew(clock(), leaving=True)
         for server in (self._callers, self._ready):
             server.close()
         self._connections.close()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def _answer_ready(self, request: Request) -> Response:
         """Tell the balancer whether to send callers here."""
--- a/src/dragonflyrock/router/__init__.py
+++ b/src/dragonflyrock/router/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from .dialect import Dialect
+from .drain import Drain, plan_drain
 from .exchange import Router, RouterConfig
 from .state import RouterState
 
-__all__ = ["Dialect", "Router", "RouterConfig", "RouterState"]
+__all__ = [
+    "Dialect",
+    "Drain",
+    "Router",
+    "RouterConfig",
+    "RouterState",
+    "plan_drain",
+]
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -25,6 +25,7 @@
 from .admission import find_limit
 from .choice import choose_server, rank_home
 from .dialect import Dialect
+from .drain import Drain
 from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
 from .models import CrashReports, Passage, Refused
 from .servers import (
@@ -72,7 +73,10 @@
 
 
 class Router:
-    """Answer callers' requests by the rows and statistics of this host."""
+    """Answer callers' requests by the rows and statistics of this host.
+
+    ``drain`` is set where the host was told to stop.
+    """
 
     def __init__(
         self,
@@ -94,6 +98,7 @@
         self._clock = clock
         self._random = random
         self._crashes = crashes
+        self.drain: Drain | None = None
         self._splits = SplitCounter()
         self._split_start = rank_home(config.host, "split")
         self._longest: dict[str, float] = {}
@@ -104,7 +109,7 @@
         now = self._clock()
         dialect = self._config.dialect
         request_id = find_header(request.headers, dialect.request_id) or b""
-        if not self._state.tables.document_version:
+        if not self._state.tables.document_version and self.drain is None:
             await self._wait_for_document(request, now)
         if not self._state.tables.document_version:
             return self._reject_unrouted(request_id, 503, "no route document yet")
@@ -114,12 +119,17 @@
         if route is None:
             return self._reject_unrouted(request_id, 404, f"no route: {host}{target}")
         passage = self._open(request, request_id, route, now)
+        if self.drain is not None and not self.drain.takes(now, passage.deadline):
+            response = self._refuse(passage, Refused("the host is stopping", 0.0))
+            self._tell(passage, response.status, passage.detail)
+            return response
         try:
             response = await self._run(passage)
         except asyncio.CancelledError as error:
-            reason = CUT_BY_HOST if CUT_BY_HOST in error.args else "client left"
-            self._tell(passage, 0, reason)
-            raise
+            if CUT_BY_HOST not in error.args:
+                self._tell(passage, 0, "client left")
+                raise
+            response = self._cut(passage)
         self._tell(passage, response.status, passage.detail)
         return response
 
@@ -494,6 +504,13 @@
         headers = ((b"Retry-After", b"%.3f" % wait),)
         return self._own(503, why.detail, passage.request_id, headers)
 
+    def _cut(self, passage: Passage) -> Response:
+        """Answer a request that is still under way when the host ends."""
+        passage.detail = CUT_BY_HOST
+        if passage.sends > passage.bounces:
+            passage.may_have_run = True
+        return self._give_up(passage)
+
     def _give_up(self, passage: Passage) -> Response:
         """Answer a request that is out of time or cannot be sent again."""
         if not passage.may_have_run:
--- a/tests/node/test_entry_stop.py
+++ b/tests/node/test_entry_stop.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from dragonflyrock.router.drain import LAST_ARRIVAL_SECONDS
+
 from .entry_scene import EntryScene, play_entry
 
 # The answers of a host that gives a request back: not run, come again.
@@ -41,3 +43,69 @@
         assert stage.cancelled == 0
 
     play_entry(monkeypatch, scene)
+
+
+# Guards against a kept connection that stays open and unused until the host ends: its
+# next request would arrive when it can no longer be answered.
+def test_an_idle_kept_connection_is_served_first_and_closed_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(stage: EntryScene) -> None:
+        used, unused = await stage.open(), await stage.open()
+        assert (await used.ask(1500)).startswith(WHOLE)
+        assert (await unused.ask(1500)).startswith(WHOLE)
+        stage.node.stop()
+        await asyncio.sleep(1.0)
+        answer = await used.ask(1500)
+        assert answer.startswith(WHOLE)
+        assert b"Connection: close" in answer
+        began = stage.clock.now
+        assert await unused.read_end() == b""
+        assert stage.clock.now - began < LAST_ARRIVAL_SECONDS
+        used.close()
+        unused.close()
+
+    play_entry(monkeypatch, scene)
+
+
+# Guards against a request that crosses the end of the last arrivals: one that may last
+# longer than the host is refused as not run, and never sent.
+def test_a_request_that_may_outlast_the_host_is_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.work_seconds = 2.0
+        first = await stage.open()
+        stage.node.stop()
+        await asyncio.sleep(LAST_ARRIVAL_SECONDS - 0.2)
+        under_way = asyncio.create_task(first.ask(2500))
+        late, fits = await stage.open(), await stage.open()
+        await asyncio.sleep(0.22)
+        stage.work_seconds = 0.1
+        refused = await late.ask(4000)
+        assert refused.startswith(NOT_RUN)
+        assert b"Retry-After" in refused
+        assert (await fits.ask(1000)).startswith(WHOLE)
+        assert (await under_way).startswith(WHOLE)
+        assert len(stage.started) == 2
+
+    play_entry(monkeypatch, scene)
+
+
+# Guards against work that is cut at the end without a word to its caller, and against
+# telling it as not run: the server had begun it.
+def test_a_request_that_outlasts_the_grace_time_is_answered_as_not_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.work_seconds = 30.0
+        caller = await stage.open()
+        stage.node.stop()
+        await asyncio.sleep(2.0)
+        answer = await caller.ask(20_000)
+        assert answer.startswith(b"HTTP/1.1 50")
+        assert not answer.startswith(NOT_RUN)
+        await asyncio.sleep(0.1)
+        assert stage.cancelled == 1
+
+    play_entry(monkeypatch, scene)
