Answer the calls under way before a control node ends

Operators and backend servers saw a closed connection when a control node stopped within 0.3 s of their call, and could not tell whether a change was in force or an announcement heard. It now stops listening, answers what is under way (a call lasts 0.9 s at most), and ends.

HttpServer.finish is the one end of both kinds of node: accept nothing, answer, close, and wait until the last answers have left the process.

--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -22,6 +22,9 @@
 SWEEP_SECONDS: Final = 0.5
 # A client may stay idle for the whole time told; the margin covers its own clock.
 IDLE_MARGIN_SECONDS: Final = 1.0
+FINISH_POLL_SECONDS: Final = 0.02
+# What is written last needs this long to leave the process.
+FLUSH_SECONDS: Final = 0.2
 # The first request of a new connection arrives within this time.
 FIRST_REQUEST_SECONDS: Final = 0.3
 # The message with which a handler is cancelled where its client has not left.
@@ -89,6 +92,18 @@
                 connection.close()
         return sum(not connection.is_ending for connection in self.connections)
 
+    async def finish(self, end: float) -> None:
+        """Answer what is under way, until ``end`` on the loop's clock, and close."""
+        loop = asyncio.get_running_loop()
+        self.draining = True
+        self.stop_listening()
+        while self.close_idle() and loop.time() < end:
+            await asyncio.sleep(FINISH_POLL_SECONDS)
+        self.close()
+        flushed_until = loop.time() + FLUSH_SECONDS
+        while self.connections and loop.time() < flushed_until:
+            await asyncio.sleep(FINISH_POLL_SECONDS)
+
     def close(self) -> None:
         """Stop listening, and close every connection."""
         self.stop_listening()
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -40,6 +40,8 @@
 TICK_SECONDS: Final = 0.05
 # A caller waits one second; it is told before that that nothing is known.
 CALL_SECONDS: Final = 0.9
+# Calls end by their own time-out, which is looked at once a tick.
+LAST_CALL_SECONDS: Final = CALL_SECONDS + 4 * TICK_SECONDS
 # A follower that heard no heartbeat for this long may be cut off.
 LEADER_HEARD_SECONDS: Final = 0.6
 TELL_HEARD_SECONDS: Final = 1.0
@@ -133,13 +135,15 @@
         self._loop.reload(problem)
 
     async def _finish(self) -> None:
-        """Hand the leadership over, and close."""
-        self._loop.lines.add("stopping")
+        """Hand the leadership over, answer the calls under way, and close."""
+        server = self._server
+        assert server is not None
+        self._loop.lines.add("stopping", busy=server.busy)
         self._member.hand_over(self._loop.clock())
         self._loop.wake()
-        await asyncio.sleep(HAND_OVER_SECONDS)
-        if self._server is not None:
-            self._server.close()
+        handed_over = asyncio.create_task(asyncio.sleep(HAND_OVER_SECONDS))
+        await server.finish(self._loop.clock() + LAST_CALL_SECONDS)
+        await handed_over
         self._member.close()
 
     # Calls from the control address
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -115,12 +115,9 @@
         self._router.drain = drain = plan_drain(clock(), grace)
         while clock() < drain.last_arrival:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        self._callers.stop_listening()
-        while self._callers.close_idle() and clock() < drain.end:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._callers.finish(drain.end)
         self._agent.renew(clock(), leaving=True)
-        for server in (self._callers, self._ready):
-            server.close()
+        self._ready.close()
         self._connections.close()
         await asyncio.sleep(DRAIN_POLL_SECONDS)
 
