Give the nodes their clock as an argument, and their tests a loop on it

The tests of a stop patched time.monotonic; the house style has the clock as an argument. No change of behaviour; tests/node passes.

--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
@@ -26,7 +27,7 @@
     HostRenew,
     ServersHeard,
 )
-from .loop import NodeLoop
+from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import (
     NodeSettings,
@@ -57,10 +58,15 @@
     ``send_order`` carries an order to a backend server within some seconds.
     """
 
-    def __init__(self, settings: NodeSettings, send_order: OrderSender) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        send_order: OrderSender,
+        clock: Clock = time.monotonic,
+    ) -> None:
         """Open the data folder and bind the link."""
         self._settings = settings
-        self._loop = NodeLoop(settings, TICK_SECONDS)
+        self._loop = NodeLoop(settings, TICK_SECONDS, clock)
         self._send_order = send_order
         self._timing = make_directed_timing(settings)
         self._orders: set[asyncio.Task[None]] = set()
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -17,7 +17,7 @@
 from ..transport.calls import CallTable
 from ..transport.links import Received
 from ..transport.messages import CallAnswer, HostUpdate
-from .loop import NodeLoop
+from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings, make_budget_policy
 
@@ -32,11 +32,15 @@
 class EntryNode:
     """Everything of one entry node."""
 
-    def __init__(self, settings: NodeSettings, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        dialect: Dialect,
+        clock: Clock = time.monotonic,
+    ) -> None:
         """Prepare to serve with the header names of ``dialect``."""
         self._settings = settings
-        self._loop = NodeLoop(settings, TICK_SECONDS)
-        clock = self._loop.clock
+        self._loop = NodeLoop(settings, TICK_SECONDS, clock)
         self.state = RouterState(make_budget_policy(settings), clock)
         self._connections = Connections()
         name = settings.node.name
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Final
@@ -16,7 +15,7 @@
 from ..transport.messages import LinkMessage
 from .settings import NodeSettings
 
-__all__ = ["NodeLoop"]
+__all__ = ["Clock", "NodeLoop"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -26,17 +25,20 @@
 
 Handle = Callable[[Received, float], None]
 Tick = Callable[[float], None]
+Clock = Callable[[], float]
 
 
 class NodeLoop:
     """Receive messages, let time pass, and flush once after each batch of both."""
 
-    def __init__(self, settings: NodeSettings, tick_seconds: float) -> None:
+    def __init__(
+        self, settings: NodeSettings, tick_seconds: float, clock: Clock
+    ) -> None:
         """Bind the link; ``tick_seconds`` is the time between ticks."""
         self.settings = settings
-        self.clock = time.monotonic
+        self.clock = clock
         self.metrics = Metrics()
-        self.lines = LineLog(settings.node.label, 1, time.monotonic, blocking=False)
+        self.lines = LineLog(settings.node.label, 1, clock, blocking=False)
         self.events = LineEvents(settings.node.name, self.lines)
         self._links = Links(
             settings.node.name,
--- a/tests/node/entry_scene.py
+++ b/tests/node/entry_scene.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
-import pytest
-
 from dragonflyrock.http import (
     HttpServer,
     Request,
@@ -111,7 +108,7 @@
             seeds=(f"{name}:1",),
             bounds=BoundSettings(stop_grace_ms=int(grace_seconds * 1000)),
         )
-        self.node = EntryNode(settings, DIALECT)
+        self.node = EntryNode(settings, DIALECT, clock.read)
         self._server = HttpServer(self._work, WireLimits())
         self.running: asyncio.Task[None] | None = None
 
@@ -169,12 +166,10 @@
 
 
 def play_entry(
-    monkeypatch: pytest.MonkeyPatch,
     scene: Callable[[EntryScene], Awaitable[None]],
     grace_seconds: float = 6.0,
 ) -> None:
     """Run a scene with an entry node on a paused clock."""
-    assert time.monotonic() > 0
 
     async def run(clock: PausedClock) -> None:
         stage = EntryScene(clock, grace_seconds)
@@ -184,4 +179,4 @@
         finally:
             await stage.close()
 
-    run_paused(monkeypatch, run)
+    run_paused(run)
--- a/tests/node/test_control_stop.py
+++ b/tests/node/test_control_stop.py
@@ -5,8 +5,6 @@
 import asyncio
 from pathlib import Path
 
-import pytest
-
 from dragonflyrock.node.control import ControlNode
 from dragonflyrock.node.settings import ListenAddresses, NodeIdentity, NodeSettings
 from dragonflyrock.platform.control_calls import ControlCalls
@@ -17,8 +15,8 @@
 
 # Guards against a call cut by the stop of its control node: an operator or a backend
 # server got a closed connection and could not tell what became of it.
-def test_a_call_under_way_is_answered_before_a_control_node_ends(
-    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+def test_a_stopping_control_node_answers_the_calls_under_way(
+    tmp_path: Path,
 ) -> None:
     async def scene(clock: PausedClock) -> None:
         port = free_port()
@@ -37,7 +35,7 @@
             ),
             seeds=(f"{name}:1", "127.0.0.2:1", "127.0.0.3:1"),
         )
-        node = ControlNode(settings, OrderCalls().send)
+        node = ControlNode(settings, OrderCalls().send, clock.read)
         running = asyncio.create_task(node.run(ControlCalls(node).handle))
         await asyncio.sleep(0.2)
         # Two of three voters are missing, so the call ends by its time-out.
@@ -50,4 +48,4 @@
         writer.close()
         await running
 
-    run_paused(monkeypatch, scene)
+    run_paused(scene)
--- a/tests/node/test_entry_stop.py
+++ b/tests/node/test_entry_stop.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-import pytest
-
 from dragonflyrock.router.drain import LAST_ARRIVAL_SECONDS
 
 from .entry_scene import EntryScene, play_entry
@@ -17,9 +15,7 @@
 
 # Guards against LOST (incident inc1): a request taken late in the grace time was cut
 # when the host ended, so its caller got a closed connection in place of an answer.
-def test_a_request_taken_late_in_the_grace_time_is_answered(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_request_taken_late_in_the_grace_time_is_answered() -> None:
     async def scene(stage: EntryScene) -> None:
         stage.work_seconds = 0.5
         busy = await stage.open()
@@ -42,14 +38,12 @@
         assert all(answer.startswith((WHOLE, NOT_RUN)) for answer in answers), answers
         assert stage.cancelled == 0
 
-    play_entry(monkeypatch, scene)
+    play_entry(scene)
 
 
 # Guards against a kept connection that stays open and unused until the host ends: its
 # next request would arrive when it can no longer be answered.
-def test_an_idle_kept_connection_is_served_first_and_closed_later(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_an_idle_kept_connection_is_served_first_and_closed_later() -> None:
     async def scene(stage: EntryScene) -> None:
         used, unused = await stage.open(), await stage.open()
         assert (await used.ask(1500)).startswith(WHOLE)
@@ -65,14 +59,12 @@
         used.close()
         unused.close()
 
-    play_entry(monkeypatch, scene)
+    play_entry(scene)
 
 
 # Guards against a request that crosses the end of the last arrivals: one that may last
 # longer than the host is refused as not run, and never sent.
-def test_a_request_that_may_outlast_the_host_is_not_run(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_request_that_may_outlast_the_host_is_not_run() -> None:
     async def scene(stage: EntryScene) -> None:
         stage.work_seconds = 2.0
         first = await stage.open()
@@ -89,14 +81,12 @@
         assert (await under_way).startswith(WHOLE)
         assert len(stage.started) == 2
 
-    play_entry(monkeypatch, scene)
+    play_entry(scene)
 
 
 # Guards against work that is cut at the end without a word to its caller, and against
 # telling it as not run: the server had begun it.
-def test_a_request_that_outlasts_the_grace_time_is_answered_as_not_known(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_request_that_outlasts_the_grace_time_is_answered_as_not_known() -> None:
     async def scene(stage: EntryScene) -> None:
         stage.work_seconds = 30.0
         caller = await stage.open()
@@ -108,4 +98,4 @@
         await asyncio.sleep(0.1)
         assert stage.cancelled == 1
 
-    play_entry(monkeypatch, scene)
+    play_entry(scene)
--- a/tests/paused_clock.py
+++ b/tests/paused_clock.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import selectors
-import time
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
 
-import pytest
-
 __all__ = ["PausedClock", "run_paused"]
 
 # Real time for bytes on loopback, and messages of other threads, to arrive.
@@ -48,26 +45,33 @@
         return ready
 
 
+class _PausedLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is a paused clock's."""
+
+    def __init__(self, clock: PausedClock) -> None:
+        """Advance ``clock`` where nothing is left to do."""
+        super().__init__(_JumpingSelector(clock))
+        self._paused_clock = clock
+
+    def time(self) -> float:
+        """Return the clock's time."""
+        return self._paused_clock.now
+
+
 def run_paused(
-    monkeypatch: pytest.MonkeyPatch,
-    scene: Callable[[PausedClock], Awaitable[None]],
-    limit: float = 60.0,
+    scene: Callable[[PausedClock], Awaitable[None]], limit: float = 60.0
 ) -> None:
     """Run a scene on an event loop whose time is a paused clock's.
 
     ``limit`` is the time of that clock after which the scene has failed.
     """
     clock = PausedClock()
-    monkeypatch.setattr(time, "monotonic", clock.read)
-
-    def make_loop() -> asyncio.AbstractEventLoop:
-        return asyncio.SelectorEventLoop(_JumpingSelector(clock))
 
     async def play() -> None:
         async with asyncio.timeout(limit):
             await scene(clock)
 
-    with asyncio.Runner(loop_factory=make_loop) as runner:
+    with asyncio.Runner(loop_factory=lambda: _PausedLoop(clock)) as runner:
         runner.get_loop().set_exception_handler(_fail)
         runner.run(play())
 
