Split the tool's commands by what they are about, and name the announcements' port

cli/commands.py held every command (441 lines); each subject has a file now, and commands.py holds the names only. entry/platform.py was the product's own port for announcements, health and metrics, not the adapter of the users' platform: it is entry/announcements.py now.

--- a/src/dragonflyrock/cli/client.py
+++ b/src/dragonflyrock/cli/client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import getpass
 import json
 import os
+import uuid
 from pathlib import Path
 from typing import Any, Final
 from urllib.parse import quote
@@ -12,7 +14,7 @@
 
 from ..errors import DragonflyrockError
 
-__all__ = ["CommandError", "OperatorClient", "quote_part"]
+__all__ = ["CommandError", "OperatorClient", "make_change", "quote_part"]
 
 ADDRESS_VARIABLE: Final = "DRAGONFLYROCK_OPERATORS"
 TOKEN_VARIABLE: Final = "DRAGONFLYROCK_TOKEN"
@@ -90,3 +92,11 @@
             )
             raise CommandError(detail, fields.get("step", ""), address)
         return fields
+
+
+def make_change(change_id: str, operator: str) -> dict[str, Any]:
+    """Return what every change carries."""
+    return {
+        "change_id": change_id or uuid.uuid4().hex,
+        "operator": operator or getpass.getuser(),
+    }
--- /dev/null
+++ b/src/dragonflyrock/cli/members.py
@@ -0,0 +1,55 @@
+"""Commands on the members of the control group."""
+
+from __future__ import annotations
+
+from .client import OperatorClient, quote_part
+from .tables import print_json, print_table
+
+__all__ = ["add_member", "hand_over_leadership", "list_members", "remove_member"]
+
+
+def list_members(*, at: str = "", json: bool = False) -> int:
+    """List the members of the control group and those that wait to join.
+
+    :param at: operators' ports, ``ip:port`` by commas
+    :param json: print JSON
+    """
+    members = OperatorClient(at).call("GET", "/status")["members"]
+    if json:
+        print_json(members)
+        return 0
+    columns = ("name", "role", "match_index", "identity")
+    print_table(columns, [[row[column] for column in columns] for row in members])
+    return 0
+
+
+def add_member(name: str, *, at: str = "") -> int:
+    """Add a host that waits with an empty data folder; it learns, then votes.
+
+    :param name: the host
+    :param at: operators' ports, ``ip:port`` by commas
+    """
+    OperatorClient(at).call("PUT", f"/members/{quote_part(name)}")
+    print(f"{name} is learning; `dragonflyrock member list` shows when it votes")
+    return 0
+
+
+def remove_member(name: str, *, at: str = "") -> int:
+    """Remove a member; its data folder is of no more use.
+
+    :param name: the host
+    :param at: operators' ports, ``ip:port`` by commas
+    """
+    OperatorClient(at).call("DELETE", f"/members/{quote_part(name)}")
+    print(f"{name} is no member")
+    return 0
+
+
+def hand_over_leadership(*, at: str = "") -> int:
+    """Let another voter lead the control group.
+
+    :param at: operators' ports, ``ip:port`` by commas
+    """
+    OperatorClient(at).call("POST", "/leadership", {})
+    print("another voter was asked to lead")
+    return 0
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -29,13 +29,13 @@
 from .control.state import ControlState
 from .entry.admission import Admission
 from .entry.agent import AgentConfig, EntryAgent
+from .entry.announcements import AnnouncementsApp
 from .entry.callers import CallersApp, CallersConfig
 from .entry.dispatch import Dispatcher
 from .entry.forward import Forwarder
 from .entry.gate import Gate
 from .entry.limits import LimitAgent
 from .entry.operators import OperatorsApp
-from .entry.platform import PlatformApp
 from .entry.request import CallerRequest
 from .entry.reservation import Reservations
 from .entry.web import WebServer
@@ -157,7 +157,9 @@
             threads = settings.limits.caller_threads
             servers.append(WebServer("callers", listen.callers, self._callers, threads))
             self._runtime.agent = self._make_agent()
-        platform = PlatformApp(self._caller.call, self._find_unready, self._metrics)
+        platform = AnnouncementsApp(
+            self._caller.call, self._find_unready, self._metrics
+        )
         servers.append(
             WebServer("platform", listen.platform, platform, PLATFORM_THREADS)
         )
--- a/src/dragonflyrock/entry/platform.py
+++ b/src/dragonflyrock/entry/announcements.py
@@ -1,4 +1,4 @@
-"""The platform port: announcements, health, readiness and metrics."""
+"""The port of announcements, health, readiness and metrics."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from .problem import Environ, StartResponse, problem_answer, status_line
 from .web import read_json_body
 
-__all__ = ["PlatformApp"]
+__all__ = ["AnnouncementsApp"]
 
 Call = Callable[[str, bytes, float], bytes | None]
 
@@ -41,8 +41,8 @@
     grant_revision: int = 0
 
 
-class PlatformApp:
-    """A WSGI application for backend servers and the platform."""
+class AnnouncementsApp:
+    """A WSGI application for backend servers, balancers and metrics."""
 
     def __init__(
         self, call: Call, find_unready: Callable[[], str], metrics: Metrics
--- a/src/dragonflyrock/trial/demo.py
+++ b/src/dragonflyrock/trial/demo.py
@@ -14,7 +14,8 @@
 
 import defopt
 
-from ..cli.commands import show_status, show_timeline
+from ..cli.status import show_status
+from ..cli.timeline import show_timeline
 from .fleet import OPERATOR_TOKEN, Fleet
 from .plans import CALLERS_OFFSET, LAHORE, STOCKHOLM, FleetPlan, ServicePlan
 
