--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -157,11 +157,11 @@
             threads = settings.limits.caller_threads
             servers.append(WebServer("callers", listen.callers, self._callers, threads))
             self._runtime.agent = self._make_agent()
-        platform = AnnouncementsApp(
+        announcements = AnnouncementsApp(
             self._caller.call, self._find_unready, self._metrics
         )
         servers.append(
-            WebServer("platform", listen.platform, platform, PLATFORM_THREADS)
+            WebServer("platform", listen.platform, announcements, PLATFORM_THREADS)
         )
         operators = OperatorsApp(
             self._caller.call, settings.operators.token_sha256, self._events
