--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -76,18 +76,23 @@
     replica.votes = {replica.me.name: replica.me}
     if not pre:
         save_hard(replica, replica.hard.term + 1, replica.me.name)
-    request = VoteRequest(
-        replica.hard.term + (1 if pre else 0),
+    request = _make_request(replica, transfer=transfer)
+    for name in _electors(replica):
+        if name != replica.me.name:
+            send(replica, name, request)
+    _count_votes(replica, now)
+
+
+def _make_request(replica: Replica, *, transfer: bool = False) -> VoteRequest:
+    """Return the request for a vote of a candidate."""
+    return VoteRequest(
+        replica.hard.term + (1 if replica.pre else 0),
         replica.log.last_index,
         replica.log.last_term,
-        pre,
+        replica.pre,
         replica.forming,
         transfer,
     )
-    for name in _electors(replica):
-        if name != replica.me.name:
-            send(replica, name, request)
-    _count_votes(replica, now)
 
 
 def _electors(replica: Replica) -> tuple[str, ...]:
@@ -145,15 +150,40 @@
             return
         become_follower(replica, request.term, "", now)
     granted = _may_vote(replica, sender, request, now)
+    if request.term == replica.hard.term:
+        # A vote of this term is given once; a pre-vote must not promise another.
+        granted = granted and replica.hard.voted_for in ("", sender.name)
+    if granted and _stands_beside(replica, request):
+        granted = _settle_tie(replica, sender, request, now)
     if granted and not request.pre:
-        granted = replica.hard.voted_for in ("", sender.name)
-        granted = granted and request.term == replica.hard.term
-        if granted:
-            save_hard(replica, request.term, sender.name)
-            reset_election(replica, now)
+        save_hard(replica, request.term, sender.name)
+        reset_election(replica, now)
     _answer(replica, sender, request, granted=granted)
 
 
+def _stands_beside(replica: Replica, request: VoteRequest) -> bool:
+    """Return whether the sender and this member ask for pre-votes at once."""
+    asking = replica.role == Role.CANDIDATE and replica.pre
+    return asking and request.pre and not request.forming
+
+
+def _settle_tie(
+    replica: Replica, sender: Member, request: VoteRequest, now: float
+) -> bool:
+    """Return whether to stand back for the sender; else ask for its pre-vote again.
+
+    Two that promise each other a vote both become candidates and split the votes,
+    which costs another election time. Of equal logs the lower name goes first.
+    """
+    ours = (replica.log.last_term, replica.log.last_index)
+    equal = ours == (request.last_term, request.last_index)
+    if equal and replica.me.name < sender.name:
+        send(replica, sender.name, _make_request(replica))
+        return False
+    become_follower(replica, replica.hard.term, "", now)
+    return True
+
+
 def _answer(
     replica: Replica, sender: Member, request: VoteRequest, *, granted: bool
 ) -> None:
