--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -45,6 +45,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_KEPT_RENEWALS_PER_TICK: Final = 500
+
 Send = Callable[[str, LinkMessage], object]
 Post = Callable[[Callable[[], None]], None]
 
@@ -58,6 +60,13 @@
     directed: DirectedTiming | None = None
 
 
+class KeptRenewal(NamedTuple):
+    """A renewal that came while no leader could answer it, and when."""
+
+    renew: HostRenew
+    received_at: float
+
+
 class Pusher(Protocol):
     """What sends grants to servers that announce themselves."""
 
@@ -104,6 +113,7 @@
         self._clock = clock
         self._leader: ControlLeader | None = None
         self._pushed_revision = 0
+        self._kept_renewals: dict[str, KeptRenewal] = {}
         self._send_order = send_order
         self._packer = UpdatePacker()
         self._pusher = self._make_pusher(post)
@@ -138,17 +148,41 @@
         group.receive(member, message.target_identity, body, now)
 
     def receive_renew(self, sender: str, renew: HostRenew, now: float) -> None:
-        """Renew an entry host's lease, or pass it on to the leader once."""
+        """Renew an entry host's lease, or pass the renewal on to the leader once.
+
+        It is kept while there is no leader: by the host's next one, a lease that
+        outlasts an election may have lapsed.
+        """
         leader = self._settled_leader(now)
         if leader is None:
-            known = self._control.replica.leader
-            if sender == renew.host.name and known not in ("", self._config.name):
-                self._send(known, renew)
+            if sender == renew.host.name:
+                self._pass_on(KeptRenewal(renew, now))
             return
         update, effects = leader.renew_host(renew, self._control.applied, now)
         self._send_update(renew.host.name, update)
         self._run(effects)
 
+    def _pass_on(self, kept: KeptRenewal) -> None:
+        """Send a renewal to the leader, or keep a host's latest until there is one."""
+        known = self._control.replica.leader
+        name = kept.renew.host.name
+        if known not in ("", self._config.name):
+            self._send(known, kept.renew)
+            return
+        earlier = self._kept_renewals.get(name)
+        if earlier is None or earlier.renew.sent_at <= kept.renew.sent_at:
+            self._kept_renewals[name] = kept
+
+    def _take_kept_renewals(self, now: float) -> None:
+        """Answer or pass on what was kept, once there is a leader."""
+        settled = self._settled_leader(now) is not None
+        if not settled and self._control.replica.leader in ("", self._config.name):
+            return
+        for name in list(self._kept_renewals)[:MAX_KEPT_RENEWALS_PER_TICK]:
+            kept = self._kept_renewals.pop(name)
+            if now - kept.received_at < self._config.timing.entry_lease:
+                self.receive_renew(name, kept.renew, now)
+
     def _send_update(self, host: str, update: HostUpdate) -> None:
         """Send a host rows, packed unless they stay in this process."""
         inside = host == self._config.name
@@ -291,6 +325,7 @@
             group.tick(now)
             leading = group.replica.role == Role.LEADER
             self._metrics.leading.labels(group.name).set(leading)
+        self._take_kept_renewals(now)
         leader = self._settled_leader(now)
         if leader is not None:
             self._run(leader.tick(now))
--- a/tests/control/members.py
+++ b/tests/control/members.py
@@ -48,7 +48,7 @@
     LinkMessage,
 )
 
-__all__ = ["LEDGER_GROUP", "Lapse", "Members"]
+__all__ = ["LEDGER_GROUP", "RENEW", "Lapse", "Members"]
 
 STEP: Final = 0.005
 TICK: Final = 0.02
@@ -122,6 +122,7 @@
         self.names = tuple(f"host-{number + 1}" for number in range(hosts))
         self.cuts: set[tuple[str, str]] = set()
         self.lapses: list[Lapse] = []
+        self.least_left: dict[str, float] = {}
         self._sync_seconds = sync_seconds
         self._order = 0
         self._calling_from = float("inf")
@@ -229,6 +230,8 @@
         while self.now < until:
             self.now += STEP
             for name, host in self.hosts.items():
+                left = host.gate.lease_left()
+                self.least_left[name] = min(left, self.least_left.get(name, left))
                 if self.now >= host.busy_until:
                     self._pass(name, host)
             if self.now >= max(self._calling_from, self._call_at):
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from .members import LEDGER_GROUP, Members
+from dragonflyrock.control.tables import LeaderTiming
+
+from .members import LEDGER_GROUP, RENEW, Members
 
 SEEDS = range(30)
 LOST_FOR = 60.0
@@ -19,9 +21,11 @@
         members.run(0.005)
     leader = members.leader()
     members.lapses.clear()
+    members.least_left.clear()
     members.stall(leader, seconds)
     members.run(4.0)
     members.lapses = [lapse for lapse in members.lapses if lapse.host != leader]
+    members.least_left.pop(leader, None)
     return members
 
 
@@ -48,3 +52,14 @@
             members.lapses = [e for e in members.lapses if e.host != name]
         assert (members.term(), members.term(LEDGER_GROUP)) == terms
         assert not members.lapses, f"seed {seed}: {members.lapses[:3]}"
+
+
+# Guards against: a leader that stood still drops the renewals that waited for it, and
+# leases run down by one renewal time more than it stood still.
+def test_a_leader_that_stood_still_answers_the_renewals_that_waited() -> None:
+    stood = 0.4
+    slack = 0.1
+    expected = LeaderTiming().entry_lease - RENEW - stood - slack
+    for seed in SEEDS:
+        members = stall_leader(seed, stood, 0.0)
+        assert min(members.least_left.values()) >= expected, f"seed {seed}"
