Let the lease of a host lapse that stops with requests in flight

Callers saw, with servers that do not check: a booking could run at a server that had lost its key to another. Cause: at the stop limit the host told the leader that it leaves all the same, and the leader forgot it with what it had in flight. Second fault there: 50 ms after it had left, the host renewed again while it closed its ports, so every handover waited for a lease that was given back. Change: EntryAgent.leave gives the lease back only where the daemon's requests ended and the gate has none in flight nor lingering at a server; no renewal follows.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -331,10 +331,11 @@
             # The balancer needs a moment to see that this host is not ready.
             time.sleep(timeouts.stop_notice_ms / 1000)
         limit = timeouts.stop_limit_ms / 1000
-        if self._callers is not None and not self._callers.stop(limit):
+        ended = self._callers is None or self._callers.stop(limit)
+        if not ended:
             _LOGGER.error("requests were still in flight at the stop limit")
         if not self._failed:
-            self._runtime.post(self._leave)
+            self._runtime.post(lambda: self._leave(ended=ended))
             time.sleep(LEAVE_SECONDS)
         for server in self._servers:
             server.stop()
@@ -345,11 +346,12 @@
         self._runtime.close()
         _LOGGER.info("%s has ended", self._settings.host.name)
 
-    def _leave(self) -> None:
-        """Give the lease and the leadership back."""
+    def _leave(self, *, ended: bool) -> None:
+        """Give the leadership back, and the lease if all requests have ended."""
         now = self._clock()
         if self._runtime.agent is not None:
-            self._runtime.agent.renew(now, leaving=True)
+            idle = ended and self._gate.is_idle()
+            self._runtime.agent.leave(now, idle=idle)
         if self._runtime.member is not None:
             self._runtime.member.hand_over(now)
 
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -74,6 +74,7 @@
         self._was_draining = False
         self._without_lease = False
         self._answered_at = 0.0
+        self._has_left = False
 
     def receive(self, update: HostUpdate, now: float) -> None:
         """Apply an update; acknowledge new rows, or tell of missing ones, at once."""
@@ -92,13 +93,24 @@
         self._urgent = True
 
     def tick(self, now: float) -> None:
-        """Renew when it is due."""
+        """Renew when it is due, unless this host has left."""
+        if self._has_left:
+            return
         pause = self._config.renew
         if self._was_draining or self._without_lease:
             pause = min(pause, HURRIED_SECONDS)
         if self._urgent or now - self._renewed_at >= pause:
             self.renew(now, leaving=False)
 
+    def leave(self, now: float, *, idle: bool) -> None:
+        """Give the lease back, or where requests may still run, let it lapse.
+
+        Either way no renewal follows: it would make the leader expect this host.
+        """
+        self._has_left = True
+        if idle:
+            self.renew(now, leaving=True)
+
     def renew(self, now: float, *, leaving: bool) -> None:
         """Send a renewal to the leader, or to all voters when none is known."""
         self._urgent = False
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -122,6 +122,14 @@
                 if row.ref in busy or flights.by_ref.get(row.ref)
             )
 
+    def is_idle(self) -> bool:
+        """Return whether no request is with a server, nor may still be run by one."""
+        now = self._clock()
+        with self._changed:
+            flights = self._flights
+            lingering = any(deadline > now for _, deadline in flights.lingering)
+            return not lingering and not flights.by_holder
+
     def take_speeds(self) -> tuple[ServerSpeed, ...]:
         """Return nothing: the loads here are times already."""
         return ()
--- /dev/null
+++ b/tests/control/test_leaving_hosts.py
@@ -0,0 +1,49 @@
+"""Entry hosts that stop: with nothing in flight, and with requests in flight."""
+
+from __future__ import annotations
+
+from .test_ownership import start
+from .world import LONGEST_DEADLINE, World
+
+LEAVE_SECONDS = 0.2
+
+
+def leave(world: World, name: str) -> None:
+    """Stop a host as its daemon does at the stop limit."""
+    host = world.hosts[name]
+    host.agent.leave(world.now, idle=host.gate.is_idle())
+    world.run(LEAVE_SECONDS, calls_per_tick=0)
+    world.frozen.add(name)
+
+
+# Guards against: a host stopped with a request in flight, the leader forgot it at once,
+# and the key had a second server while the first could still run the request.
+def test_a_request_in_flight_of_a_stopped_host_is_waited_out() -> None:
+    for number in range(10):
+        world = start(number, checks=False)
+        world.shortest_deadline = LONGEST_DEADLINE
+        world.calling = {"host-0"}
+        world.run(0.5, calls_per_tick=8)
+        world.calling = {"host-1"}
+        world.frozen.add("server-2")
+        world.run(0.1, calls_per_tick=0)
+        assert not world.hosts["host-0"].gate.is_idle()
+        leave(world, "host-0")
+        world.run(1.6, calls_per_tick=0)
+        world.run(0.8, calls_per_tick=8)
+        world.frozen.discard("server-2")
+        world.run(4.0, calls_per_tick=8)
+        world.check_sole_ownership()
+
+
+# Guards against: a host gave its lease back, renewed it 50 ms later while it closed its
+# ports, and every handover waited for the end of that lease.
+def test_a_host_that_left_is_not_expected_again() -> None:
+    for number in range(10):
+        world = start(number)
+        world.run(LONGEST_DEADLINE, calls_per_tick=0)
+        leave(world, "host-0")
+        world.run(0.1, calls_per_tick=0)
+        assert world.leader is not None
+        live = [row.record.name for row in world.leader.live_hosts(world.now)]
+        assert live == ["host-1"]
