--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -120,7 +120,7 @@
         while clock() < drain.last_arrival:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._callers.finish(drain.end)
-        self._agent.renew(clock(), leaving=True)
+        self._agent.leave(clock(), idle=True)
         self._ready.close()
         self._connections.close()
         await asyncio.sleep(DRAIN_POLL_SECONDS)
