Have hosts without rows ask often, and open links before they are needed

A restarted entry node renewed at 34.1 (no link open yet, dropped), 34.8 (no leader yet) and 35.5. The leader's first push was dropped too: no link to a restarted host was open. Renewals without a lease still wait for the next renewal.

--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -15,6 +15,8 @@
 
 LEADER_SILENCE_RENEWALS: Final = 2
 HURRIED_SECONDS: Final = 0.05
+# A host without rows serves nothing; it asks again this often, in few bytes.
+ASK_SECONDS: Final = 0.15
 
 
 class AgentConfig(NamedTuple):
@@ -94,6 +96,8 @@
     def tick(self, now: float) -> None:
         """Renew when it is due."""
         pause = self._config.renew
+        if not self._gate.tables.revision:
+            pause = min(pause, ASK_SECONDS)
         if self._was_draining or self._without_lease:
             pause = min(pause, HURRIED_SECONDS)
         if self._urgent or now - self._renewed_at >= pause:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -34,6 +34,7 @@
     make_directed_timing,
     make_lease_timing,
 )
+from .waiting import WaitingHosts
 
 __all__ = ["ControlNode", "OrderSender"]
 
@@ -93,6 +94,7 @@
             self._start_order,
         )
         self._calls = CallTable(settings.seed_names, self._loop.send)
+        self._waiting = WaitingHosts(self._loop.meet, self._loop.part)
         self._stopping = asyncio.Event()
         self._server: HttpServer | None = None
         self._metrics = make_metrics_server(settings, self._loop.metrics)
@@ -281,6 +283,8 @@
             case ConsensusMessage():
                 self._member.receive_consensus(sender, message, now)
             case HostRenew():
+                if sender == message.host.name:
+                    self._waiting.hear(sender, self._group.replica.leader)
                 self._member.receive_renew(sender, message, now)
             case CallRequest():
                 self._member.receive_call(sender, message, now)
@@ -299,6 +303,7 @@
         self._calls.tick(now)
         self._tell_heard(now)
         self._member.tick(now)
+        self._waiting.tick(replica.leader, self._settings.node.name)
         if replica.role != self._role:
             self._role = replica.role
             self._loop.lines.add(
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -61,16 +61,26 @@
         loop = asyncio.get_running_loop()
         self.failure = loop.create_future()
         loop.add_reader(self._links.receiver.fileno(), self._receive)
+        for peer in self.settings.seed_names:
+            self.meet(peer)
         self._on_tick()
 
+    def meet(self, peer: str) -> None:
+        """Open the link to a node; what is sent before it is open is lost."""
+        if peer != self.settings.node.name and not self._links.knows(peer):
+            self._links.connect(peer, f"{peer}:{self.settings.link_port}")
+
+    def part(self, peer: str) -> None:
+        """Close the link to a node."""
+        self._links.disconnect(peer)
+
     def send(self, peer: str, message: LinkMessage) -> bool:
         """Send a message to a node by its name, which may be this one's."""
         if peer == self.settings.node.name:
             self._local.append(Received(peer, message))
             self.wake()
             return True
-        if not self._links.knows(peer):
-            self._links.connect(peer, f"{peer}:{self.settings.link_port}")
+        self.meet(peer)
         return self._links.send(peer, message)
 
     def wake(self) -> None:
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -123,6 +123,13 @@
         self._senders[peer] = socket
         self._addresses[peer] = address
 
+    def disconnect(self, peer: str) -> None:
+        """Close the link to a peer, if there is one."""
+        socket = self._senders.pop(peer, None)
+        if socket is not None:
+            socket.close()
+        self._addresses.pop(peer, None)
+
     def send(self, peer: str, message: LinkMessage) -> bool:
         """Send a message; return whether the peer is connected."""
         socket = self._senders.get(peer)
--- /dev/null
+++ b/tests/entry/test_agent.py
@@ -0,0 +1,48 @@
+"""Renewals of an entry host on a paused clock."""
+
+from __future__ import annotations
+
+from dragonflyrock.entry.agent import AgentConfig, EntryAgent
+from dragonflyrock.models import Delta, HostRecord
+from dragonflyrock.router import RouterState
+from dragonflyrock.router.budget import BudgetPolicy
+from dragonflyrock.transport.messages import HostRenew, HostUpdate
+
+RENEW: float = 0.7
+TICK: float = 0.1
+
+
+class Host:
+    """An entry host whose renewals are counted."""
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self.now = 100.0
+        self.sent: list[tuple[str, HostRenew]] = []
+        state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
+        record = HostRecord("host", 1, "a", "127.0.0.1:1", "")
+        config = AgentConfig(record, ("one", "two"), RENEW, prompt=False)
+        self.agent = EntryAgent(
+            config,
+            state,
+            lambda peer, renew: self.sent.append((peer, renew)),
+            lambda: self.now,
+        )
+
+    def run(self, seconds: float) -> int:
+        """Let time pass; return how many renewals went to the first voter."""
+        before = len(self.sent)
+        until = self.now + seconds
+        while self.now < until:
+            self.agent.tick(self.now)
+            self.now += TICK
+        return sum(1 for peer, _ in self.sent[before:] if peer in ("one", "leader"))
+
+
+# A restarted host waited for rows up to a whole renewal after there was a leader.
+def test_a_host_without_rows_asks_often_and_then_only_renews() -> None:
+    host = Host()
+    assert 9 <= host.run(2.0) <= 11
+    delta = Delta(0, 7, full=True)
+    host.agent.receive(HostUpdate(1, "leader", 0.0, 0, delta, 0, ()), host.now)
+    assert 2 <= host.run(2.0) <= 4
