Count a voter's promise from the start of its process, and stand soon after it

Cause: after a whole loss no voter could give a vote for 0.45 s after its code was loaded, since the process before may have acknowledged a heartbeat; then the first election time (0.45 to 0.8 s) ran out. Change: the promise counts from the moment at which the process began, before its imports: nothing can have been acknowledged by an earlier process after that. A member that has met no leader since its start stands within 0.6 of the spread of election times after its promise, asks for pre-votes again after 0.1 to 0.25 s, and stands again 0.15 to 0.4 s after a split vote. Pre-votes are refused where a leader was heard, so a living leader is not disturbed.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from .log import encode_configuration
 from .membership import on_join_request
 from .models import (
@@ -27,6 +29,12 @@
 __all__ = ["on_take_over", "on_vote_answer", "on_vote_request", "tick_election"]
 
 
+# A member that has met no leader since its start asks again this soon, and stands
+# again this long after it asked for votes; all may have stood at the same moment.
+FIRST_RETRY_SECONDS: Final = (0.1, 0.25)
+FIRST_VOTE_SECONDS: Final = (0.15, 0.4)
+
+
 def tick_election(replica: Replica, now: float) -> None:
     """Stand for election when no leader was heard, or step down without a quorum."""
     if replica.role == Role.LEADER:
@@ -34,7 +42,7 @@
         return
     if now < replica.election_at:
         return
-    reset_election(replica, now)
+    _plan_next(replica, now, FIRST_RETRY_SECONDS)
     if replica.is_new:
         _start_forming(replica, now)
     elif replica.configuration.has_voter(replica.me.name):
@@ -44,6 +52,17 @@
         _ask_to_join(replica)
 
 
+def _plan_next(replica: Replica, now: float, first: tuple[float, float]) -> None:
+    """Draw when to stand again: soon where no leader was met since the start.
+
+    Others may have kept an earlier promise, or may have been starting.
+    """
+    if replica.met_leader or replica.is_new:
+        reset_election(replica, now)
+    else:
+        replica.election_at = now + replica.random.uniform(*first)
+
+
 def _check_quorum(replica: Replica, now: float) -> None:
     """Step down when a quorum has been silent for the longest election time."""
     silent = replica.lease_until(now) + replica.timing.election_max
@@ -110,6 +129,7 @@
     if len(replica.votes) < needed:
         return
     if replica.pre:
+        _plan_next(replica, now, FIRST_VOTE_SECONDS)
         _start_election(replica, now, pre=False, transfer=False)
     else:
         _become_leader(replica, now)
@@ -119,6 +139,7 @@
     """Lead, with an entry of the own term that commits all before it."""
     replica.role = Role.LEADER
     replica.leader = replica.me.name
+    replica.met_leader = True
     replica.became_leader_at = now
     if replica.forming:
         voters = tuple(replica.votes[name] for name in replica.initial_voters)
--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -194,15 +194,21 @@
     machine: StateMachine,
     now: float,
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES,
+    began_at: float | None = None,
 ) -> Group:
-    """Open the data folder of a group and return its member on this host."""
+    """Open the data folder of a group and return its member on this host.
+
+    ``began_at`` is a time since which no earlier process can have used the folder.
+    """
     storage, recovered = open_storage(folder)
     if recovered.cut_bytes:
         _LOGGER.warning("%s: cut a torn tail: %d bytes", name, recovered.cut_bytes)
     log = Log(recovered.snapshot)
     log.append(recovered.entries)
     me = Member(host, recovered.identity)
-    replica = make_replica(me, initial_voters, timing, random, log, recovered.hard, now)
+    replica = make_replica(
+        me, initial_voters, timing, random, log, recovered.hard, now, began_at
+    )
     _LOGGER.info(
         "%s: start from snapshot %d and %d entries",
         name,
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -32,6 +32,8 @@
 ]
 
 NEVER: Final = float("-inf")
+# Share of the spread of election times in which members stand after their start.
+FIRST_SPREAD: Final = 0.6
 
 
 class Addressed(NamedTuple):
@@ -96,6 +98,7 @@
     waiting: dict[str, Member] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
+    met_leader: bool = False
 
     @property
     def configuration(self) -> Configuration:
@@ -143,16 +146,21 @@
     log: Log,
     hard: HardState,
     now: float,
+    began_at: float | None = None,
 ) -> Replica:
     """Return a follower that has just started with what its disk held.
 
-    It counts as having heard a leader just now: it may have acknowledged a
-    heartbeat right before it stopped, and that promise must be kept.
+    It counts as having heard a leader when its process began, ``began_at``: the
+    process before may have acknowledged a heartbeat right before it stopped, and
+    that promise must be kept. It stands for election soon after the promise ends,
+    since all members may have been lost.
     """
     replica = Replica(me, initial_voters, timing, random, log, hard)
     replica.commit = log.snapshot.log_index
-    replica.heard_at = now
-    reset_election(replica, now)
+    replica.heard_at = now if began_at is None else began_at
+    promised = replica.heard_at + timing.election_min
+    spread = FIRST_SPREAD * (timing.election_max - timing.election_min)
+    replica.election_at = max(now, promised) + random.uniform(0.0, spread)
     return replica
 
 
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -130,6 +130,7 @@
         return False
     become_follower(replica, term, sender.name, now)
     replica.heard_at = now
+    replica.met_leader = True
     reset_election(replica, now)
     return True
 
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -56,8 +56,10 @@
     ``send_order`` carries an order to a backend server within some seconds.
     """
 
-    def __init__(self, settings: NodeSettings, send_order: OrderSender) -> None:
-        """Open the data folder and bind the link."""
+    def __init__(
+        self, settings: NodeSettings, send_order: OrderSender, began_at: float
+    ) -> None:
+        """Open the data folder and bind the link; the process began at ``began_at``."""
         self._settings = settings
         self._loop = NodeLoop(settings, TICK_SECONDS)
         self._send_order = send_order
@@ -78,6 +80,7 @@
             Random(),
             state,
             self._loop.clock(),
+            began_at=began_at,
         )
         self._group.replica.join_peers = settings.seed_names
         self._member = ControlMember(
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -25,7 +25,7 @@
     return ""
 
 
-async def _run(settings: NodeSettings, path: Path) -> None:
+async def _run(settings: NodeSettings, path: Path, began_at: float) -> None:
     """Run the role that the settings name, until a signal ends it."""
     loop = asyncio.get_running_loop()
     if settings.node.role == "entry":
@@ -40,18 +40,21 @@
     from .control_calls import ControlCalls  # noqa: PLC0415
     from .orders import OrderCalls  # noqa: PLC0415
 
-    control = ControlNode(settings, OrderCalls().send)
+    control = ControlNode(settings, OrderCalls().send, began_at)
     loop.add_signal_handler(signal.SIGTERM, control.stop)
     loop.add_signal_handler(signal.SIGHUP, lambda: control.reload(_check_again(path)))
     await control.run(ControlCalls(control).handle)
 
 
-def main() -> int:
-    """Run a node by the settings file that the environment names."""
+def main(began_at: float) -> int:
+    """Run a node by the settings file that the environment names.
+
+    ``began_at`` is when the process began, by its steady clock.
+    """
     logging.basicConfig(level="INFO", stream=sys.stderr)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        asyncio.run(_run(load_node_settings(path), path))
+        asyncio.run(_run(load_node_settings(path), path, began_at))
     except DragonflyrockError as error:
         print(f"dragonflyrock: step={error.step}: {error}", file=sys.stderr)
         return 2
--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -64,6 +64,7 @@
         self.applied: dict[str, list[Entry]] = {}
         self.frozen: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
+        self.stopped: dict[str, float] = {}
         self.rates: dict[str, float] = {}
         self.clocks: dict[str, float] = {}
         self.leaders: dict[int, str] = {}
@@ -83,7 +84,10 @@
         self.start(name)
 
     def start(self, name: str) -> None:
-        """Start, or restart, a member from its disk."""
+        """Start, or restart, a member from its disk.
+
+        The new process of a stopped member began right when the old one ended.
+        """
         disk = self.disks[name]
         log = Log(disk.snapshot)
         log.append(disk.entries)
@@ -96,12 +100,14 @@
             log,
             disk.hard,
             self.clocks[name],
+            self.stopped.pop(name, self.clocks[name]),
         )
         self.applied[name] = _read_image(disk.snapshot)
 
     def stop(self, name: str) -> None:
         """Lose a member's memory; its disk stays."""
-        self.replicas.pop(name, None)
+        if self.replicas.pop(name, None) is not None:
+            self.stopped[name] = self.clocks[name]
 
     def cut(self, *names: str) -> None:
         """Cut some members off from all others, in both directions."""
@@ -116,7 +122,7 @@
         until = self.now + seconds
         while self.now < until:
             self.now += TICK
-            for name in list(self.replicas):
+            for name in self.clocks:
                 self.clocks[name] += TICK * self.rates.get(name, 1.0)
             self._deliver()
             for name, replica in self.replicas.items():
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -18,6 +18,8 @@
     st.tuples(st.just("one-way"), _NAME),
     st.tuples(st.just("heal"), _NAME),
     st.tuples(st.just("crash"), _NAME),
+    st.tuples(st.just("down"), _NAME),
+    st.tuples(st.just("up"), _NAME),
     st.tuples(st.just("freeze"), _NAME),
     st.tuples(st.just("compact"), _NAME),
     st.tuples(st.just("lose"), _NAME),
@@ -51,8 +53,9 @@
 
 def _act(cluster: Cluster, action: str, name: str, payload: bytes) -> None:
     """Carry out one step of a schedule."""
+    up = name in cluster.replicas
     match action:
-        case "propose":
+        case "propose" if up:
             cluster.propose(payload, name)
         case "cut":
             cluster.cut(name)
@@ -60,11 +63,15 @@
             cluster.cuts |= {(name, other) for other in NAMES if other != name}
         case "heal":
             _heal(cluster)
-        case "crash":
+        case "crash" if up:
+            cluster.start(name)
+        case "down":
+            cluster.stop(name)
+        case "up" if not up:
             cluster.start(name)
         case "freeze":
             cluster.frozen ^= {name}
-        case "compact" if cluster.replicas[name].commit > 0:
+        case "compact" if up and cluster.replicas[name].commit > 0:
             cluster.compact(name)
         case "lose":
             cluster.loss = 0.3
@@ -75,3 +82,6 @@
     cluster.cuts.clear()
     cluster.frozen.clear()
     cluster.loss = 0.0
+    for name in NAMES:
+        if name not in cluster.replicas:
+            cluster.start(name)
--- /dev/null
+++ b/tests/consensus/test_restart.py
@@ -0,0 +1,76 @@
+"""Elections after members were lost and started again."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import pytest
+
+from .common import TICK, Cluster
+
+NAMES: Final = "abc"
+LOADING_SECONDS: Final = 0.2
+STAGGER_SECONDS: Final = 0.04
+SEEDS: Final = range(40)
+
+
+def lose_all(cluster: Cluster) -> None:
+    """End all members; each runs again after the time that its code needs."""
+    for name in NAMES:
+        cluster.stop(name)
+    cluster.run(LOADING_SECONDS)
+    for name in NAMES:
+        cluster.start(name)
+        cluster.run(STAGGER_SECONDS)
+
+
+def time_election(cluster: Cluster) -> float:
+    """Return how long it takes until a leader is settled."""
+    began = cluster.now
+    cluster.settle(3.0)
+    return cluster.now - began
+
+
+# A whole loss cost an election time from the moment at which the code was loaded.
+def test_a_lost_group_has_a_leader_soon_after_its_code_is_loaded() -> None:
+    times = []
+    for seed in SEEDS:
+        cluster = Cluster(NAMES, seed=seed)
+        cluster.settle()
+        lose_all(cluster)
+        times.append(time_election(cluster))
+    times.sort()
+    assert times[len(times) // 2] <= 0.2
+    assert times[len(times) * 9 // 10] <= 0.3
+    assert times[-1] <= 0.9
+
+
+# What the process before may have acknowledged is kept, counted from its end.
+@pytest.mark.parametrize("pause", [0.0, 0.1, 0.2, 0.28])
+def test_a_restarted_voter_gives_no_vote_within_an_old_promise(pause: float) -> None:
+    cluster = Cluster(NAMES, seed=1)
+    leader = cluster.settle()
+    cluster.run(1.0)
+    voter, other = sorted(set(NAMES) - {leader.me.name})
+    cluster.cut(leader.me.name)
+    cluster.stop(voter)
+    stopped = cluster.clocks[voter]
+    cluster.run(pause)
+    cluster.start(voter)
+    while cluster.clocks[voter] < stopped + 0.3 - TICK:
+        assert cluster.replicas[voter].hard.voted_for in ("", leader.me.name)
+        assert cluster.leader() in (None, leader)
+        cluster.run(TICK)
+    assert cluster.settle().me.name in (voter, other)
+
+
+# A member that starts beside a living leader asks often, and must not end its term.
+def test_a_member_that_cannot_hear_the_leader_disturbs_nobody() -> None:
+    cluster = Cluster(NAMES, seed=2)
+    leader = cluster.settle()
+    voter = sorted(set(NAMES) - {leader.me.name})[0]
+    cluster.stop(voter)
+    cluster.cuts.add((leader.me.name, voter))
+    cluster.start(voter)
+    cluster.run(5.0)
+    assert cluster.leader() is leader
