Load only what a role needs, and count with plain numbers

Cause: an entry node loaded the replicated log, the leader's duties and the product's settings by way of node/settings.py, and both roles prometheus_client (50 ms: it brings an HTTP server, e-mail and HTML parsers). Garbage was searched for while modules were loaded. Change: settings of a node import no role (node/timing.py, platform/dialect.py, transport/consensus.py); metrics are plain numbers under a lock, and prometheus_client is loaded when they are scraped first; decoders are made when their type first comes; zmq's authenticator is loaded only with keys; no garbage search while loading. Folded in: the end of run is NodeLoop.end; time-outs are made by Timing.from_ms; bounds.tolerated_losses is gone with its line. "started" tells how long the code took to load.

--- a/src/dragonflyrock/codec.py
+++ b/src/dragonflyrock/codec.py
@@ -28,17 +28,16 @@
     """
 
     def __init__(self, types: Iterable[type]) -> None:
-        """Prepare a decoder for each of the types."""
+        """Take the types; a decoder is made when its type first comes."""
         self._encoder = msgspec.msgpack.Encoder()
         self._frame = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
-        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
-            kind.__name__: msgspec.msgpack.Decoder(kind) for kind in types
-        }
+        self._kinds = {kind.__name__: kind for kind in types}
+        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
 
     def encode(self, record: object) -> bytes:
         """Return the bytes of a record of one of the codec's types."""
         name = type(record).__name__
-        if name not in self._decoders:
+        if name not in self._kinds:
             raise CodecError(f"{name} is not a type of this codec")
         return self._encoder.encode((name, record))
 
@@ -46,6 +45,8 @@
         """Return the record in the bytes, or raise ``CodecError``."""
         try:
             name, body = self._frame.decode(data)
+            if name not in self._decoders:
+                self._decoders[name] = msgspec.msgpack.Decoder(self._kinds[name])
             return self._decoders[name].decode(body)
         except KeyError as error:
             raise CodecError(f"unknown record type {error}") from error
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -104,6 +104,22 @@
     election_max: float = 0.6
     drift: float = 0.02
 
+    @classmethod
+    def from_ms(
+        cls,
+        heartbeat: float,
+        election_min: float,
+        election_max: float,
+        drift_percent: float = 2.0,
+    ) -> Timing:
+        """Return time-outs given in milliseconds."""
+        return cls(
+            heartbeat / 1000,
+            election_min / 1000,
+            election_max / 1000,
+            drift_percent / 100,
+        )
+
 
 class VoteRequest(NamedTuple):
     """Ask for a vote, or with ``pre`` whether a vote would be given.
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -14,8 +14,8 @@
 from ..models import ServerRow
 from ..observe import EventRing
 from ..observe.metrics import Metrics
+from ..transport.consensus import CONSENSUS
 from ..transport.messages import (
-    CONSENSUS,
     CallAnswer,
     CallRequest,
     ConsensusMessage,
--- a/src/dragonflyrock/entry/platform.py
+++ b/src/dragonflyrock/entry/platform.py
@@ -6,13 +6,12 @@
 from typing import Final
 
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..codec import CodecError
 from ..control.calls import CALLS, Announcement, GrantSet
 from ..control.pusher import encode_grants
 from ..errors import Reason, Refusal, Step
-from ..observe.metrics import Metrics
+from ..observe.metrics import CONTENT_TYPE, Metrics
 from .problem import Environ, StartResponse, problem_answer, status_line
 from .web import read_json_body
 
@@ -64,8 +63,8 @@
                 why = self._find_unready()
                 return _text(start_response, 503 if why else 200, why or "ready\n")
             case "GET", ["metrics"]:
-                body = generate_latest(self._metrics.registry)
-                return _body(start_response, 200, CONTENT_TYPE_LATEST, body)
+                body = self._metrics.write()
+                return _body(start_response, 200, CONTENT_TYPE, body)
             case "POST", ["backend-servers", name] if name:
                 return self._announce(name, environ, start_response)
         refusal = Refusal(Reason.NOT_FOUND, Step.PARSE, detail=f"{method} {path}")
--- a/src/dragonflyrock/errors.py
+++ b/src/dragonflyrock/errors.py
@@ -5,7 +5,14 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["DragonflyrockError", "Outcome", "Reason", "Refusal", "Step"]
+__all__ = [
+    "DragonflyrockError",
+    "Outcome",
+    "Reason",
+    "Refusal",
+    "SettingsError",
+    "Step",
+]
 
 
 class Outcome(StrEnum):
@@ -90,3 +97,7 @@
         super().__init__(detail)
         self.step = step
         self.peer = peer
+
+
+class SettingsError(DragonflyrockError):
+    """A settings file that is refused; the text names file, key path and value."""
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -28,12 +28,8 @@
 )
 from .loop import NodeLoop
 from .metrics import make_metrics_server
-from .settings import (
-    NodeSettings,
-    make_consensus_timing,
-    make_directed_timing,
-    make_lease_timing,
-)
+from .settings import NodeSettings
+from .timing import make_consensus_timing, make_directed_timing, make_lease_timing
 from .waiting import WaitingHosts
 
 __all__ = ["ControlNode", "OrderSender"]
@@ -61,7 +57,7 @@
     ) -> None:
         """Open the data folder and bind the link; the process began at ``began_at``."""
         self._settings = settings
-        self._loop = NodeLoop(settings, TICK_SECONDS)
+        self._loop = NodeLoop(settings, TICK_SECONDS, began_at)
         self._send_order = send_order
         self._timing = make_directed_timing(settings)
         self._orders: set[asyncio.Task[None]] = set()
@@ -112,22 +108,11 @@
         await self._server.start(self._settings.listen.control)
         if self._metrics is not None:
             await self._metrics.start(self._settings.listen.metrics)
-        self._loop.lines.add(
-            "started",
-            role="control",
-            seeds=self._settings.seeds,
+        self._loop.tell_started(
             forming=self._settings.node.forming,
             log_index=self._group.replica.log.last_index,
         )
-        failure = self._loop.failure
-        assert failure is not None
-        await self._loop.wait_for_end(self._stopping)
-        if not failure.done():
-            await self._finish()
-        self._loop.lines.add("stopped")
-        self._loop.close()
-        if failure.done():
-            failure.result()
+        await self._loop.end(self._stopping, self._finish)
 
     def stop(self) -> None:
         """Begin to end; may be called more than once."""
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -5,21 +5,23 @@
 import asyncio
 import time
 from random import Random
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from ..control.calls import CALLS, Propose
-from ..control.commands import COMMANDS, AbsolveRequest, StrikeRequest
 from ..control.const import CONTROL_GROUP
 from ..entry.agent import AgentConfig, EntryAgent
 from ..http import Connections, HttpServer, Request, Response, WireLimits, make_response
 from ..models import HostRecord
 from ..router import Dialect, Router, RouterConfig, RouterState
+from ..router.budget import BudgetPolicy
 from ..transport.calls import CallTable
 from ..transport.links import Received
 from ..transport.messages import CallAnswer, HostUpdate
 from .loop import NodeLoop
 from .metrics import make_metrics_server
-from .settings import NodeSettings, make_budget_policy
+from .settings import NodeSettings
+
+if TYPE_CHECKING:
+    from ..control.commands import AbsolveRequest, StrikeRequest
 
 __all__ = ["EntryNode"]
 
@@ -34,12 +36,17 @@
 class EntryNode:
     """Everything of one entry node."""
 
-    def __init__(self, settings: NodeSettings, dialect: Dialect) -> None:
-        """Prepare to serve with the header names of ``dialect``."""
+    def __init__(
+        self, settings: NodeSettings, dialect: Dialect, began_at: float
+    ) -> None:
+        """Prepare to serve with the header names of ``dialect``.
+
+        The process began at ``began_at``.
+        """
         self._settings = settings
-        self._loop = NodeLoop(settings, TICK_SECONDS)
+        self._loop = NodeLoop(settings, TICK_SECONDS, began_at)
         clock = self._loop.clock
-        self.state = RouterState(make_budget_policy(settings), clock)
+        self.state = RouterState(_make_budget_policy(settings), clock)
         self._connections = Connections()
         name = settings.node.name
         self._router = Router(
@@ -88,16 +95,8 @@
             await self._ready.start(listen.ready)
         if self._metrics is not None:
             await self._metrics.start(listen.metrics)
-        self._loop.lines.add("started", role="entry", seeds=self._settings.seeds)
-        failure = self._loop.failure
-        assert failure is not None
-        await self._loop.wait_for_end(self._stopping)
-        if not failure.done():
-            await self._finish()
-        self._loop.lines.add("stopped")
-        self._loop.close()
-        if failure.done():
-            failure.result()
+        self._loop.tell_started()
+        await self._loop.end(self._stopping, self._finish)
 
     def stop(self) -> None:
         """Begin to end; may be called more than once."""
@@ -148,6 +147,8 @@
 
     def strike(self, fingerprint: str, method: str, target: str, server: str) -> None:
         """Have the leader count a server that ended while it ran a request."""
+        from ..control.commands import StrikeRequest  # noqa: PLC0415 (rarely needed)
+
         now_ms = int(time.time() * 1000)
         self._propose(
             StrikeRequest(fingerprint, "", method, target, server, now_ms), fingerprint
@@ -155,10 +156,15 @@
 
     def absolve(self, fingerprint: str) -> None:
         """Have the leader drop a suspect that was answered."""
+        from ..control.commands import AbsolveRequest  # noqa: PLC0415 (rarely needed)
+
         self._propose(AbsolveRequest(fingerprint), fingerprint)
 
     def _propose(self, command: StrikeRequest | AbsolveRequest, name: str) -> None:
         """Commit a command; its outcome comes back with the rows."""
+        from ..control.calls import CALLS, Propose  # noqa: PLC0415 (rarely needed)
+        from ..control.commands import COMMANDS  # noqa: PLC0415 (rarely needed)
+
         kind = type(command).__name__
         lines = self._loop.lines
 
@@ -209,5 +215,11 @@
             self._loop.metrics.revision.set(self.state.tables.revision)
 
 
+def _make_budget_policy(settings: NodeSettings) -> BudgetPolicy:
+    """Return the budget of repeated sends."""
+    bounds = settings.bounds
+    return BudgetPolicy(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack)
+
+
 def _do_nothing(now: float) -> None:
     """Have nothing to flush."""
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -6,7 +6,7 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from ..observe import EventRing, HybridClock
@@ -26,14 +26,21 @@
 
 Handle = Callable[[Received, float], None]
 Tick = Callable[[float], None]
+Finish = Callable[[], Awaitable[None]]
 
 
 class NodeLoop:
     """Receive messages, let time pass, and flush once after each batch of both."""
 
-    def __init__(self, settings: NodeSettings, tick_seconds: float) -> None:
-        """Bind the link; ``tick_seconds`` is the time between ticks."""
+    def __init__(
+        self, settings: NodeSettings, tick_seconds: float, began_at: float
+    ) -> None:
+        """Bind the link; ``tick_seconds`` is the time between ticks.
+
+        The process began at ``began_at``, before it loaded its code.
+        """
         self.settings = settings
+        self._began_at = began_at
         self.clock = time.monotonic
         self.metrics = Metrics()
         self.lines = LineLog(settings.node.label, 1, time.monotonic, blocking=False)
@@ -147,17 +154,33 @@
         outcome = "refused" if problem else "read"
         self.lines.add("reload", outcome=outcome, detail=problem)
 
-    async def wait_for_end(self, stopping: asyncio.Event) -> None:
-        """Return when the node is told to stop, or a part of it has failed."""
-        assert self.failure is not None
+    def tell_started(self, **fields: object) -> None:
+        """Add the line of a node that takes calls from now on."""
+        self.lines.add(
+            "started",
+            role=self.settings.node.role,
+            seeds=self.settings.seeds,
+            loading=round(self.clock() - self._began_at, 3),
+            **fields,
+        )
+
+    async def end(self, stopping: asyncio.Event, finish: Finish) -> None:
+        """Wait until the node is told to stop or a part of it fails, and close.
+
+        ``finish`` ends what is under way, unless a part failed; its error is raised.
+        """
+        failure = self.failure
+        assert failure is not None
         told: asyncio.Future[object] = asyncio.ensure_future(stopping.wait())
-        waited: set[asyncio.Future[object]] = {told, self.failure}
+        waited: set[asyncio.Future[object]] = {told, failure}
         await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-
-    def close(self) -> None:
-        """Close the links and write the last lines."""
+        if not failure.done():
+            await finish()
+        self.lines.add("stopped")
         self._links.close()
         self.lines.flush()
+        if failure.done():
+            failure.result()
 
 
 class LineEvents(EventRing):
--- a/src/dragonflyrock/node/metrics.py
+++ b/src/dragonflyrock/node/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..http import HttpServer, Request, Response, WireLimits, make_response
-from ..observe.metrics import Metrics
+from ..observe.metrics import CONTENT_TYPE, Metrics
 from .settings import NodeSettings
 
 __all__ = ["make_metrics_server"]
@@ -15,9 +15,7 @@
         return None
 
     async def answer(request: Request) -> Response:
-        from prometheus_client import generate_latest  # noqa: PLC0415 (rarely asked)
-
-        body = generate_latest(metrics.registry)
-        return make_response(200, body, content_type=b"text/plain; version=0.0.4")
+        kind = CONTENT_TYPE.encode()
+        return make_response(200, metrics.write(), content_type=kind)
 
     return HttpServer(answer, WireLimits())
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -8,11 +8,7 @@
 
 import msgspec
 
-from ..consensus import Timing
-from ..control.directed_models import DirectedTiming
-from ..control.tables import LeaderTiming
-from ..router.budget import BudgetPolicy
-from ..settings import SettingsError
+from ..errors import SettingsError
 
 __all__ = [
     "BoundSettings",
@@ -20,10 +16,6 @@
     "NodeIdentity",
     "NodeSettings",
     "load_node_settings",
-    "make_budget_policy",
-    "make_consensus_timing",
-    "make_directed_timing",
-    "make_lease_timing",
 ]
 
 
@@ -64,7 +56,6 @@
     retry_window_s: float = 10.0
     retry_slack: float = 60.0
     announce_ms: int = 1_000
-    tolerated_losses: int = 1
 
 
 class TimeoutSettings(_Table, frozen=True, kw_only=True):
@@ -142,39 +133,3 @@
     if 2 * timeouts.hold_renew_ms > timeouts.hold_ms:
         problems.append("timeouts.hold_renew_ms: must be at most half of hold_ms")
     return problems
-
-
-def make_consensus_timing(settings: NodeSettings) -> Timing:
-    """Return the time-outs of the replicated log."""
-    timeouts = settings.timeouts
-    return Timing(
-        timeouts.heartbeat_ms / 1000,
-        timeouts.election_min_ms / 1000,
-        timeouts.election_max_ms / 1000,
-    )
-
-
-def make_lease_timing(settings: NodeSettings) -> LeaderTiming:
-    """Return the leases of the entry nodes."""
-    timeouts = settings.timeouts
-    return LeaderTiming(
-        entry_lease=timeouts.host_lease_ms / 1000,
-        answer_limit=3 * timeouts.host_renew_ms / 1000,
-        longest_deadline=timeouts.host_lease_ms / 1000,
-    )
-
-
-def make_directed_timing(settings: NodeSettings) -> DirectedTiming:
-    """Return the holds and waits of servers that are granted ranges by orders."""
-    timeouts = settings.timeouts
-    return DirectedTiming(
-        hold=timeouts.hold_ms / 1000,
-        renew=timeouts.hold_renew_ms / 1000,
-        silence=3.2 * settings.bounds.announce_ms / 1000,
-    )
-
-
-def make_budget_policy(settings: NodeSettings) -> BudgetPolicy:
-    """Return the budget of repeated sends."""
-    bounds = settings.bounds
-    return BudgetPolicy(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack)
--- /dev/null
+++ b/src/dragonflyrock/node/timing.py
@@ -0,0 +1,38 @@
+"""Times of a control node, from its settings."""
+
+from __future__ import annotations
+
+from ..consensus import Timing
+from ..control.directed_models import DirectedTiming
+from ..control.tables import LeaderTiming
+from .settings import NodeSettings
+
+__all__ = ["make_consensus_timing", "make_directed_timing", "make_lease_timing"]
+
+
+def make_consensus_timing(settings: NodeSettings) -> Timing:
+    """Return the time-outs of the replicated log."""
+    timeouts = settings.timeouts
+    return Timing.from_ms(
+        timeouts.heartbeat_ms, timeouts.election_min_ms, timeouts.election_max_ms
+    )
+
+
+def make_lease_timing(settings: NodeSettings) -> LeaderTiming:
+    """Return the leases of the entry nodes."""
+    timeouts = settings.timeouts
+    return LeaderTiming(
+        entry_lease=timeouts.host_lease_ms / 1000,
+        answer_limit=3 * timeouts.host_renew_ms / 1000,
+        longest_deadline=timeouts.host_lease_ms / 1000,
+    )
+
+
+def make_directed_timing(settings: NodeSettings) -> DirectedTiming:
+    """Return the holds and waits of servers that are granted ranges by orders."""
+    timeouts = settings.timeouts
+    return DirectedTiming(
+        hold=timeouts.hold_ms / 1000,
+        renew=timeouts.hold_renew_ms / 1000,
+        silence=3.2 * settings.bounds.announce_ms / 1000,
+    )
--- /dev/null
+++ b/src/dragonflyrock/platform/dialect.py
@@ -0,0 +1,23 @@
+"""The platform's headers of requests and answers, for the router."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..router import Dialect
+from .names import EXPECTED_SERVER, KEY_SHIFT, NOT_RUN, SERVER_NAME
+
+__all__ = ["DIALECT"]
+
+DIALECT: Final = Dialect(
+    request_id=b"x-dragonflyrock-request-id",
+    # Not a point in time: the milliseconds that are left.
+    time_left_ms=b"x-dragonflyrock-deadline-ms",
+    expected_server=EXPECTED_SERVER,
+    server_name=SERVER_NAME,
+    signature=b"x-dragonflyrock-server-stamp",
+    not_run=NOT_RUN,
+    load=b"x-dragonflyrock-server-load",
+    key=b"x-dragonflyrock-shard-key",
+    key_shift=KEY_SHIFT,
+)
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -11,7 +12,7 @@
 
 from ..errors import DragonflyrockError
 from ..node.settings import NodeSettings, load_node_settings
-from .names import DIALECT, SETTINGS_VARIABLE
+from .names import SETTINGS_VARIABLE
 
 __all__ = ["main"]
 
@@ -30,10 +31,12 @@
     loop = asyncio.get_running_loop()
     if settings.node.role == "entry":
         from ..node.entry import EntryNode  # noqa: PLC0415 (one role a process)
+        from .dialect import DIALECT  # noqa: PLC0415
 
-        entry = EntryNode(settings, DIALECT)
+        entry = EntryNode(settings, DIALECT, began_at)
         loop.add_signal_handler(signal.SIGTERM, entry.stop)
         loop.add_signal_handler(signal.SIGHUP, lambda: entry.reload(_check_again(path)))
+        _end_loading()
         await entry.run()
         return
     from ..node.control import ControlNode  # noqa: PLC0415 (one role a process)
@@ -43,9 +46,16 @@
     control = ControlNode(settings, OrderCalls().send, began_at)
     loop.add_signal_handler(signal.SIGTERM, control.stop)
     loop.add_signal_handler(signal.SIGHUP, lambda: control.reload(_check_again(path)))
+    _end_loading()
     await control.run(ControlCalls(control).handle)
 
 
+def _end_loading() -> None:
+    """Collect garbage from now on, but not in what was loaded."""
+    gc.freeze()
+    gc.enable()
+
+
 def main(began_at: float) -> int:
     """Run a node by the settings file that the environment names.
 
--- a/src/dragonflyrock/platform/names.py
+++ b/src/dragonflyrock/platform/names.py
@@ -4,35 +4,29 @@
 
 from typing import Final
 
-from ..router import Dialect
-
 __all__ = [
     "BASE_VERSION",
     "CONFIG_GET",
     "CONFIG_PATCH",
     "CONFIG_PUT",
-    "DIALECT",
+    "EXPECTED_SERVER",
     "GRANT_PATH",
     "HANDOVER",
     "INSTANCES_PREFIX",
+    "KEY_SHIFT",
+    "NOT_RUN",
     "RELEASE_PATH",
+    "SERVER_NAME",
     "SETTINGS_VARIABLE",
 ]
 
 SETTINGS_VARIABLE: Final = "DRAGONFLYROCK_SETTINGS"
 
-DIALECT: Final = Dialect(
-    request_id=b"x-dragonflyrock-request-id",
-    # Not a point in time: the milliseconds that are left.
-    time_left_ms=b"x-dragonflyrock-deadline-ms",
-    expected_server=b"x-dragonflyrock-expected-instance",
-    server_name=b"x-dragonflyrock-instance-id",
-    signature=b"x-dragonflyrock-server-stamp",
-    not_run=b"x-dragonflyrock-not-executed",
-    load=b"x-dragonflyrock-server-load",
-    key=b"x-dragonflyrock-shard-key",
-    key_shift=48,
-)
+EXPECTED_SERVER: Final = b"x-dragonflyrock-expected-instance"
+SERVER_NAME: Final = b"x-dragonflyrock-instance-id"
+NOT_RUN: Final = b"x-dragonflyrock-not-executed"
+# A key on the wire is the top of a key of the product.
+KEY_SHIFT: Final = 48
 
 BASE_VERSION: Final = b"x-dragonflyrock-base-version"
 HANDOVER: Final = b"x-dragonflyrock-handover"
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -22,7 +22,15 @@
     Response,
     find_header,
 )
-from .names import DIALECT, GRANT_PATH, HANDOVER, RELEASE_PATH
+from .names import (
+    EXPECTED_SERVER,
+    GRANT_PATH,
+    HANDOVER,
+    KEY_SHIFT,
+    NOT_RUN,
+    RELEASE_PATH,
+    SERVER_NAME,
+)
 
 __all__ = ["OrderCalls"]
 
@@ -62,7 +70,7 @@
     headers = (
         (b"Host", order.server.address.encode()),
         (b"Content-Type", b"application/json"),
-        (DIALECT.expected_server, order.server.name.encode()),
+        (EXPECTED_SERVER, order.server.name.encode()),
     )
     match order:
         case ProbeOrder(_, path):
@@ -76,7 +84,7 @@
     order: GrantOrder | ReleaseOrder,
 ) -> tuple[bytes, dict[str, object]]:
     """Return the path and body of an order; the platform's keys have 16 bits."""
-    shift = DIALECT.key_shift
+    shift = KEY_SHIFT
     body: dict[str, object] = {
         "from": order.low >> shift,
         "to": order.high >> shift,
@@ -103,21 +111,21 @@
     if response.status == 409:
         return OrderResult(order, OrderOutcome.NEWER, detail=detail)
     if response.status == 421:
-        other = find_header(response.headers, DIALECT.server_name)
+        other = find_header(response.headers, SERVER_NAME)
         if other is not None and other != order.server.name.encode():
             detail = f"{other.decode('latin-1')} has the address"
             return OrderResult(order, OrderOutcome.OTHER_LIFE, detail=detail)
     if 400 <= response.status < 500:
         # Whoever answered has read the order and has not taken it.
         return OrderResult(order, OrderOutcome.NOT_SENT, detail=detail)
-    if find_header(response.headers, DIALECT.not_run) is not None:
+    if find_header(response.headers, NOT_RUN) is not None:
         return OrderResult(order, OrderOutcome.NOT_SENT, detail=detail)
     return OrderResult(order, OrderOutcome.UNKNOWN, detail=detail)
 
 
 def _read_probe(order: ProbeOrder, response: Response) -> OrderResult:
     """Return whether the server that was expected is still at its address."""
-    found = find_header(response.headers, DIALECT.server_name)
+    found = find_header(response.headers, SERVER_NAME)
     if found is None:
         detail = f"status {response.status} without a name"
         return OrderResult(order, OrderOutcome.UNKNOWN, detail=detail)
--- a/src/dragonflyrock/settings.py
+++ b/src/dragonflyrock/settings.py
@@ -11,7 +11,7 @@
 from .consensus import Timing
 from .control.leader import ServicePolicy
 from .control.tables import LeaderTiming
-from .errors import DragonflyrockError
+from .errors import SettingsError
 from .systems.placement import PlacementPolicy
 
 __all__ = [
@@ -37,10 +37,6 @@
 SHA256_HEX_LENGTH: Final = 64
 
 
-class SettingsError(DragonflyrockError):
-    """A settings file that is refused; the text names file, key path and value."""
-
-
 class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A table of the file, in which unknown keys are errors."""
 
@@ -382,11 +378,11 @@
 def make_timing(settings: Settings) -> Timing:
     """Return the time-outs of the replicated groups."""
     timeouts = settings.timeouts
-    return Timing(
-        timeouts.heartbeat_ms / 1000,
-        timeouts.election_min_ms / 1000,
-        timeouts.election_max_ms / 1000,
-        timeouts.drift_percent / 100,
+    return Timing.from_ms(
+        timeouts.heartbeat_ms,
+        timeouts.election_min_ms,
+        timeouts.election_max_ms,
+        timeouts.drift_percent,
     )
 
 
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import logging
-from typing import Final, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import zmq
-from zmq.auth.thread import ThreadAuthenticator
+from zmq.utils import z85
 
 from ..codec import CodecError
 from ..observe import HybridClock
@@ -14,6 +14,9 @@
 from .messages import MESSAGES, Envelope, LinkMessage, PackedUpdate
 from .packing import unpack_update
 
+if TYPE_CHECKING:
+    from zmq.auth.thread import ThreadAuthenticator
+
 __all__ = ["CurveKeys", "Links", "Received"]
 
 _LOGGER = logging.getLogger(__name__)
@@ -82,6 +85,8 @@
         """Admit only the hosts whose public keys are in the settings."""
         if keys is None:
             return None
+        from zmq.auth.thread import ThreadAuthenticator  # noqa: PLC0415 (large)
+
         authenticator = ThreadAuthenticator(self._context)
         authenticator.start()
         authenticator.configure_curve_callback(
@@ -194,8 +199,8 @@
 
     def __init__(self, keys: CurveKeys) -> None:
         """Collect the raw keys."""
-        self._known = {zmq.utils.z85.decode(key) for key in keys.hosts.values()}
+        self._known = {z85.decode(key) for key in keys.hosts.values()}
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Return whether the key is a known host's."""
-        return zmq.utils.z85.decode(key) in self._known
+        return z85.decode(key) in self._known
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -5,12 +5,10 @@
 from typing import Final, NamedTuple
 
 from ..codec import Codec
-from ..consensus import models as consensus
 from ..models import Delta, HostRecord, RangeRef
 from ..observe.stamps import Stamp
 
 __all__ = [
-    "CONSENSUS",
     "MESSAGES",
     "CallAnswer",
     "CallRequest",
@@ -194,15 +192,3 @@
         ServersHeard,
     ]
 )
-
-CONSENSUS: Final = Codec(
-    [
-        consensus.VoteRequest,
-        consensus.VoteAnswer,
-        consensus.AppendRequest,
-        consensus.AppendAnswer,
-        consensus.SnapshotRequest,
-        consensus.JoinRequest,
-        consensus.TakeOver,
-    ]
-)
