Let one of two candidates with equal logs give way

Change: a candidate whose log equals that of a lower name grants its pre-vote and waits; it refuses the pre-votes of higher names meanwhile. Votes are as before. Test: tests/consensus/test_restart.py, test_of_two_candidates_one_gives_way.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -166,6 +166,8 @@
             return
         become_follower(replica, request.term, "", now)
     granted = _may_vote(replica, sender, request, now)
+    if granted and request.pre and replica.role == Role.CANDIDATE:
+        granted = _give_way(replica, sender, request, now)
     if granted and not request.pre:
         granted = replica.hard.voted_for in ("", sender.name)
         granted = granted and request.term == replica.hard.term
@@ -175,6 +177,24 @@
     _answer(replica, sender, request, granted=granted)
 
 
+def _give_way(
+    replica: Replica, sender: Member, request: VoteRequest, now: float
+) -> bool:
+    """Return whether a candidate leaves the election to another one.
+
+    Two that stand at the same moment would split the votes: where their logs are
+    equal the lower name goes on, and the other one waits.
+    """
+    ours = (replica.log.last_term, replica.log.last_index)
+    if (request.last_term, request.last_index) == ours and not request.forming:
+        if replica.me.name < sender.name:
+            return False
+        if replica.pre:
+            become_follower(replica, replica.hard.term, "", now)
+            _plan_next(replica, now, FIRST_VOTE_SECONDS)
+    return True
+
+
 def _answer(
     replica: Replica, sender: Member, request: VoteRequest, *, granted: bool
 ) -> None:
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -74,3 +74,18 @@
     cluster.start(voter)
     cluster.run(5.0)
     assert cluster.leader() is leader
+
+
+# Two that stood at the same moment split the votes, and both waited again.
+def test_of_two_candidates_one_gives_way() -> None:
+    times = []
+    for seed in range(100):
+        cluster = Cluster(NAMES, seed=seed)
+        cluster.settle()
+        for name in NAMES:
+            cluster.stop(name)
+        cluster.run(LOADING_SECONDS)
+        cluster.start("b")
+        cluster.start("c")
+        times.append(time_election(cluster))
+    assert sum(1 for time in times if time > 0.5) <= 2
