Elect a restarted leader at once, since promises to it are void

Cause: after a whole loss voters still waited 0.45 s from the start of their processes, for a promise that they had mostly made to one of themselves. Change: a member remembers, with its term and its vote, whom it acknowledged as the term's leader. If that very member (name and data folder) asks for a vote for a later term it leads no more, so the promise to it is void; towards all others it binds as before. A member that led last stands 0.02 s after its start, and members without a leader since their start ask again after 0.05 to 0.15 s. Files of earlier code are read as before (no leader known: the promise binds). Tests: tests/consensus/test_restart.py, test_a_leader_that_comes_back_is_elected_at_once and test_a_promise_binds_towards_all_others; both fail without the change.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -31,7 +31,7 @@
 
 # A member that has met no leader since its start asks again this soon, and stands
 # again this long after it asked for votes; all may have stood at the same moment.
-FIRST_RETRY_SECONDS: Final = (0.1, 0.25)
+FIRST_RETRY_SECONDS: Final = (0.05, 0.15)
 FIRST_VOTE_SECONDS: Final = (0.15, 0.4)
 
 
@@ -141,6 +141,7 @@
     replica.leader = replica.me.name
     replica.met_leader = True
     replica.became_leader_at = now
+    save_hard(replica, replica.hard.term, replica.hard.voted_for, replica.me.name)
     if replica.forming:
         voters = tuple(replica.votes[name] for name in replica.initial_voters)
         payload = encode_configuration(Configuration(voters))
@@ -160,19 +161,19 @@
     if stranger and not replica.is_new and not request.forming:
         # It was removed while it was away, and takes itself for a voter.
         on_join_request(replica, sender, JoinRequest(sender.identity))
+    granted = _may_vote(replica, sender, request, now)
     if not request.pre and request.term > replica.hard.term:
-        if not _may_vote(replica, sender, request, now):
+        if not granted:
             _answer(replica, sender, request, granted=False)
             return
         become_follower(replica, request.term, "", now)
-    granted = _may_vote(replica, sender, request, now)
     if granted and request.pre and replica.role == Role.CANDIDATE:
         granted = _give_way(replica, sender, request, now)
     if granted and not request.pre:
         granted = replica.hard.voted_for in ("", sender.name)
         granted = granted and request.term == replica.hard.term
         if granted:
-            save_hard(replica, request.term, sender.name)
+            save_hard(replica, request.term, sender.name, replica.hard.leader)
             reset_election(replica, now)
     _answer(replica, sender, request, granted=granted)
 
@@ -218,7 +219,11 @@
         return False
     promised = replica.heard_at + replica.timing.election_min
     if now < promised and not request.transfer:
-        return False
+        # A leader that stands for a later term leads no more: what was promised
+        # to it is void, and nothing was promised to another one since.
+        own = sender.name == replica.hard.leader and request.term > replica.hard.term
+        if not own:
+            return False
     if replica.role == Role.LEADER and request.pre:
         return False
     ours = (replica.log.last_term, replica.log.last_index)
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -81,10 +81,14 @@
 
 
 class HardState(NamedTuple):
-    """What a member must remember of its votes."""
+    """What a member must remember of its votes and promises.
+
+    ``leader`` is whom it has acknowledged, or been, as the leader of the term.
+    """
 
     term: int = 0
     voted_for: str = ""
+    leader: str = ""
 
 
 class SnapshotImage(NamedTuple):
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -34,6 +34,9 @@
 NEVER: Final = float("-inf")
 # Share of the spread of election times in which members stand after their start.
 FIRST_SPREAD: Final = 0.6
+# A member that led when its process ended stands this long after its start, when
+# its links are open.
+OWN_RESTART_SECONDS: Final = 0.02
 
 
 class Addressed(NamedTuple):
@@ -153,11 +156,15 @@
     It counts as having heard a leader when its process began, ``began_at``: the
     process before may have acknowledged a heartbeat right before it stopped, and
     that promise must be kept. It stands for election soon after the promise ends,
-    since all members may have been lost.
+    since all members may have been lost. A member that led last stands at once.
     """
     replica = Replica(me, initial_voters, timing, random, log, hard)
     replica.commit = log.snapshot.log_index
     replica.heard_at = now if began_at is None else began_at
+    if hard.leader == me.name:
+        # It has promised nothing, and the promises to it end with its leadership.
+        replica.election_at = now + OWN_RESTART_SECONDS
+        return replica
     promised = replica.heard_at + timing.election_min
     spread = FIRST_SPREAD * (timing.election_max - timing.election_min)
     replica.election_at = max(now, promised) + random.uniform(0.0, spread)
@@ -182,9 +189,9 @@
     return output
 
 
-def save_hard(replica: Replica, term: int, voted_for: str) -> None:
-    """Change the term or the vote, to be saved before anything is sent."""
-    hard = HardState(term, voted_for)
+def save_hard(replica: Replica, term: int, voted_for: str, leader: str = "") -> None:
+    """Change the term, vote or leader, to be saved before anything is sent."""
+    hard = HardState(term, voted_for, leader)
     if hard != replica.hard:
         replica.hard = hard
         replica.output.hard = hard
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -18,6 +18,7 @@
     append_own,
     become_follower,
     reset_election,
+    save_hard,
     send,
 )
 
@@ -129,6 +130,7 @@
     if known is not None and known != sender:
         return False
     become_follower(replica, term, sender.name, now)
+    save_hard(replica, term, replica.hard.voted_for, sender.name)
     replica.heard_at = now
     replica.met_leader = True
     reset_election(replica, now)
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from dragonflyrock.consensus import Member, receive, take_output
+from dragonflyrock.consensus.models import VoteAnswer, VoteRequest
+
 from .common import TICK, Cluster
 
 NAMES: Final = "abc"
@@ -89,3 +92,40 @@
         cluster.start("c")
         times.append(time_election(cluster))
     assert sum(1 for time in times if time > 0.5) <= 2
+
+
+# A leader that was restarted waited for promises that were made to itself.
+def test_a_leader_that_comes_back_is_elected_at_once() -> None:
+    for seed in range(20):
+        cluster = Cluster(NAMES, seed=seed)
+        led = cluster.settle().me.name
+        for name in NAMES:
+            cluster.stop(name)
+        for name in NAMES:
+            cluster.start(name)
+        assert time_election(cluster) <= 0.2
+        leader = cluster.leader()
+        assert leader is not None
+        assert leader.me.name == led
+
+
+# Only the process that led may end its promises, and only for a later term.
+def test_a_promise_binds_towards_all_others() -> None:
+    cluster = Cluster(NAMES, seed=3)
+    leader = cluster.settle()
+    cluster.run(0.5)
+    voter, other = (cluster.replicas[n] for n in NAMES if n != leader.me.name)
+    term = leader.hard.term
+    log = leader.log
+    for sender, asked, granted in (
+        (other.me, term + 1, False),
+        (leader.me, term, False),
+        (Member(leader.me.name, "wiped"), term + 1, False),
+        (leader.me, term + 1, True),
+    ):
+        request = VoteRequest(asked, log.last_index, log.last_term, True, False, False)
+        take_output(voter)
+        receive(voter, sender, request, cluster.clocks[voter.me.name])
+        (answer,) = (item.message for item in take_output(voter).messages)
+        assert isinstance(answer, VoteAnswer)
+        assert answer.granted is granted, (sender, asked)
