--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from .log import encode_configuration
 from .membership import on_join_request
 from .models import (
@@ -27,6 +29,12 @@
 __all__ = ["on_take_over", "on_vote_answer", "on_vote_request", "tick_election"]
 
 
+# A member that has met no leader since its start asks again this soon, and stands
+# again this long after it asked for votes; all may have stood at the same moment.
+FIRST_RETRY_SECONDS: Final = (0.05, 0.15)
+FIRST_VOTE_SECONDS: Final = (0.15, 0.4)
+
+
 def tick_election(replica: Replica, now: float) -> None:
     """Stand for election when no leader was heard, or step down without a quorum."""
     if replica.role == Role.LEADER:
@@ -34,7 +42,7 @@
         return
     if now < replica.election_at:
         return
-    reset_election(replica, now)
+    _plan_next(replica, now, FIRST_RETRY_SECONDS)
     if replica.is_new:
         _start_forming(replica, now)
     elif replica.configuration.has_voter(replica.me.name):
@@ -44,6 +52,17 @@
         _ask_to_join(replica)
 
 
+def _plan_next(replica: Replica, now: float, first: tuple[float, float]) -> None:
+    """Draw when to stand again: soon where no leader was met since the start.
+
+    Others may have kept an earlier promise, or may have been starting.
+    """
+    if replica.met_leader or replica.is_new:
+        reset_election(replica, now)
+    else:
+        replica.election_at = now + replica.random.uniform(*first)
+
+
 def _check_quorum(replica: Replica, now: float) -> None:
     """Step down when a quorum has been silent for the longest election time."""
     silent = replica.lease_until(now) + replica.timing.election_max
@@ -115,6 +134,7 @@
     if len(replica.votes) < needed:
         return
     if replica.pre:
+        _plan_next(replica, now, FIRST_VOTE_SECONDS)
         _start_election(replica, now, pre=False, transfer=False)
     else:
         _become_leader(replica, now)
@@ -124,7 +144,9 @@
     """Lead, with an entry of the own term that commits all before it."""
     replica.role = Role.LEADER
     replica.leader = replica.me.name
+    replica.met_leader = True
     replica.became_leader_at = now
+    save_hard(replica, replica.hard.term, replica.hard.voted_for, replica.me.name)
     if replica.forming:
         voters = tuple(replica.votes[name] for name in replica.initial_voters)
         payload = encode_configuration(Configuration(voters))
@@ -144,19 +166,19 @@
     if stranger and not replica.is_new and not request.forming:
         # It was removed while it was away, and takes itself for a voter.
         on_join_request(replica, sender, JoinRequest(sender.identity))
+    granted = _may_vote(replica, sender, request, now)
     if not request.pre and request.term > replica.hard.term:
-        if not _may_vote(replica, sender, request, now):
+        if not granted:
             _answer(replica, sender, request, granted=False)
             return
         become_follower(replica, request.term, "", now)
-    granted = _may_vote(replica, sender, request, now)
     if request.term == replica.hard.term:
         # A vote of this term is given once; a pre-vote must not promise another.
         granted = granted and replica.hard.voted_for in ("", sender.name)
     if granted and _stands_beside(replica, request):
         granted = _settle_tie(replica, sender, request, now)
     if granted and not request.pre:
-        save_hard(replica, request.term, sender.name)
+        save_hard(replica, request.term, sender.name, replica.hard.leader)
         reset_election(replica, now)
     _answer(replica, sender, request, granted=granted)
 
@@ -181,6 +203,7 @@
         send(replica, sender.name, _make_request(replica))
         return False
     become_follower(replica, replica.hard.term, "", now)
+    _plan_next(replica, now, FIRST_VOTE_SECONDS)
     return True
 
 
@@ -207,7 +230,11 @@
         return False
     promised = replica.heard_at + replica.timing.election_min
     if now < promised and not request.transfer:
-        return False
+        # A leader that stands for a later term leads no more: what was promised
+        # to it is void, and nothing was promised to another one since.
+        own = sender.name == replica.hard.leader and request.term > replica.hard.term
+        if not own:
+            return False
     if replica.role == Role.LEADER and request.pre:
         return False
     ours = (replica.log.last_term, replica.log.last_index)
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -81,10 +81,14 @@
 
 
 class HardState(NamedTuple):
-    """What a member must remember of its votes."""
+    """What a member must remember of its votes and promises.
+
+    ``leader`` is whom it has acknowledged, or been, as the leader of the term.
+    """
 
     term: int = 0
     voted_for: str = ""
+    leader: str = ""
 
 
 class SnapshotImage(NamedTuple):
@@ -104,6 +108,22 @@
     election_max: float = 0.6
     drift: float = 0.02
 
+    @classmethod
+    def from_ms(
+        cls,
+        heartbeat: float,
+        election_min: float,
+        election_max: float,
+        drift_percent: float = 2.0,
+    ) -> Timing:
+        """Return time-outs given in milliseconds."""
+        return cls(
+            heartbeat / 1000,
+            election_min / 1000,
+            election_max / 1000,
+            drift_percent / 100,
+        )
+
 
 class VoteRequest(NamedTuple):
     """Ask for a vote, or with ``pre`` whether a vote would be given.
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -29,12 +29,9 @@
 )
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
-from .settings import (
-    NodeSettings,
-    make_consensus_timing,
-    make_directed_timing,
-    make_lease_timing,
-)
+from .settings import NodeSettings
+from .timing import make_consensus_timing, make_directed_timing, make_lease_timing
+from .waiting import WaitingHosts
 
 __all__ = ["ControlNode", "OrderSender"]
 
@@ -62,11 +59,12 @@
         self,
         settings: NodeSettings,
         send_order: OrderSender,
+        began_at: float,
         clock: Clock = time.monotonic,
     ) -> None:
-        """Open the data folder and bind the link."""
+        """Open the data folder and bind the link; the process began at ``began_at``."""
         self._settings = settings
-        self._loop = NodeLoop(settings, TICK_SECONDS, clock)
+        self._loop = NodeLoop(settings, TICK_SECONDS, began_at, clock)
         self._send_order = send_order
         self._timing = make_directed_timing(settings)
         self._orders: set[asyncio.Task[None]] = set()
@@ -85,6 +83,7 @@
             Random(),
             state,
             self._loop.clock(),
+            began_at=began_at,
         )
         self._group.replica.join_peers = settings.seed_names
         self._member = ControlMember(
@@ -101,6 +100,7 @@
             self._start_order,
         )
         self._calls = CallTable(settings.seed_names, self._loop.send)
+        self._waiting = WaitingHosts(self._loop.meet, self._loop.part)
         self._stopping = asyncio.Event()
         self._server: HttpServer | None = None
         self._metrics = make_metrics_server(settings, self._loop.metrics)
@@ -115,22 +115,11 @@
         await self._server.start(self._settings.listen.control)
         if self._metrics is not None:
             await self._metrics.start(self._settings.listen.metrics)
-        self._loop.lines.add(
-            "started",
-            role="control",
-            seeds=self._settings.seeds,
+        self._loop.tell_started(
             forming=self._settings.node.forming,
             log_index=self._group.replica.log.last_index,
         )
-        failure = self._loop.failure
-        assert failure is not None
-        await self._loop.wait_for_end(self._stopping)
-        if not failure.done():
-            await self._finish()
-        self._loop.lines.add("stopped")
-        self._loop.close()
-        if failure.done():
-            failure.result()
+        await self._loop.end(self._stopping, self._finish)
 
     def stop(self) -> None:
         """Begin to end; may be called more than once."""
@@ -140,7 +129,7 @@
         """Tell that the settings file was read anew, or why it was refused."""
         self._loop.reload(problem)
 
-    async def _finish(self) -> None:
+    async def _finish(self) -> Mapping[str, object]:
         """Hand the leadership over, answer the calls under way, and close."""
         server = self._server
         assert server is not None
@@ -151,6 +140,7 @@
         await server.finish(self._loop.clock() + LAST_CALL_SECONDS)
         await handed_over
         self._member.close()
+        return {}
 
     # Calls from the control address
 
@@ -291,6 +281,8 @@
             case ConsensusMessage():
                 self._member.receive_consensus(sender, message, now)
             case HostRenew():
+                if sender == message.host.name:
+                    self._waiting.hear(sender, self._group.replica.leader)
                 self._member.receive_renew(sender, message, now)
             case CallRequest():
                 self._member.receive_call(sender, message, now)
@@ -309,6 +301,7 @@
         self._calls.tick(now)
         self._tell_heard(now)
         self._member.tick(now)
+        self._waiting.tick(replica.leader, self._settings.node.name)
         if replica.role != self._role:
             self._role = replica.role
             self._loop.lines.add(
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 from ..observe import EventRing, HybridClock
@@ -26,17 +26,26 @@
 Handle = Callable[[Received, float], None]
 Tick = Callable[[float], None]
 Clock = Callable[[], float]
+Finish = Callable[[], Awaitable[Mapping[str, object]]]
 
 
 class NodeLoop:
     """Receive messages, let time pass, and flush once after each batch of both."""
 
     def __init__(
-        self, settings: NodeSettings, tick_seconds: float, clock: Clock
+        self,
+        settings: NodeSettings,
+        tick_seconds: float,
+        began_at: float,
+        clock: Clock,
     ) -> None:
-        """Bind the link; ``tick_seconds`` is the time between ticks."""
+        """Bind the link; ``tick_seconds`` is the time between ticks.
+
+        The process began at ``began_at``, before it loaded its code.
+        """
         self.settings = settings
         self.clock = clock
+        self._began_at = began_at
         self.metrics = Metrics()
         self.lines = LineLog(settings.node.label, 1, clock, blocking=False)
         self.events = LineEvents(settings.node.name, self.lines)
@@ -63,16 +72,26 @@
         loop = asyncio.get_running_loop()
         self.failure = loop.create_future()
         loop.add_reader(self._links.receiver.fileno(), self._receive)
+        for peer in self.settings.seed_names:
+            self.meet(peer)
         self._on_tick()
 
+    def meet(self, peer: str) -> None:
+        """Open the link to a node; what is sent before it is open is lost."""
+        if peer != self.settings.node.name and not self._links.knows(peer):
+            self._links.connect(peer, f"{peer}:{self.settings.link_port}")
+
+    def part(self, peer: str) -> None:
+        """Close the link to a node."""
+        self._links.disconnect(peer)
+
     def send(self, peer: str, message: LinkMessage) -> bool:
         """Send a message to a node by its name, which may be this one's."""
         if peer == self.settings.node.name:
             self._local.append(Received(peer, message))
             self.wake()
             return True
-        if not self._links.knows(peer):
-            self._links.connect(peer, f"{peer}:{self.settings.link_port}")
+        self.meet(peer)
         return self._links.send(peer, message)
 
     def wake(self) -> None:
@@ -139,17 +158,35 @@
         outcome = "refused" if problem else "read"
         self.lines.add("reload", outcome=outcome, detail=problem)
 
-    async def wait_for_end(self, stopping: asyncio.Event) -> None:
-        """Return when the node is told to stop, or a part of it has failed."""
-        assert self.failure is not None
+    def tell_started(self, **fields: object) -> None:
+        """Add the line of a node that takes calls from now on."""
+        self.lines.add(
+            "started",
+            role=self.settings.node.role,
+            seeds=self.settings.seeds,
+            loading=round(self.clock() - self._began_at, 3),
+            **fields,
+        )
+
+    async def end(self, stopping: asyncio.Event, finish: Finish) -> None:
+        """Wait until the node is told to stop or a part of it fails, and close.
+
+        ``finish`` ends what is under way and returns the fields of the last line,
+        unless a part failed; then its error is raised.
+        """
+        failure = self.failure
+        assert failure is not None
         told: asyncio.Future[object] = asyncio.ensure_future(stopping.wait())
-        waited: set[asyncio.Future[object]] = {told, self.failure}
+        waited: set[asyncio.Future[object]] = {told, failure}
         await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-
-    def close(self) -> None:
-        """Close the links and write the last lines."""
+        fields: Mapping[str, object] = {}
+        if not failure.done():
+            fields = await finish()
+        self.lines.add("stopped", **fields)
         self._links.close()
         self.lines.flush()
+        if failure.done():
+            failure.result()
 
 
 class LineEvents(EventRing):
--- a/tests/node/entry_scene.py
+++ b/tests/node/entry_scene.py
@@ -108,7 +108,7 @@
             seeds=(f"{name}:1",),
             bounds=BoundSettings(stop_grace_ms=int(grace_seconds * 1000)),
         )
-        self.node = EntryNode(settings, DIALECT, clock.read)
+        self.node = EntryNode(settings, DIALECT, clock.now, clock.read)
         self._server = HttpServer(self._work, WireLimits())
         self.running: asyncio.Task[None] | None = None
 
--- a/tests/node/test_control_stop.py
+++ b/tests/node/test_control_stop.py
@@ -35,7 +35,7 @@
             ),
             seeds=(f"{name}:1", "127.0.0.2:1", "127.0.0.3:1"),
         )
-        node = ControlNode(settings, OrderCalls().send, clock.read)
+        node = ControlNode(settings, OrderCalls().send, clock.now, clock.read)
         running = asyncio.create_task(node.run(ControlCalls(node).handle))
         await asyncio.sleep(0.2)
         # Two of three voters are missing, so the call ends by its time-out.
