--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -81,8 +81,8 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self) -> int:
-        """Close connections that wait for no answer; return how many others remain.
+    def close_idle(self) -> None:
+        """Close connections that wait for no answer.
 
         A connection that was opened just now counts as one whose request is under way.
         """
@@ -90,15 +90,18 @@
         for connection in list(self.connections):
             if connection.is_idle(now):
                 connection.close()
-        return sum(not connection.is_ending for connection in self.connections)
 
     async def finish(self, end: float) -> None:
         """Answer what is under way, until ``end`` on the loop's clock, and close."""
         loop = asyncio.get_running_loop()
         self.draining = True
         self.stop_listening()
-        while self.close_idle() and loop.time() < end:
+        # What the listener took last becomes a connection within a few turns.
+        await asyncio.sleep(FINISH_POLL_SECONDS)
+        self.close_idle()
+        while self.connections and loop.time() < end:
             await asyncio.sleep(FINISH_POLL_SECONDS)
+            self.close_idle()
         self.close()
         flushed_until = loop.time() + FLUSH_SECONDS
         while self.connections and loop.time() < flushed_until:
@@ -159,11 +162,6 @@
         """Return whether a request is under way."""
         return self._task is not None
 
-    @property
-    def is_ending(self) -> bool:
-        """Return whether the connection was closed, and nothing is under way."""
-        return self._ending and not self.is_busy
-
     def is_idle(self, now: float) -> bool:
         """Return whether the client waits for no answer, and is not about to."""
         if self.is_busy or self._partial or self._ending:
