Count the grace time from the signal, and use all but a sixth of a short one

At most a sixth is kept now. - The grace time counted from when the event loop heard of the signal; half a second late, the host ended at 5.98 of 6 s. A handler of its own notes the time. - A control node gave itself 1.1 s: a call that became whole after the signal was cut.

--- a/src/dragonflyrock/router/drain.py
+++ b/src/dragonflyrock/drain.py
@@ -8,8 +8,9 @@
 
 # The balancer takes a host out after two missed checks, one a second.
 LAST_ARRIVAL_SECONDS: Final = 2.6
-# Kept of the grace time for the process to end.
+# Kept of the grace time for the process to end, and at most this share of it.
 END_MARGIN_SECONDS: Final = 0.6
+END_MARGIN_SHARE: Final = 1 / 6
 # An answer that is due at its deadline needs this long to be written.
 ANSWER_MARGIN_SECONDS: Final = 0.1
 
@@ -36,13 +37,13 @@
         return now < self.last_arrival or deadline + ANSWER_MARGIN_SECONDS <= self.end
 
 
-def plan_drain(now: float, grace: float) -> Drain:
-    """Return the times of a stop that must end within ``grace`` seconds.
+def plan_drain(told: float, grace: float) -> Drain:
+    """Return the times of a stop, told at a time, that ends within ``grace`` seconds.
 
     >>> plan_drain(10.0, 6.0)
     Drain(last_arrival=12.6, end=15.4)
-    >>> plan_drain(0.0, 2.0)
-    Drain(last_arrival=0.7, end=1.4)
+    >>> plan_drain(0.0, 2.4)
+    Drain(last_arrival=1.0, end=2.0)
     """
-    end = max(grace - END_MARGIN_SECONDS, grace / 2)
-    return Drain(now + min(LAST_ARRIVAL_SECONDS, end / 2), now + end)
+    end = grace - min(END_MARGIN_SECONDS, grace * END_MARGIN_SHARE)
+    return Drain(told + min(LAST_ARRIVAL_SECONDS, end / 2), told + end)
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -15,6 +15,7 @@
 from ..control.directed_models import Order, OrderOutcome, OrderResult, ServerBeat
 from ..control.member import CONTROL_GROUP, ControlMember, MemberConfig
 from ..control.state import ControlState
+from ..drain import plan_drain
 from ..errors import Reason, Refusal, Step
 from ..http import HttpServer, Request, Response, WireLimits
 from ..routes import RouteDocument
@@ -38,8 +39,6 @@
 TICK_SECONDS: Final = 0.05
 # A caller waits one second; it is told before that that nothing is known.
 CALL_SECONDS: Final = 0.9
-# Calls end by their own time-out, which is looked at once a tick.
-LAST_CALL_SECONDS: Final = CALL_SECONDS + 4 * TICK_SECONDS
 # A follower that heard no heartbeat for this long may be cut off.
 LEADER_HEARD_SECONDS: Final = 0.6
 TELL_HEARD_SECONDS: Final = 1.0
@@ -102,6 +101,7 @@
         self._calls = CallTable(settings.seed_names, self._loop.send)
         self._waiting = WaitingHosts(self._loop.meet, self._loop.part)
         self._stopping = asyncio.Event()
+        self._told_at = 0.0
         self._server: HttpServer | None = None
         self._metrics = make_metrics_server(settings, self._loop.metrics)
         self._role = ""
@@ -121,8 +121,14 @@
         )
         await self._loop.end(self._stopping, self._finish)
 
+    def note_stop(self) -> None:
+        """Note that a stop signal has come; the grace time begins."""
+        if not self._told_at:
+            self._told_at = self._loop.clock()
+
     def stop(self) -> None:
         """Begin to end; may be called more than once."""
+        self.note_stop()
         self._stopping.set()
 
     def reload(self, problem: str) -> None:
@@ -136,8 +142,9 @@
         self._loop.lines.add("stopping", busy=server.busy)
         self._member.hand_over(self._loop.clock())
         self._loop.wake()
+        grace = self._settings.bounds.stop_grace_ms / 1000
         handed_over = asyncio.create_task(asyncio.sleep(HAND_OVER_SECONDS))
-        await server.finish(self._loop.clock() + LAST_CALL_SECONDS)
+        await server.finish(plan_drain(self._told_at, grace).end)
         await handed_over
         self._member.close()
         return {}
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING, Final
 
 from ..control.const import CONTROL_GROUP
+from ..drain import plan_drain
 from ..entry.agent import AgentConfig, EntryAgent
 from ..http import Connections, HttpServer, Request, Response, WireLimits, make_response
 from ..models import HostRecord
-from ..router import Dialect, Router, RouterConfig, RouterState, plan_drain
+from ..router import Dialect, Router, RouterConfig, RouterState
 from ..router.budget import BudgetPolicy
 from ..transport.calls import CallTable
 from ..transport.links import Received
@@ -84,6 +85,7 @@
             clock,
         )
         self._stopping = asyncio.Event()
+        self._told_at = 0.0
         self._swept_at = 0.0
         self._heard_version = 0
         self._was_in_touch = False
@@ -100,8 +102,14 @@
         self._loop.tell_started()
         await self._loop.end(self._stopping, self._finish)
 
+    def note_stop(self) -> None:
+        """Note that a stop signal has come; the grace time begins."""
+        if not self._told_at:
+            self._told_at = self._loop.clock()
+
     def stop(self) -> None:
         """Begin to end; may be called more than once."""
+        self.note_stop()
         self._stopping.set()
 
     def reload(self, problem: str) -> None:
@@ -117,7 +125,7 @@
         self._loop.lines.add("stopping", busy=self._callers.busy)
         self._callers.draining = True
         grace = self._settings.bounds.stop_grace_ms / 1000
-        self._router.drain = drain = plan_drain(clock(), grace)
+        self._router.drain = drain = plan_drain(self._told_at, grace)
         while clock() < drain.last_arrival:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._callers.finish(drain.end)
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Protocol
 
 from ..errors import DragonflyrockError
 from ..node.settings import NodeSettings, load_node_settings
@@ -26,16 +27,36 @@
     return ""
 
 
+class _Stoppable(Protocol):
+    """What the signals of the platform act on."""
+
+    def note_stop(self) -> None:
+        """Note that a stop signal has come."""
+
+    def stop(self) -> None:
+        """Begin to end."""
+
+    def reload(self, problem: str) -> None:
+        """Tell that the settings were read anew."""
+
+
+def _handle_signals(node: _Stoppable, path: Path) -> None:
+    """Have signals stop a node and read its settings anew."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(_check_again(path)))
+    # The loop calls its handlers when it gets to them; this one runs at once.
+    signal.signal(signal.SIGTERM, lambda *_: node.note_stop())
+
+
 async def _run(settings: NodeSettings, path: Path, began_at: float) -> None:
     """Run the role that the settings name, until a signal ends it."""
-    loop = asyncio.get_running_loop()
     if settings.node.role == "entry":
         from ..node.entry import EntryNode  # noqa: PLC0415 (one role a process)
         from .dialect import DIALECT  # noqa: PLC0415
 
         entry = EntryNode(settings, DIALECT, began_at)
-        loop.add_signal_handler(signal.SIGTERM, entry.stop)
-        loop.add_signal_handler(signal.SIGHUP, lambda: entry.reload(_check_again(path)))
+        _handle_signals(entry, path)
         _end_loading()
         await entry.run()
         return
@@ -44,8 +65,7 @@
     from .orders import OrderCalls  # noqa: PLC0415
 
     control = ControlNode(settings, OrderCalls().send, began_at)
-    loop.add_signal_handler(signal.SIGTERM, control.stop)
-    loop.add_signal_handler(signal.SIGHUP, lambda: control.reload(_check_again(path)))
+    _handle_signals(control, path)
     _end_loading()
     await control.run(ControlCalls(control).handle)
 
--- a/src/dragonflyrock/router/__init__.py
+++ b/src/dragonflyrock/router/__init__.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from .dialect import Dialect
-from .drain import Drain, plan_drain
 from .exchange import Router, RouterConfig
 from .state import RouterState
 
 __all__ = [
     "Dialect",
-    "Drain",
     "Router",
     "RouterConfig",
     "RouterState",
-    "plan_drain",
 ]
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from ..drain import Drain
 from ..entry.request import make_fingerprint
 from ..http import (
     CUT_BY_HOST,
@@ -25,7 +26,6 @@
 from .admission import find_limit
 from .choice import choose_server, rank_home
 from .dialect import Dialect
-from .drain import Drain
 from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
 from .models import CrashReports, Passage, Refused
 from .servers import (
--- a/tests/node/test_control_stop.py
+++ b/tests/node/test_control_stop.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Final, NamedTuple
 
 from dragonflyrock.node.control import ControlNode
 from dragonflyrock.node.settings import ListenAddresses, NodeIdentity, NodeSettings
@@ -12,13 +14,26 @@
 from tests.common import free_port
 from tests.paused_clock import PausedClock, run_paused
 
+READ_ROUTES: Final = b"GET /-/config/get HTTP/1.1\r\nHost: x\r\n\r\n"
 
-# Guards against a call cut by the stop of its control node: an operator or a backend
-# server got a closed connection and could not tell what became of it.
-def test_a_stopping_control_node_answers_the_calls_under_way(
-    tmp_path: Path,
+
+class ControlScene(NamedTuple):
+    """A control node without a quorum, whose calls end by their time-out."""
+
+    node: ControlNode
+    port: int
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection."""
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+
+def play_control(
+    folder: Path, scene: Callable[[ControlScene], Awaitable[None]]
 ) -> None:
-    async def scene(clock: PausedClock) -> None:
+    """Run a scene with a control node on a paused clock."""
+
+    async def run(clock: PausedClock) -> None:
         port = free_port()
         name = "127.0.0.1"
         settings = NodeSettings(
@@ -28,7 +43,7 @@
                 role="control",
                 availability_zone="a",
                 forming=True,
-                data_folder=str(tmp_path),
+                data_folder=str(folder),
             ),
             listen=ListenAddresses(
                 link=f"{name}:{free_port()}", control=f"{name}:{port}"
@@ -38,14 +53,40 @@
         node = ControlNode(settings, OrderCalls().send, clock.now, clock.read)
         running = asyncio.create_task(node.run(ControlCalls(node).handle))
         await asyncio.sleep(0.2)
-        # Two of three voters are missing, so the call ends by its time-out.
-        reader, writer = await asyncio.open_connection(name, port)
-        writer.write(b"GET /-/config/get HTTP/1.1\r\nHost: x\r\n\r\n")
-        await asyncio.sleep(0.1)
+        await scene(ControlScene(node, port))
         node.stop()
+        await running
+
+    run_paused(run)
+
+
+# Guards against a call cut by the stop of its control node: an operator or a backend
+# server got a closed connection and could not tell what became of it.
+def test_a_stopping_control_node_answers_the_calls_under_way(tmp_path: Path) -> None:
+    async def scene(stage: ControlScene) -> None:
+        reader, writer = await stage.open()
+        writer.write(READ_ROUTES)
+        await asyncio.sleep(0.1)
+        stage.node.stop()
+        answer = await reader.read(-1)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        writer.close()
+
+    play_control(tmp_path, scene)
+
+
+# Guards against a call that is whole only after the stop signal: its node ended before
+# the call's own time-out did.
+def test_a_call_that_becomes_whole_after_the_signal_is_answered(tmp_path: Path) -> None:
+    async def scene(stage: ControlScene) -> None:
+        reader, writer = await stage.open()
+        writer.write(READ_ROUTES[:-2])
+        await asyncio.sleep(0.05)
+        stage.node.stop()
+        await asyncio.sleep(0.28)
+        writer.write(READ_ROUTES[-2:])
         answer = await reader.read(-1)
         assert answer.startswith(b"HTTP/1.1 503 ")
         writer.close()
-        await running
 
-    run_paused(scene)
+    play_control(tmp_path, scene)
--- a/tests/node/test_entry_stop.py
+++ b/tests/node/test_entry_stop.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from dragonflyrock.router.drain import LAST_ARRIVAL_SECONDS
+from dragonflyrock.drain import LAST_ARRIVAL_SECONDS
 
 from .entry_scene import EntryScene, play_entry
 
@@ -99,3 +99,36 @@
         assert stage.cancelled == 1
 
     play_entry(scene)
+
+
+# Guards against a short grace time of which a third was kept for the end: a request
+# taken just after the signal was cut while its server was at work.
+def test_a_short_grace_time_is_used_for_requests_under_way() -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.work_seconds = 1.2
+        caller = await stage.open()
+        stage.node.stop()
+        await asyncio.sleep(0.3)
+        answer = await caller.ask(1500)
+        assert answer.startswith((WHOLE, NOT_RUN)), answer
+
+    play_entry(scene, grace_seconds=2.0)
+
+
+# Guards against a grace time counted from when a busy event loop hears of the signal:
+# the host would be killed before its end.
+def test_the_grace_time_is_counted_from_the_signal() -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.work_seconds = 30.0
+        caller = await stage.open()
+        told = stage.clock.now
+        stage.node.note_stop()
+        stage.clock.now += 0.5
+        stage.node.stop()
+        await asyncio.sleep(1.5)
+        await caller.ask(20_000)
+        assert stage.running is not None
+        await stage.running
+        assert stage.clock.now - told < 6.0 - 0.3
+
+    play_entry(scene)
