--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -45,7 +45,8 @@
     """Listen at one address; each request is handed to ``handler`` when whole.
 
     A handler is cancelled when its client leaves. While ``draining`` is set,
-    every response asks the client to close its connection.
+    the last response on a connection asks the client to close it. Once ``finishing``
+    is set, a handler that is cut and gives no answer is answered for.
     """
 
     def __init__(self, handler: Handler, limits: WireLimits) -> None:
@@ -53,6 +54,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.finishing = False
         self.counts = StopCounts()
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
@@ -94,7 +96,7 @@
     async def finish(self, end: float) -> None:
         """Answer what is under way, until ``end`` on the loop's clock, and close."""
         loop = asyncio.get_running_loop()
-        self.draining = True
+        self.draining = self.finishing = True
         self.stop_listening()
         # What the listener took last becomes a connection within a few turns.
         await asyncio.sleep(FINISH_POLL_SECONDS)
@@ -155,6 +157,7 @@
         self._ending = False
         self._opened_draining = server.draining
         self._asked = False
+        self._cut = False
         self._reset_message()
 
     @property
@@ -308,14 +311,18 @@
         try:
             response = await self._server.handler(request)
         except asyncio.CancelledError:
-            self._task = None
-            self.close()
-            return
+            if not (self._cut and self._server.finishing):
+                self._task = None
+                self.close()
+                return
+            # Whether the request has run is not known here.
+            response = make_response(502)
         except Exception:
             _LOGGER.exception("step=answer: internal error")
             response = make_response(500)
         self._task = None
-        keep = keep and not self._server.draining and not self._ending
+        last = self._server.draining and not self._waiting
+        keep = keep and not last and not self._ending
         self._write(response, request.method, keep)
         if not keep:
             self.close()
@@ -371,7 +378,7 @@
         if self._task is None:
             self.close()
             return
-        self._ending = True
+        self._ending = self._cut = True
         self._server.count_cut()
         self._task.cancel(CUT_BY_HOST)
 
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -126,13 +126,20 @@
         try:
             response = await self._run(passage)
         except asyncio.CancelledError as error:
-            if CUT_BY_HOST not in error.args:
+            if CUT_BY_HOST not in error.args and not self._has_ended():
                 self._tell(passage, 0, "client left")
                 raise
             response = self._cut(passage)
         self._tell(passage, response.status, passage.detail)
         return response
 
+    def _has_ended(self) -> bool:
+        """Return whether the host's time is over.
+
+        A cancellation loses its message where a time-out has expired beside it.
+        """
+        return self.drain is not None and self._clock() >= self.drain.end
+
     async def _wait_for_document(self, request: Request, now: float) -> None:
         """Wait for the first rows after a start, for a part of the time told."""
         told = find_header(request.headers, self._config.dialect.time_left_ms)
@@ -140,9 +147,9 @@
         until = now + left * FIRST_ROWS_SHARE
         while not self._state.tables.document_version:
             left = until - self._clock()
-            if left <= 0:
+            if left <= 0 or self.drain is not None:
                 return
-            await _wait_briefly(self._state.changed, left)
+            await _wait_briefly(self._state.changed, min(left, OWNER_WAIT_SECONDS))
 
     def _reject_unrouted(self, request_id: bytes, status: int, detail: str) -> Response:
         """Answer a request that has no route here."""
--- a/tests/http/test_finish.py
+++ b/tests/http/test_finish.py
@@ -76,3 +76,48 @@
         assert all(time < finished for time in asked)
 
     run_paused(scene)
+
+
+# Guards against a request that was read behind another one on its connection, and was
+# dropped when the first one's answer said that the connection is closed.
+def test_a_request_read_behind_another_is_answered() -> None:
+    async def scene(clock: PausedClock) -> None:
+        async def handle(request: Request) -> Response:
+            await asyncio.sleep(0.5)
+            return make_response(200, b"whole")
+
+        server = HttpServer(handle, WireLimits())
+        port = free_port()
+        await server.start(f"127.0.0.1:{port}")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(ASK + ASK)
+        await asyncio.sleep(0.1)
+        finishing = asyncio.create_task(server.finish(clock.now + 5.0))
+        got = await reader.read(-1)
+        await finishing
+        writer.close()
+        assert got.count(b"HTTP/1.1 200") == 2
+        assert got.count(b"Connection: close") == 1
+
+    run_paused(scene)
+
+
+# Guards against a handler that does not answer when it is cut: its client got a closed
+# connection.
+def test_a_handler_that_is_cut_is_answered_for() -> None:
+    async def scene(clock: PausedClock) -> None:
+        async def handle(request: Request) -> Response:
+            await asyncio.sleep(60.0)
+            return make_response(200)
+
+        server = HttpServer(handle, WireLimits())
+        port = free_port()
+        await server.start(f"127.0.0.1:{port}")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(ASK)
+        await asyncio.sleep(0.1)
+        await server.finish(clock.now + 1.0)
+        assert (await reader.read(-1)).startswith(b"HTTP/1.1 502 ")
+        writer.close()
+
+    run_paused(scene)
--- a/tests/node/test_entry_stop.py
+++ b/tests/node/test_entry_stop.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from dragonflyrock.drain import LAST_ARRIVAL_SECONDS
 
 from .entry_scene import EntryScene, play_entry
@@ -132,3 +134,39 @@
         assert stage.clock.now - told < 6.0 - 0.3
 
     play_entry(scene)
+
+
+# Guards against a time-out that expires in the turn in which the host ends: the request
+# was told as one whose client left, and its connection closed.
+@pytest.mark.parametrize("left_ms", [2600, 2700, 2750, 2790])
+def test_a_request_cut_by_a_late_loop_is_answered(left_ms: int) -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.work_seconds = 30.0
+        caller = await stage.open()
+        stopped = stage.clock.now
+        stage.node.stop()
+        await asyncio.sleep(2.5)
+        asking = asyncio.create_task(caller.ask(left_ms))
+
+        def stall() -> None:
+            stage.clock.now += 0.5
+
+        asyncio.get_running_loop().call_at(stopped + 5.06, stall)
+        answer = await asking
+        assert answer.startswith(b"HTTP/1.1 50"), answer
+        assert not answer.startswith(NOT_RUN)
+
+    play_entry(scene)
+
+
+# Guards against a host that ends while a request waits for its first rows.
+def test_a_request_that_waits_for_the_first_rows_is_refused_at_the_end() -> None:
+    async def scene(stage: EntryScene) -> None:
+        stage.node.state.tables.document_version = 0
+        caller = await stage.open()
+        asking = asyncio.create_task(caller.ask(10_000))
+        await asyncio.sleep(0.1)
+        stage.node.stop()
+        assert (await asking).startswith(NOT_RUN)
+
+    play_entry(scene, grace_seconds=2.0)
