Hand the leadership over as soon as can be, to a voter that is there

With an entry under way it ended as leader, and the group waited for an election; of voters with equal logs the highest name was asked, lost or not; and the stopping member could be elected again. It now tries each tick, prefers a voter heard within two heartbeats, and neither stands nor takes over.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from .log import encode_configuration
-from .membership import on_join_request
+from .membership import hand_over_leadership, on_join_request
 from .models import (
     Configuration,
     EntryKind,
@@ -36,11 +36,17 @@
 
 
 def tick_election(replica: Replica, now: float) -> None:
-    """Stand for election when no leader was heard, or step down without a quorum."""
+    """Stand for election when no leader was heard, or step down without a quorum.
+
+    A member that leaves hands its leadership over as soon as a voter has all entries,
+    and does not stand.
+    """
     if replica.role == Role.LEADER:
         _check_quorum(replica, now)
+        if replica.leaving:
+            hand_over_leadership(replica, now)
         return
-    if now < replica.election_at:
+    if now < replica.election_at or replica.leaving:
         return
     _plan_next(replica, now, FIRST_RETRY_SECONDS)
     if replica.is_new:
@@ -268,5 +274,7 @@
     """Stand for election at once, since the leader asked for it."""
     if message.term != replica.hard.term or replica.role == Role.LEADER:
         return
+    if replica.leaving:
+        return
     if replica.configuration.has_voter(replica.me.name):
         _start_election(replica, now, pre=False, transfer=True)
--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -23,6 +23,8 @@
 # A voter that acknowledged nothing for so long is taken as lost; a restart takes
 # about one second, and a successor is to count within four.
 SILENT_VOTER_SECONDS: Final = 2.0
+# A voter that acknowledged one of so many last heartbeats is there.
+HEARD_HEARTBEATS: Final = 2
 # A group of two is not made one of one: that would bear no loss at all.
 FEWEST_TO_DROP_FROM: Final = 4
 
@@ -131,19 +133,22 @@
 def hand_over_leadership(replica: Replica, now: float) -> bool:
     """Ask the most advanced voter to take over; return whether one was asked.
 
+    Of equal ones, a voter that was heard just now goes before one that may be lost.
+
     The successor's voters are released from their promise to this leader, so
     it gives up its lease by following at once.
     """
     if replica.role != Role.LEADER:
         return False
+    heard_since = now - HEARD_HEARTBEATS * replica.timing.heartbeat
     candidates = [
-        (replica.peers[voter.name].match_index, voter.name)
+        (peer.match_index, peer.acked_sent_at > heard_since, voter.name)
         for voter in replica.configuration.voters
-        if voter.name in replica.peers
+        if (peer := replica.peers.get(voter.name)) is not None
     ]
     if not candidates:
         return False
-    match_index, name = max(candidates)
+    match_index, _, name = max(candidates)
     if match_index < replica.log.last_index:
         return False
     send(replica, name, TakeOver(replica.hard.term))
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -102,6 +102,7 @@
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
     met_leader: bool = False
+    leaving: bool = False
 
     @property
     def configuration(self) -> Configuration:
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -351,8 +351,9 @@
             self._run(leader.tick(now))
 
     def hand_over(self, now: float) -> None:
-        """Hand over the leadership of every group before a stop."""
+        """Hand over the leadership of every group before a stop, as soon as can be."""
         for group in self._groups.values():
+            group.replica.leaving = True
             membership.hand_over_leadership(group.replica, now)
 
     def close(self) -> None:
