--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -97,12 +97,17 @@
 
 
 class Timing(NamedTuple):
-    """Time-outs of a group, in seconds; ``drift`` is a share of each of them."""
+    """Time-outs of a group, in seconds; ``drift`` is a share of each of them.
+
+    With ``tells_commits`` followers hear at the next tick what was committed, and
+    not with the next entry or heartbeat.
+    """
 
     heartbeat: float = 0.1
     election_min: float = 0.3
     election_max: float = 0.6
     drift: float = 0.02
+    tells_commits: bool = False
 
 
 class VoteRequest(NamedTuple):
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -70,6 +70,7 @@
     acked_sent_at: float = NEVER
     sent_at: float = NEVER
     snapshot_sent_at: float = NEVER
+    told_commit: int = 0
 
 
 @dataclass(slots=True)
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -47,7 +47,9 @@
         return
     for name in replica.others:
         progress = progress_of(replica, name)
-        if now - progress.sent_at >= replica.timing.heartbeat:
+        untold = progress.told_commit < min(replica.commit, progress.match_index)
+        due = now - progress.sent_at >= replica.timing.heartbeat
+        if due or (untold and replica.timing.tells_commits):
             _send_append(replica, name, progress, now)
     advance_commit(replica)
 
@@ -77,6 +79,7 @@
     previous = progress.next_index - 1
     term = replica.log.term_at(previous)
     progress.sent_at = now
+    progress.told_commit = replica.commit
     if term is None:
         _send_snapshot(replica, name, progress, now)
         return
--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -4,12 +4,14 @@
 
 from typing import Final, NamedTuple
 
-from ..models import Delta
+from ..hashing import hash_score
+from ..models import HostRecord
 from ..systems.leases import extend_given, has_lapsed
-from ..transport.messages import HostRenew, HostUpdate
+from ..transport.messages import HostRenew, HostsNear, HostUpdate
 from . import commands as c
 from .effects import Effect, PushUpdate
 from .proposals import Proposals
+from .rows import RowSender
 from .state import ControlState
 from .tables import (
     NEVER,
@@ -22,26 +24,15 @@
 __all__ = ["HostLeases"]
 
 HOST_MEMORY_DEADLINES: Final = 2
+# A member that has told nothing of its hosts for so long is given no more of them.
+NEAR_SECONDS: Final = 1.5
 
 
-class SentRows(NamedTuple):
-    """The rows that were sent to a host and that it has not acknowledged yet.
+class NearNode(NamedTuple):
+    """A member that gives rows to hosts of its zone, and until when it counts."""
 
-    They went out before or with the answer to the host's renewal of ``renewed_at``,
-    its own clock; ``asked`` tells that they were that answer.
-    """
-
-    revision: int
-    renewed_at: float
-    asked: bool
-
-    def is_lost(self, revision: int, answered_at: float) -> bool:
-        """Return whether a host has taken a later message, but not these rows."""
-        if revision >= self.revision:
-            return False
-        if self.asked:
-            return answered_at >= self.renewed_at
-        return answered_at > self.renewed_at
+    zone: str
+    until: float
 
 
 class HostLeases:
@@ -55,17 +46,24 @@
         tables: LeaderTables,
         timing: LeaderTiming,
         proposals: Proposals,
+        *,
+        awaits_hosts: bool = False,
     ) -> None:
-        """Lead as ``name`` in ``term``."""
+        """Lead as ``name`` in ``term``.
+
+        With ``awaits_hosts`` a host gets rows only once it has renewed here; most
+        get them from a member in their own availability zone.
+        """
         self._name = name
         self._term = term
         self._state = state
         self._tables = tables
         self._timing = timing
         self._proposals = proposals
-        self._sent: dict[str, SentRows] = {}
-        self._deltas: dict[int, Delta] = {}
-        self._deltas_at = 0
+        self._awaits_hosts = awaits_hosts
+        self._rows = RowSender(state)
+        self._near: dict[str, NearNode] = {}
+        self._served: dict[str, float] = {}
         self._names: tuple[str, ...] = ()
         self._counter = 0
         self._version = 0
@@ -104,9 +102,8 @@
             until = extend_given(until, now, lease, self._timing.drift)
         row = self._make_row(renew, until)
         self._tables.hosts[record.holder] = row
-        sent = self._sent.get(record.holder)
-        if sent is not None and sent.is_lost(renew.revision, renew.answered_at):
-            del self._sent[record.holder]
+        self._rows.note_renewal(renew)
+        self._served.pop(record.holder, None)
         return self._update(row, renew.sent_at, lease_ms, applied), effects
 
     @staticmethod
@@ -126,8 +123,7 @@
     ) -> tuple[HostUpdate, list[Effect]]:
         """Forget a host that stops with nothing in flight."""
         holder = renew.host.holder
-        self._tables.hosts.pop(holder, None)
-        self._sent.pop(holder, None)
+        self._drop(holder)
         update = self._update(self._make_row(renew, NEVER), renew.sent_at, 0, applied)
         return update, self._proposals.propose(c.ForgetHost(holder))
 
@@ -135,30 +131,66 @@
         self, row: HostRow, sent_at: float, lease_ms: int, applied: int
     ) -> HostUpdate:
         """Return an update with what a host lacks and was not sent yet."""
-        holder = row.record.holder
-        sent = self._sent.get(holder)
-        base = row.revision
-        if sent is not None and sent.revision > base:
-            base = sent.revision
-        delta = self._find_delta(base, applied)
-        if delta.revision > base:
-            asked = bool(sent_at)
-            self._sent[holder] = SentRows(delta.revision, row.sent_at, asked)
+        delta = self._rows.take(
+            row.record.holder,
+            row.revision,
+            row.sent_at,
+            applied,
+            asked=bool(sent_at),
+        )
         version = self._version
         hosts = None if row.hosts_version == version else self._names
         return HostUpdate(
             self._term, self._name, sent_at, lease_ms, delta, version, hosts
         )
 
-    def _find_delta(self, base: int, applied: int) -> Delta:
-        """Return what changed after a revision; most hosts lack the same."""
-        if self._deltas_at != applied:
-            self._deltas.clear()
-            self._deltas_at = applied
-        delta = self._deltas.get(base)
-        if delta is None:
-            delta = self._deltas[base] = self._state.delta_after(base, applied)
-        return delta
+    def _drop(self, holder: str) -> None:
+        """Drop what is known of a host."""
+        self._tables.hosts.pop(holder, None)
+        self._rows.forget(holder)
+        self._served.pop(holder, None)
+
+    # Hosts that get their rows from a member in their own availability zone
+
+    def choose_near(self, record: HostRecord, now: float) -> str:
+        """Return the member from which a host is to get its rows; empty for none."""
+        found = [
+            name
+            for name, near in self._near.items()
+            if near.zone == record.zone and now < near.until
+        ]
+        return max(found, key=lambda name: hash_score(record.name, name), default="")
+
+    def hear_near(self, sender: str, report: HostsNear, now: float) -> list[Effect]:
+        """Take a member's word of the hosts that it serves.
+
+        Their leases fence nothing: only hosts whose servers check who owns a key
+        get rows from other members than the leader.
+        """
+        self._near[sender] = NearNode(report.zone, now + NEAR_SECONDS)
+        effects: list[Effect] = []
+        for record in report.joined:
+            if record.holder not in self._state.hosts:
+                effects += self._proposals.propose(c.RegisterHost(record))
+        for holder in report.left:
+            self._drop(holder)
+            effects += self._proposals.propose(c.ForgetHost(holder))
+        for holder, revision in report.alive:
+            committed = self._state.hosts.get(holder)
+            if committed is None:
+                continue
+            known = self._tables.hosts.get(holder)
+            until = known.lease_until if known else now
+            until = extend_given(
+                until, now, self._timing.entry_lease, self._timing.drift
+            )
+            sent_at = known.sent_at if known else NEVER
+            self._tables.hosts[holder] = HostRow(
+                committed, until, sent_at, revision, frozenset(), 0
+            )
+            self._rows.forget(holder)
+            self._served[holder] = now + NEAR_SECONDS
+        return effects
 
     def list_hosts(self, now: float) -> None:
         """Give the list of live hosts a new version if it changed."""
@@ -183,9 +215,11 @@
         self.list_hosts(now)
         effects: list[Effect] = []
         for host in self.live(now):
-            sent = self._sent.get(host.record.holder)
-            revision = max(host.revision, sent.revision if sent is not None else 0)
-            if revision >= self._state.revision:
+            holder = host.record.holder
+            unheard = self._awaits_hosts and host.sent_at == NEVER
+            if unheard or now < self._served.get(holder, NEVER):
+                continue
+            if not self._rows.is_behind(holder, host.revision):
                 continue
             update = self._update(host, 0.0, 0, applied)
             effects.append(PushUpdate(host.record.name, update))
@@ -197,7 +231,6 @@
         effects: list[Effect] = []
         for holder, host in list(self._tables.hosts.items()):
             if has_lapsed(host.lease_until + memory, now):
-                del self._tables.hosts[holder]
-                self._sent.pop(holder, None)
+                self._drop(holder)
                 effects += self._proposals.propose(c.ForgetHost(holder))
         return effects
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -5,8 +5,9 @@
 from collections.abc import Mapping
 
 from ..errors import Reason, Refusal, Step
+from ..models import HostRecord
 from ..observe import EventRing
-from ..transport.messages import HostRenew, HostUpdate
+from ..transport.messages import HostRenew, HostsNear, HostUpdate, RangeLoad
 from . import calls
 from . import commands as c
 from .directed import DirectedLeader
@@ -57,7 +58,13 @@
         self._services = services
         self._proposals = Proposals()
         self._hosts = HostLeases(
-            name, term, state, self.tables, timing, self._proposals
+            name,
+            term,
+            state,
+            self.tables,
+            timing,
+            self._proposals,
+            awaits_hosts=directed is not None,
         )
         self._grants = GrantBook(
             term, state, services, self.tables, timing, events, self._proposals
@@ -110,6 +117,24 @@
         update, effects = self._hosts.renew(renew, applied, now)
         return update, effects + ended
 
+    def choose_near(self, record: HostRecord, now: float) -> str:
+        """Return the member that gives a host its rows; empty for this leader."""
+        return self._hosts.choose_near(record, now)
+
+    def hear_near(self, sender: str, report: HostsNear, now: float) -> list[Effect]:
+        """Take a member's word of the hosts that get their rows from it."""
+        if self._directed is None:
+            return []
+        for service, keys in report.loads.items():
+            self._directed.add_loads(
+                tuple(RangeLoad(service, low, n, 0) for low, n in keys.items())
+            )
+        self._directed.add_speeds(report.speeds)
+        effects: list[Effect] = []
+        for command in self._directed.note_ended(report.ended):
+            effects += self._proposals.propose(command)
+        return effects + self._hosts.hear_near(sender, report, now)
+
     def live_hosts(self, now: float) -> list[HostRow]:
         """Return the entry hosts that may be dispatching."""
         return self._hosts.live(now)
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -20,8 +20,10 @@
     CallRequest,
     ConsensusMessage,
     HostRenew,
+    HostsNear,
     HostUpdate,
     LinkMessage,
+    ServeNear,
 )
 from ..transport.packing import UpdatePacker
 from . import calls
@@ -37,6 +39,7 @@
     PushUpdate,
     ServicePolicy,
 )
+from .near import FRESH_SECONDS, NearHosts
 from .reports import list_contracts, read_status
 from .state import ControlState
 from .tables import LeaderTiming
@@ -56,6 +59,7 @@
     services: Mapping[str, ServicePolicy]
     timing: LeaderTiming
     directed: DirectedTiming | None = None
+    zone: str = ""
 
 
 class Pusher(Protocol):
@@ -106,6 +110,9 @@
         self._pushed_revision = 0
         self._send_order = send_order
         self._packer = UpdatePacker()
+        lease_ms = int(config.timing.entry_lease * 1000)
+        self._near = NearHosts(config.zone, state, lease_ms)
+        self._near_revision = 0
         self._pusher = self._make_pusher(post)
 
     def _make_pusher(self, post: Post) -> Pusher:
@@ -148,6 +155,53 @@
         update, effects = leader.renew_host(renew, self._control.applied, now)
         self._send_update(renew.host.name, update)
         self._run(effects)
+        near = leader.choose_near(renew.host, now)
+        if near:
+            self._send(renew.host.name, ServeNear(near))
+
+    def receive_near_renew(self, sender: str, renew: HostRenew, now: float) -> None:
+        """Give a host of this zone its rows, or pass its renewal on."""
+        if not self._is_fresh(now):
+            self.receive_renew(sender, renew, now)
+            return
+        replica = self._control.replica
+        update = self._near.renew(
+            renew, replica.hard.term, replica.leader, self._control.applied, now
+        )
+        self._send_update(renew.host.name, update)
+
+    def receive_report(self, sender: str, report: HostsNear, now: float) -> None:
+        """Take a follower's report of the hosts that it serves, if this one leads."""
+        leader = self._settled_leader(now)
+        if leader is not None:
+            self._run(leader.hear_near(sender, report, now))
+
+    def _is_fresh(self, now: float) -> bool:
+        """Return whether this is a follower that is told what is committed."""
+        replica = self._control.replica
+        if replica.role != Role.FOLLOWER or not replica.leader:
+            return False
+        return now - replica.heard_at < FRESH_SECONDS
+
+    def _tick_near(self, now: float) -> None:
+        """Tell the leader of the hosts served here, or let them go."""
+        replica = self._control.replica
+        if self._is_fresh(now):
+            report = self._near.take_report(now)
+            if report is not None:
+                self._send(replica.leader, report)
+        elif replica.role == Role.LEADER or now - replica.heard_at > FRESH_SECONDS:
+            for host in self._near.release():
+                self._send(host, ServeNear(""))
+
+    def _push_near(self, now: float) -> None:
+        """Send the hosts served here what was applied."""
+        replica = self._control.replica
+        self._near_revision = self._state.revision
+        applied = self._control.applied
+        term = replica.hard.term
+        for host, update in self._near.push(term, replica.leader, applied, now):
+            self._send_update(host, update)
 
     def _send_update(self, host: str, update: HostUpdate) -> None:
         """Send a host rows, packed unless they stay in this process."""
@@ -291,6 +345,8 @@
             group.tick(now)
             leading = group.replica.role == Role.LEADER
             self._metrics.leading.labels(group.name).set(leading)
+        if self._config.directed is not None:
+            self._tick_near(now)
         leader = self._settled_leader(now)
         if leader is not None:
             self._run(leader.tick(now))
@@ -309,6 +365,8 @@
                     CONSENSUS.encode(item.message),
                 )
                 self._send(item.peer, message)
+        if self._state.revision > self._near_revision and self._is_fresh(now):
+            self._push_near(now)
         leader = self._settled_leader(now)
         if leader is not None and self._state.revision > self._pushed_revision:
             self._pushed_revision = self._state.revision
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -6,14 +6,23 @@
 from typing import Final, NamedTuple, Protocol
 
 from ..models import HostRecord, RangeRef
-from ..transport.messages import HostRenew, HostUpdate, RangeLoad, ServerSpeed
+from ..transport.messages import (
+    HostRenew,
+    HostUpdate,
+    NearRenew,
+    RangeLoad,
+    ServerSpeed,
+)
 from .tables import EntryTables
 
 __all__ = ["AgentConfig", "EntryAgent", "RowKeeper"]
 
-Send = Callable[[str, HostRenew], object]
+Send = Callable[[str, HostRenew | NearRenew], object]
 
+NEVER: Final = float("-inf")
 LEADER_SILENCE_RENEWALS: Final = 2
+# One renewal without an answer; the answer to the last one came a little after it.
+NEAR_SILENCE_RENEWALS: Final = 1.5
 HURRIED_SECONDS: Final = 0.05
 
 
@@ -68,18 +77,22 @@
         self._clock = clock
         self._leader = ""
         self._leaders: dict[str, None] = {}
-        self._heard_at = float("-inf")
-        self._renewed_at = float("-inf")
+        self._heard_at = NEVER
+        self._renewed_at = NEVER
         self._urgent = True
         self._was_draining = False
         self._without_lease = False
         self._answered_at = 0.0
+        self._near = ""
+        self._near_heard_at = NEVER
 
-    def receive(self, update: HostUpdate, now: float) -> None:
+    def receive(self, update: HostUpdate, now: float, sender: str = "") -> None:
         """Apply an update; acknowledge new rows, or tell of missing ones, at once."""
         self._leader = update.leader
         self._leaders[update.leader] = None
         self._heard_at = now
+        if sender and sender == self._near:
+            self._near_heard_at = now
         delta = update.delta
         missing = not delta.full and delta.base > self._gate.tables.revision
         if (self._gate.apply(update) and self._config.prompt) or missing:
@@ -87,6 +100,16 @@
         self._without_lease = bool(update.sent_at) and not update.lease_ms
         self._answered_at = max(self._answered_at, update.sent_at)
 
+    def go_near(self, node: str, now: float) -> None:
+        """Get rows from a control node of this zone from now on, or from none."""
+        if node == self._near:
+            return
+        self._near = node
+        self._near_heard_at = now
+        self._urgent = True
+        if not node:
+            self._heard_at = NEVER
+
     def hurry(self) -> None:
         """Renew at the next tick, since something has drained."""
         self._urgent = True
@@ -100,7 +123,10 @@
             self.renew(now, leaving=False)
 
     def renew(self, now: float, *, leaving: bool) -> None:
-        """Send a renewal to the leader, or to all voters when none is known."""
+        """Send a renewal to the control node of this zone, or to the leader.
+
+        When neither has been heard it goes to all voters.
+        """
         self._urgent = False
         self._renewed_at = now
         draining = self._gate.draining()
@@ -118,6 +144,12 @@
             self._gate.take_speeds(),
             self._gate.take_ended(),
         )
+        if self._near:
+            if now - self._near_heard_at < NEAR_SILENCE_RENEWALS * config.renew:
+                self._send(self._near, NearRenew(message))
+                return
+            self._near = ""
+            self._heard_at = NEVER
         silence = LEADER_SILENCE_RENEWALS * config.renew
         if self._leader and now - self._heard_at < silence:
             self._send(self._leader, message)
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -24,6 +24,8 @@
     CallRequest,
     ConsensusMessage,
     HostRenew,
+    HostsNear,
+    NearRenew,
     ServersHeard,
 )
 from .loop import NodeLoop
@@ -81,7 +83,11 @@
         self._group.replica.join_peers = settings.seed_names
         self._member = ControlMember(
             MemberConfig(
-                settings.node.name, {}, make_lease_timing(settings), self._timing
+                settings.node.name,
+                {},
+                make_lease_timing(settings),
+                self._timing,
+                settings.node.availability_zone,
             ),
             {CONTROL_GROUP: self._group},
             state,
@@ -282,6 +288,10 @@
                 self._member.receive_consensus(sender, message, now)
             case HostRenew():
                 self._member.receive_renew(sender, message, now)
+            case NearRenew(renew):
+                self._member.receive_near_renew(sender, renew, now)
+            case HostsNear():
+                self._member.receive_report(sender, message, now)
             case CallRequest():
                 self._member.receive_call(sender, message, now)
             case CallAnswer():
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -16,7 +16,7 @@
 from ..router import Dialect, Router, RouterConfig, RouterState
 from ..transport.calls import CallTable
 from ..transport.links import Received
-from ..transport.messages import CallAnswer, HostUpdate
+from ..transport.messages import CallAnswer, HostUpdate, ServeNear
 from .loop import NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings, make_budget_policy
@@ -138,9 +138,11 @@
         message = received.message
         match message:
             case HostUpdate():
-                self._agent.receive(message, now)
+                self._agent.receive(message, now, received.sender)
                 self._calls.note_leader(CONTROL_GROUP, message.leader)
                 self._note_document()
+            case ServeNear(node):
+                self._agent.go_near(node, now)
             case CallAnswer():
                 self._calls.answer(received.sender, message, now)
 
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -151,6 +151,7 @@
         timeouts.heartbeat_ms / 1000,
         timeouts.election_min_ms / 1000,
         timeouts.election_max_ms / 1000,
+        tells_commits=True,
     )
 
 
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -18,11 +18,14 @@
     "Envelope",
     "HostRenew",
     "HostUpdate",
+    "HostsNear",
     "LinkMessage",
+    "NearRenew",
     "PackedUpdate",
     "RangeLoad",
     "RateDemand",
     "RateGrant",
+    "ServeNear",
     "ServerSpeed",
     "ServersHeard",
 ]
@@ -168,6 +171,35 @@
     heard: tuple[tuple[str, int], ...]
 
 
+class ServeNear(NamedTuple):
+    """Tell an entry host which control node gives it rows; empty for none."""
+
+    node: str
+
+
+class NearRenew(NamedTuple):
+    """A renewal to the control node that gives the host its rows."""
+
+    renew: HostRenew
+
+
+class HostsNear(NamedTuple):
+    """What a control node tells the leader of the hosts that get rows from it.
+
+    ``joined`` are hosts that are not committed yet, ``alive`` the holders heard
+    since the last report with their revisions, and ``left`` those that stopped.
+    ``loads`` are requests by service and key.
+    """
+
+    zone: str
+    joined: tuple[HostRecord, ...] = ()
+    alive: tuple[tuple[str, int], ...] = ()
+    left: tuple[str, ...] = ()
+    loads: dict[str, dict[int, int]] = {}  # noqa: RUF012 (never changed)
+    speeds: tuple[ServerSpeed, ...] = ()
+    ended: tuple[str, ...] = ()
+
+
 LinkMessage = (
     ConsensusMessage
     | HostRenew
@@ -178,6 +210,9 @@
     | RateDemand
     | RateGrant
     | ServersHeard
+    | ServeNear
+    | NearRenew
+    | HostsNear
 )
 
 MESSAGES: Final = Codec(
@@ -192,6 +227,9 @@
         RateDemand,
         RateGrant,
         ServersHeard,
+        ServeNear,
+        NearRenew,
+        HostsNear,
     ]
 )
 
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -32,7 +32,7 @@
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.standin.grants import GrantBody, Grants, HeldRangeBody
 from dragonflyrock.systems.placement import PlacementPolicy
-from dragonflyrock.transport.messages import HostRenew, HostUpdate
+from dragonflyrock.transport.messages import HostRenew, HostUpdate, NearRenew
 
 SERVICE: Final = "finder"
 TICK: Final = 0.02
@@ -157,12 +157,17 @@
         agent = EntryAgent(
             config,
             gate,
-            lambda _, renew: self.post("leader", lambda: self._renew(renew)),
+            lambda _, renew: self._send_renewal(renew),
             lambda: self.now,
         )
         gate.on_drained = agent.hurry
         self.hosts[name] = Host(gate, agent)
 
+    def _send_renewal(self, renew: HostRenew | NearRenew) -> None:
+        """Send a renewal to the leader, the only member here."""
+        assert isinstance(renew, HostRenew)
+        self.post("leader", lambda: self._renew(renew))
+
     def start_server(self, name: str) -> None:
         """Start, or restart, a server under a new incarnation."""
         self._incarnations += 1
