--- a/src/dragonflyrock/control/calls.py
+++ b/src/dragonflyrock/control/calls.py
@@ -33,6 +33,7 @@
     "ReadStatus",
     "RemoveMember",
     "RevisionList",
+    "RoutesUnchanged",
     "ServerStatus",
     "Status",
 ]
@@ -93,7 +94,13 @@
 
 
 class ReadRoutes(NamedTuple):
-    """Ask for the newest route document."""
+    """Ask for the newest route document, unless it is the one of version ``known``."""
+
+    known: int = 0
+
+
+class RoutesUnchanged(NamedTuple):
+    """The newest route document is the one that the caller knows."""
 
 
 class ReadStatus(NamedTuple):
@@ -236,6 +243,7 @@
         ServerBeat,
         BeatAccepted,
         ReadRoutes,
+        RoutesUnchanged,
         RouteDocument,
         ContractList,
         RangeList,
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -314,8 +314,11 @@
             case calls.ReadRevisions() if self._leader is not None:
                 hosts = self._leader.live_hosts(now)
                 return calls.RevisionList(tuple(host.revision for host in hosts))
-            case calls.ReadRoutes():
-                return self._state.book.document
+            case calls.ReadRoutes(known):
+                document = self._state.book.document
+                if known and known == document.version:
+                    return calls.RoutesUnchanged()
+                return document
             case calls.ListRanges(service):
                 return calls.RangeList(tuple(self._state.ranges.of_service(service)))
             case calls.ListQuarantines():
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -9,7 +9,13 @@
 from typing import Any, Final
 
 from ..consensus import Role, open_group
-from ..control.calls import CALLS, BeatAccepted, Propose, ReadRoutes
+from ..control.calls import (
+    CALLS,
+    BeatAccepted,
+    Propose,
+    ReadRoutes,
+    RoutesUnchanged,
+)
 from ..control.commands import COMMANDS, RESULTS, ChangeRoutes, Done, PutRoutes
 from ..control.directed_models import Order, OrderOutcome, OrderResult, ServerBeat
 from ..control.member import CONTROL_GROUP, ControlMember, MemberConfig
@@ -215,8 +221,14 @@
         return result
 
     async def read_routes(self) -> RouteDocument | Refusal:
-        """Return the newest route document, as the leader is sure of it."""
-        answer = await self._call(ReadRoutes())
+        """Return the newest route document, as the leader is sure of it.
+
+        Where it is the one that is committed here it does not travel.
+        """
+        own = self._state.book.document
+        answer = await self._call(ReadRoutes(own.version))
+        if isinstance(answer, RoutesUnchanged):
+            return own
         if isinstance(answer, RouteDocument):
             return answer
         return _no_leader(Step.COMMIT)
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -7,6 +7,7 @@
 
 from dragonflyrock.consensus import Entry, EntryKind, Timing, open_group
 from dragonflyrock.consensus.models import AppendRequest
+from dragonflyrock.control import calls
 from dragonflyrock.control import commands as c
 from dragonflyrock.control.directed_models import DirectedTiming
 from dragonflyrock.control.member import CONTROL_GROUP, ControlMember, MemberConfig
@@ -19,6 +20,8 @@
 from dragonflyrock.routes import RouteDocument, RoutedService
 from dragonflyrock.transport.messages import (
     CONSENSUS,
+    CallAnswer,
+    CallRequest,
     ConsensusMessage,
     HostRenew,
     HostsNear,
@@ -90,6 +93,55 @@
         return [message for _, message in self.sent if isinstance(message, HostUpdate)]
 
 
+class Leader:
+    """The only voter of a group."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start, and lead."""
+        self.now = 10.0
+        self.sent: list[LinkMessage] = []
+        state = ControlState()
+        group = open_group(
+            CONTROL_GROUP, "me", folder, ("me",), Timing(), Random(1), state, self.now
+        )
+        self.member = ControlMember(
+            MemberConfig("me", {}, LeaderTiming(), DirectedTiming(), "a"),
+            {CONTROL_GROUP: group},
+            state,
+            EventRing("me", HybridClock(lambda: self.now)),
+            Metrics(),
+            lambda _, message: self.sent.append(message),
+            lambda task: task(),
+            lambda: self.now,
+        )
+        self.pass_time()
+
+    def pass_time(self) -> None:
+        """Let two seconds pass."""
+        for _ in range(40):
+            self.now += 0.05
+            self.member.tick(self.now)
+            self.member.flush(self.now)
+
+    def ask(self, call: object) -> object:
+        """Return the answer to a call."""
+        self.sent.clear()
+        request = CallRequest(1, CONTROL_GROUP, calls.CALLS.encode(call))
+        self.member.receive_call("other", request, self.now)
+        self.pass_time()
+        answers = [message for message in self.sent if isinstance(message, CallAnswer)]
+        return calls.CALLS.decode(answers[0].body)
+
+    def put(self, version: int) -> None:
+        """Have a change of the document committed."""
+        command = c.COMMANDS.encode(change(version))
+        request = CallRequest(
+            1, CONTROL_GROUP, calls.CALLS.encode(calls.Propose(command))
+        )
+        self.member.receive_call("other", request, self.now)
+        self.pass_time()
+
+
 def change(version: int) -> c.PutRoutes:
     """Return a change of the document."""
     services = (RoutedService("s", "/health", 100 + version, True, 0.0),)
@@ -134,3 +186,15 @@
         message for _, message in follower.sent if isinstance(message, HostsNear)
     ]
     assert [report.zone for report in reports] == ["a"]
+
+
+def test_a_document_that_the_reader_has_does_not_travel(tmp_path: Path) -> None:
+    """Each read of 1,400 routes by an operator crossed the zones whole."""
+    leader = Leader(tmp_path)
+    leader.put(1)
+    leader.put(2)
+    assert leader.ask(calls.ReadRoutes(2)) == calls.RoutesUnchanged()
+    for known in (0, 1):
+        answer = leader.ask(calls.ReadRoutes(known))
+        assert isinstance(answer, RouteDocument)
+        assert answer.version == 2
