--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from ..hashing import hash_score
-from ..models import HostRecord
+from ..models import Delta, HostRecord
 from ..systems.leases import extend_given, has_lapsed
 from ..transport.messages import HostRenew, HostsNear, HostUpdate
 from . import commands as c
@@ -68,6 +68,7 @@
         self._near: dict[str, NearNode] = {}
         self._served: dict[str, float] = {}
         self._names: tuple[str, ...] = ()
+        self._greeted = False
         self._listed_at = NEVER
         self._counter = 0
         self._version = 0
@@ -220,7 +221,7 @@
     def push_updates(self, applied: int, now: float) -> list[Effect]:
         """Return updates for the hosts that lack rows, without a lease."""
         self.list_hosts(now)
-        effects: list[Effect] = []
+        effects: list[Effect] = self._greet(now)
         for host in self.live(now):
             holder = host.record.holder
             unheard = self._awaits_hosts and host.sent_at == NEVER
@@ -232,6 +233,20 @@
             effects.append(PushUpdate(host.record.name, update))
         return effects
 
+    def _greet(self, now: float) -> list[Effect]:
+        """Tell the hosts of earlier terms once who leads.
+
+        It opens the links: what is sent to a host without one is dropped, and that
+        would be the answer to its first renewal.
+        """
+        if self._greeted or not self._awaits_hosts:
+            return []
+        self._greeted = True
+        nothing = Delta(0, 0, full=False)
+        update = HostUpdate(self._term, self._name, 0.0, 0, nothing, 0, None)
+        names = {host.record.name for host in self.live(now)}
+        return [PushUpdate(name, update) for name in sorted(names)]
+
     def forget_old(self, now: float) -> list[Effect]:
         """Drop hosts that lapsed so long ago that nothing of theirs can run."""
         memory = HOST_MEMORY_DEADLINES * self._timing.longest_deadline
--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -22,6 +22,8 @@
 FRESH_SECONDS: Final = 1.0
 # A host that has not renewed for so long gets its rows elsewhere.
 HOST_MEMORY_SECONDS: Final = 3.0
+# The list of hosts only divides shared limits; see ``hosts.LIST_SECONDS``.
+LIST_SECONDS: Final = 0.5
 
 
 class NearHosts:
@@ -44,6 +46,7 @@
         self._speeds: dict[str, tuple[int, float]] = {}
         self._ended: dict[str, None] = {}
         self._reported_at = float("-inf")
+        self._listed_at = float("-inf")
         self._names: tuple[str, ...] = ()
         self._version = 0
 
@@ -63,12 +66,14 @@
             self._unreported[holder] = None
             self._rows.note_renewal(renew)
         lease_ms = self._lease_ms if holder in self._state.hosts else 0
+        self._list_names(now)
         return self._update(renew, renew.sent_at, lease_ms, term, leader, applied)
 
     def push(
         self, term: int, leader: str, applied: int, now: float
     ) -> list[tuple[str, HostUpdate]]:
         """Return what the hosts lack, with their names."""
+        self._list_names(now)
         pushed: list[tuple[str, HostUpdate]] = []
         for holder, (renew, heard_at) in list(self._hosts.items()):
             if now - heard_at > HOST_MEMORY_SECONDS:
@@ -105,13 +110,15 @@
         delta = self._rows.take(
             holder, renew.revision, renew.sent_at, applied, asked=bool(sent_at)
         )
-        self._list_names()
         version = self._version
         hosts = None if renew.hosts_version == version else self._names
         return HostUpdate(term, leader, sent_at, lease_ms, delta, version, hosts)
 
-    def _list_names(self) -> None:
+    def _list_names(self, now: float) -> None:
         """Keep the names of the committed hosts, and a version that tells them."""
+        if now - self._listed_at < LIST_SECONDS:
+            return
+        self._listed_at = now
         names = tuple(sorted({host.name for host in self._state.hosts.values()}))
         if names != self._names:
             self._names = names
