Leave servers that fail requests at once: a share of failures counts in the choice

Cause: a server that resets or fails a request at once looked idle, and an early failure counted as a fast answer, so it got its share of all requests or more. A share of failures, forgotten within seconds, counts as time in the choice.

--- a/src/dragonflyrock/router/choice.py
+++ b/src/dragonflyrock/router/choice.py
@@ -6,7 +6,13 @@
 from typing import Final
 
 from ..hashing import hash_score
-from .servers import ServerStat, ServiceStat, estimate_wait, is_silent
+from .servers import (
+    ServerStat,
+    ServiceStat,
+    estimate_faults,
+    estimate_wait,
+    is_silent,
+)
 
 __all__ = ["choose_server", "rank_home"]
 
@@ -16,6 +22,9 @@
 # Hosts prefer different servers while those are idle, so that what a host knows
 # of its own requests is most of what there is to know.
 HOME_SHARE: Final = 0.35
+# A server that fails its requests at once would seem the idlest. One that fails all
+# of them is taken where the others need this many times the target longer.
+FAULT_TARGETS: Final = 1.0
 
 
 def rank_home(host: str, name: str) -> float:
@@ -43,6 +52,7 @@
             continue
         expected = estimate_wait(stat, service, now)
         cost = expected + HOME_SHARE * service.unit * rank_home(host, stat.row.name)
+        cost += FAULT_TARGETS * target * estimate_faults(stat, now)
         if stat.row.zone != zone:
             cost += ZONE_SHARE * target
         down = now < stat.down_until or is_silent(stat, service, now)
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -34,6 +34,7 @@
     estimate_wait,
     is_silent,
     note_answer,
+    note_end,
     note_failure,
     note_full,
     note_report,
@@ -57,6 +58,8 @@
 MAX_BOUNCES: Final = 2
 # Share of the time told that a request waits for the first rows of a new host.
 FIRST_ROWS_SHARE: Final = 0.25
+# A host without rows has waited for them; when to come back, to whichever host.
+FIRST_ROWS_SECONDS: Final = 1.0
 SHORTEST_RETRY_SECONDS: Final = 0.05
 LONGEST_RETRY_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
@@ -134,7 +137,9 @@
 
     def _reject_unrouted(self, request_id: bytes, status: int, detail: str) -> Response:
         """Answer a request that has no route here."""
-        headers: Headers = ((b"Retry-After", b"0.3"),) if status == 503 else ()
+        headers: Headers = ()
+        if status == 503:
+            headers = ((b"Retry-After", b"%.3f" % FIRST_ROWS_SECONDS),)
         self._lines.add(
             "request",
             id=request_id.decode("latin-1"),
@@ -361,6 +366,7 @@
         except TimeoutError:
             # A server that runs answers at its deadline, if only with a failure.
             note_failure(stat, self._clock())
+            note_end(stat, self._clock(), failed=True)
             passage.may_have_run = True
             passage.detail = "no answer in time"
             return self._give_up(passage)
@@ -396,6 +402,7 @@
         passage.may_have_run = True
         passage.avoid.add(stat.row.name)
         now = self._clock()
+        note_end(stat, now, failed=True)
         if fault.kind == FaultKind.LOST and elapsed < FULL_RESET_SECONDS:
             # A full server may reset instead of answering.
             note_full(stat, now)
@@ -420,9 +427,15 @@
         if told_not_run or response.status == 421:
             passage.detail = f"server answered {response.status}, not run"
             return self._take_not_run(passage, stat, response, report)
-        note_answer(stat, service, elapsed, backlog, report, now)
+        failed = response.status >= 500
+        note_end(stat, now, failed=failed)
+        if failed and elapsed < estimate_unit(stat, service, now):
+            # A failure that came early says nothing of how long work takes.
+            note_report(stat, service, report, now)
+        else:
+            note_answer(stat, service, elapsed, backlog, report, now)
         idle = report is not None and not report.waiting and backlog < stat.slots
-        if passage.key_hash is not None and idle:
+        if passage.key_hash is not None and idle and not failed:
             self._state.note_speed(stat.row.name, elapsed)
         fault = find_answer_fault(response, dialect, passage.request_id)
         if fault:
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -12,10 +12,12 @@
     "LoadReport",
     "ServerStat",
     "ServiceStat",
+    "estimate_faults",
     "estimate_unit",
     "estimate_wait",
     "is_silent",
     "note_answer",
+    "note_end",
     "note_failure",
     "note_sent",
 ]
@@ -40,6 +42,10 @@
 # How long a server that refused a connection is left alone, doubling each time.
 DOWN_SECONDS: Final = 0.4
 MAX_DOWN_SECONDS: Final = 3.0
+# A request that a server failed counts so much in the share that it fails, and is
+# forgotten in this time, so that a server that has recovered is tried again.
+FAULT_SMOOTHING: Final = 0.3
+FAULT_MEMORY_SECONDS: Final = 4.0
 # A server that is full turns requests away; it has this much more than its slots.
 FULL_QUEUE_PER_SLOT: Final = 3.0
 
@@ -77,6 +83,8 @@
     heard_at: float = NEVER
     ended: bool = False
     stopping_since: float = NEVER
+    fault_share: float = 0.0
+    fault_at: float = NEVER
 
 
 def estimate_unit(stat: ServerStat, service: ServiceStat, now: float) -> float:
@@ -87,6 +95,13 @@
     return service.unit + (stat.unit - service.unit) * kept
 
 
+def estimate_faults(stat: ServerStat, now: float) -> float:
+    """Return the share of its requests that a server probably fails."""
+    if not stat.fault_share:
+        return 0.0
+    return stat.fault_share * exp(-(now - stat.fault_at) / FAULT_MEMORY_SECONDS)
+
+
 def estimate_backlog(stat: ServerStat, service: ServiceStat, now: float) -> float:
     """Return how many requests are probably at a server."""
     usual = service.running_share * stat.slots
@@ -156,6 +171,13 @@
     note_report(stat, service, report, now)
 
 
+def note_end(stat: ServerStat, now: float, *, failed: bool) -> None:
+    """Note whether a server failed a request that it took."""
+    share = estimate_faults(stat, now)
+    stat.fault_share = share + FAULT_SMOOTHING * (float(failed) - share)
+    stat.fault_at = now
+
+
 def note_report(
     stat: ServerStat, service: ServiceStat, report: LoadReport | None, now: float
 ) -> None:
