--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -42,6 +42,12 @@
             ["direction", "message"],
             registry=self.registry,
         )
+        self.server_bytes = Counter(
+            "dragonflyrock_server_bytes",
+            "Bytes of requests and answers by where the backend server is",
+            ["service", "zone"],
+            registry=self.registry,
+        )
         self.leading = Gauge(
             "dragonflyrock_leading",
             "1 where this daemon leads the group",
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -24,7 +24,13 @@
 from .admission import find_limit
 from .choice import choose_server, rank_home
 from .dialect import Dialect
-from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
+from .headers import (
+    count_bytes,
+    end_to_end,
+    find_answer_fault,
+    make_outgoing,
+    read_load,
+)
 from .models import CrashReports, Passage, Refused
 from .servers import (
     LoadReport,
@@ -375,6 +381,11 @@
         ended = self._clock()
         stat.heard_at = ended
         self._connections.give_back(connection)
+        size = count_bytes(outgoing)
+        if isinstance(result, Response):
+            size += count_bytes(result)
+        where = "own" if stat.row.zone == self._config.zone else "other"
+        self._metrics.server_bytes.labels(passage.service, where).inc(size)
         if isinstance(result, ExchangeFault):
             lost = result.kind == FaultKind.LOST
             if lost and ended - now >= FULL_RESET_SECONDS:
--- a/src/dragonflyrock/router/headers.py
+++ b/src/dragonflyrock/router/headers.py
@@ -8,7 +8,13 @@
 from .dialect import Dialect
 from .servers import LoadReport
 
-__all__ = ["end_to_end", "find_answer_fault", "make_outgoing", "read_load"]
+__all__ = [
+    "count_bytes",
+    "end_to_end",
+    "find_answer_fault",
+    "make_outgoing",
+    "read_load",
+]
 
 HOP_HEADERS: Final = frozenset(
     (
@@ -32,6 +38,12 @@
     return tuple(item for item in headers if item[0].lower() not in HOP_HEADERS)
 
 
+def count_bytes(message: Request | Response) -> int:
+    """Return about how many bytes a message has on the wire."""
+    lines = sum(len(name) + len(value) + 4 for name, value in message.headers)
+    return lines + len(message.body)
+
+
 def make_outgoing(
     request: Request, dialect: Dialect, server: str, left: float
 ) -> Request:
--- a/tests/router/bench.py
+++ b/tests/router/bench.py
@@ -63,12 +63,13 @@
         self.connections = Connections()
         self.reports = Reports()
         self.lines = LineLog("test", 1, time.monotonic)
+        self.metrics = Metrics()
         self.router = Router(
             RouterConfig("host", "a", DIALECT),
             self.state,
             self.connections,
             self.lines,
-            Metrics(),
+            self.metrics,
             time.monotonic,
             Random(1),
             self.reports,
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from prometheus_client import generate_latest
 
 from dragonflyrock.http import Request, Response, find_header, make_response
 from dragonflyrock.models import QuarantineRow, ServerRow
@@ -168,6 +169,25 @@
     play(scene)
 
 
+def test_bytes_are_counted_by_where_the_server_is() -> None:
+    """Nobody knew how much of the bytes between zones is the callers' own."""
+
+    async def scene(bench: Bench) -> None:
+        row = await bench.add_server("one")
+        bench.apply()
+        await bench.ask()
+        bench.rows["one"] = row._replace(zone="b")
+        bench.apply()
+        await bench.ask()
+        told = generate_latest(bench.metrics.registry).decode()
+        for zone in ("own", "other"):
+            name = f'dragonflyrock_server_bytes_total{{service="s",zone="{zone}"}}'
+            line = next(item for item in told.splitlines() if item.startswith(name))
+            assert 100 < float(line.rpartition(" ")[2]) < 1000
+
+    play(scene)
+
+
 def test_a_key_without_an_owner_waits_for_newer_rows() -> None:
     async def scene(bench: Bench) -> None:
         await bench.add_server("one")
