Let a host go only by the node that serves it, and before that node stops

A frozen member would have sent away hosts that had found another; a stopping one would have left its hosts to find out by a renewal without an answer. Both tests fail with the mechanism taken out.

--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -113,6 +113,7 @@
         lease_ms = int(config.timing.entry_lease * 1000)
         self._near = NearHosts(config.zone, state, lease_ms)
         self._near_revision = 0
+        self._leaving = False
         self._pusher = self._make_pusher(post)
 
     def _make_pusher(self, post: Post) -> Pusher:
@@ -179,7 +180,7 @@
     def _is_fresh(self, now: float) -> bool:
         """Return whether this is a follower that is told what is committed."""
         replica = self._control.replica
-        if replica.role != Role.FOLLOWER or not replica.leader:
+        if self._leaving or replica.role != Role.FOLLOWER or not replica.leader:
             return False
         return now - replica.heard_at < FRESH_SECONDS
 
@@ -191,8 +192,12 @@
             if report is not None:
                 self._send(replica.leader, report)
         elif replica.role == Role.LEADER or now - replica.heard_at > FRESH_SECONDS:
-            for host in self._near.release():
-                self._send(host, ServeNear(""))
+            self._release_near()
+
+    def _release_near(self) -> None:
+        """Have the hosts that are served here ask elsewhere."""
+        for host in self._near.release():
+            self._send(host, ServeNear(""))
 
     def _push_near(self, now: float) -> None:
         """Send the hosts served here what was applied."""
@@ -377,7 +382,13 @@
             self._run(leader.tick(now))
 
     def hand_over(self, now: float) -> None:
-        """Hand over the leadership of every group before a stop."""
+        """Hand over the leadership of every group before a stop, and the hosts."""
+        self._leaving = True
+        leader = self._control.replica.leader
+        if leader and leader != self._config.name:
+            # A member without a zone is given no hosts.
+            self._send(leader, HostsNear(""))
+        self._release_near()
         for group in self._groups.values():
             membership.hand_over_leadership(group.replica, now)
 
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -100,9 +100,12 @@
         self._without_lease = bool(update.sent_at) and not update.lease_ms
         self._answered_at = max(self._answered_at, update.sent_at)
 
-    def go_near(self, node: str, now: float) -> None:
-        """Get rows from a control node of this zone from now on, or from none."""
-        if node == self._near:
+    def go_near(self, node: str, now: float, sender: str) -> None:
+        """Get rows from a control node of this zone from now on, or from none.
+
+        Only the node itself can let this host go.
+        """
+        if node == self._near or (not node and sender != self._near):
             return
         self._near = node
         self._near_heard_at = now
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -142,7 +142,7 @@
                 self._calls.note_leader(CONTROL_GROUP, message.leader)
                 self._note_document()
             case ServeNear(node):
-                self._agent.go_near(node, now)
+                self._agent.go_near(node, now, received.sender)
             case CallAnswer():
                 self._calls.answer(received.sender, message, now)
 
--- a/tests/control/test_near.py
+++ b/tests/control/test_near.py
@@ -123,7 +123,7 @@
                 self.tell(renew.host.name, update, "leader")
                 near = self.leader.choose_near(renew.host, self.now)
                 if near:
-                    self.hosts[renew.host.name].go_near(near, self.now)
+                    self.hosts[renew.host.name].go_near(near, self.now, "leader")
             case "near", NearRenew(renew) if self.near_up:
                 self.renewed.append("near")
                 update = self.near.renew(renew, 1, "leader", self.index, self.now)
@@ -182,12 +182,23 @@
     world.near_up = False
     world.put()
     for name in world.near.release():
-        world.hosts[name].go_near("", world.now)
+        world.hosts[name].go_near("", world.now, "near")
     world.run(2 * TICK)
     assert world.revisions == {world.index}
     assert world.near.push(1, "leader", world.index, world.now) == []
 
 
+def test_a_member_that_woke_up_late_does_not_let_go_the_hosts_of_another() -> None:
+    """A frozen member would send hosts away that had long found another."""
+    world = World()
+    world.run(2.0)
+    world.renewed.clear()
+    for agent in world.hosts.values():
+        agent.go_near("", world.now, "other")
+    world.run(2.0)
+    assert set(world.renewed) == {"near"}
+
+
 def test_what_hosts_ask_for_reaches_the_leader_whole() -> None:
     """The leader moves keys by the sum of all reports."""
     world = World(hosts=2)
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -177,6 +177,20 @@
     assert isinstance(follower.sent[0][1], HostRenew)
 
 
+def test_a_follower_that_stops_hands_its_hosts_over_first(tmp_path: Path) -> None:
+    """They would find out after a renewal without an answer, and be sent back here."""
+    follower = Follower(tmp_path)
+    follower.hear(c.RegisterHost(HOST), change(1))
+    follower.renew()
+    follower.member.hand_over(follower.now)
+    assert ("host", ServeNear("")) in follower.sent
+    assert ("leader", HostsNear("")) in follower.sent
+    follower.sent.clear()
+    follower.renew()
+    follower.pass_time(0.5)
+    assert [type(message) for _, message in follower.sent] == [HostRenew]
+
+
 def test_a_follower_tells_its_zone_before_it_has_hosts(tmp_path: Path) -> None:
     """A leader that did not know of it would serve every host itself."""
     follower = Follower(tmp_path)
