--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -10,7 +10,13 @@
 from typing import Any, Final
 
 from ..consensus import Role, open_group
-from ..control.calls import CALLS, BeatAccepted, Propose, ReadRoutes
+from ..control.calls import (
+    CALLS,
+    BeatAccepted,
+    Propose,
+    ReadRoutes,
+    RoutesUnchanged,
+)
 from ..control.commands import COMMANDS, RESULTS, ChangeRoutes, Done, PutRoutes
 from ..control.directed_models import Order, OrderOutcome, OrderResult, ServerBeat
 from ..control.member import CONTROL_GROUP, ControlMember, MemberConfig
@@ -26,6 +32,8 @@
     CallRequest,
     ConsensusMessage,
     HostRenew,
+    HostsNear,
+    NearRenew,
     ServersHeard,
 )
 from .loop import Clock, NodeLoop
@@ -87,7 +95,11 @@
         self._group.replica.join_peers = settings.seed_names
         self._member = ControlMember(
             MemberConfig(
-                settings.node.name, {}, make_lease_timing(settings), self._timing
+                settings.node.name,
+                {},
+                make_lease_timing(settings),
+                self._timing,
+                settings.node.availability_zone,
             ),
             {CONTROL_GROUP: self._group},
             state,
@@ -216,8 +228,14 @@
         return result
 
     async def read_routes(self) -> RouteDocument | Refusal:
-        """Return the newest route document, as the leader is sure of it."""
-        answer = await self._call(ReadRoutes())
+        """Return the newest route document, as the leader is sure of it.
+
+        Where it is the one that is committed here it does not travel.
+        """
+        own = self._state.book.document
+        answer = await self._call(ReadRoutes(own.version))
+        if isinstance(answer, RoutesUnchanged):
+            return own
         if isinstance(answer, RouteDocument):
             return answer
         return _no_leader(Step.COMMIT)
@@ -291,6 +309,10 @@
                 if sender == message.host.name:
                     self._waiting.hear(sender, self._group.replica.leader)
                 self._member.receive_renew(sender, message, now)
+            case NearRenew(renew):
+                self._member.receive_near_renew(sender, renew, now)
+            case HostsNear():
+                self._member.receive_report(sender, message, now)
             case CallRequest():
                 self._member.receive_call(sender, message, now)
             case CallAnswer():
--- a/src/dragonflyrock/node/timing.py
+++ b/src/dragonflyrock/node/timing.py
@@ -13,9 +13,10 @@
 def make_consensus_timing(settings: NodeSettings) -> Timing:
     """Return the time-outs of the replicated log."""
     timeouts = settings.timeouts
-    return Timing.from_ms(
+    timing = Timing.from_ms(
         timeouts.heartbeat_ms, timeouts.election_min_ms, timeouts.election_max_ms
     )
+    return timing._replace(tells_commits=True)
 
 
 def make_lease_timing(settings: NodeSettings) -> LeaderTiming:
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -128,6 +128,14 @@
             "message",
             grows=True,
         )
+        self.server_bytes = Family(
+            Count,
+            "dragonflyrock_server_bytes",
+            "Bytes of requests and answers by where the backend server is",
+            "service",
+            "zone",
+            grows=True,
+        )
         self.leading = Family(
             Count,
             "dragonflyrock_leading",
@@ -181,6 +189,7 @@
             self.requests,
             self.retries,
             self.link_bytes,
+            self.server_bytes,
             self.leading,
             self.moves,
             self.log_syncs,
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -26,7 +26,13 @@
 from .admission import find_limit
 from .choice import choose_server, rank_home
 from .dialect import Dialect
-from .headers import end_to_end, find_answer_fault, make_outgoing, read_load
+from .headers import (
+    count_bytes,
+    end_to_end,
+    find_answer_fault,
+    make_outgoing,
+    read_load,
+)
 from .models import CrashReports, Passage, Refused
 from .servers import (
     LoadReport,
@@ -36,6 +42,7 @@
     estimate_wait,
     is_silent,
     note_answer,
+    note_end,
     note_failure,
     note_full,
     note_report,
@@ -59,6 +66,8 @@
 MAX_BOUNCES: Final = 2
 # Share of the time told that a request waits for the first rows of a new host.
 FIRST_ROWS_SHARE: Final = 0.25
+# A host without rows has waited for them; when to come back, to whichever host.
+FIRST_ROWS_SECONDS: Final = 1.0
 SHORTEST_RETRY_SECONDS: Final = 0.05
 LONGEST_RETRY_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
@@ -153,7 +162,9 @@
 
     def _reject_unrouted(self, request_id: bytes, status: int, detail: str) -> Response:
         """Answer a request that has no route here."""
-        headers: Headers = ((b"Retry-After", b"0.3"),) if status == 503 else ()
+        headers: Headers = ()
+        if status == 503:
+            headers = ((b"Retry-After", b"%.3f" % FIRST_ROWS_SECONDS),)
         self._lines.add(
             "request",
             id=request_id.decode("latin-1"),
@@ -352,6 +363,7 @@
         passage.server = stat.row.name
         now = self._clock()
         connection = self._connections.take_idle(address)
+        kept = connection is not None
         if connection is None:
             left = min(CONNECT_SECONDS, passage.deadline - now)
             opened = await self._connections.connect(address, left)
@@ -380,6 +392,7 @@
         except TimeoutError:
             # A server that runs answers at its deadline, if only with a failure.
             note_failure(stat, self._clock())
+            note_end(stat, self._clock(), failed=True)
             passage.may_have_run = True
             passage.detail = "no answer in time"
             return self._give_up(passage)
@@ -388,6 +401,7 @@
         ended = self._clock()
         stat.heard_at = ended
         self._connections.give_back(connection)
+        self._count_bytes(passage.service, stat, outgoing, result)
         if isinstance(result, ExchangeFault):
             lost = result.kind == FaultKind.LOST
             if lost and ended - now >= FULL_RESET_SECONDS:
@@ -395,9 +409,27 @@
                 check = asyncio.create_task(self._check_crash(passage, stat))
                 self._checks.add(check)
                 check.add_done_callback(self._checks.discard)
+            if lost and kept and ended - now < FULL_RESET_SECONDS:
+                # The server had dropped it while it was idle, and others with it.
+                self._connections.drop(address)
+                return self._take_dropped(passage, stat, result)
             return self._take_fault(passage, stat, result, ended - now)
         return self._take_answer(passage, stat, result, backlog, ended - now)
 
+    def _count_bytes(
+        self,
+        service: str,
+        stat: ServerStat,
+        outgoing: Request,
+        result: Response | ExchangeFault,
+    ) -> None:
+        """Count the bytes of an exchange by where the server is."""
+        size = count_bytes(outgoing)
+        if isinstance(result, Response):
+            size += count_bytes(result)
+        where = "own" if stat.row.zone == self._config.zone else "other"
+        self._metrics.server_bytes.labels(service, where).inc(size)
+
     # Answers
 
     def _take_fault(
@@ -415,6 +447,7 @@
         passage.may_have_run = True
         passage.avoid.add(stat.row.name)
         now = self._clock()
+        note_end(stat, now, failed=True)
         if fault.kind == FaultKind.LOST and elapsed < FULL_RESET_SECONDS:
             # A full server may reset instead of answering.
             note_full(stat, now)
@@ -422,6 +455,20 @@
             return None
         return self._give_up(passage)
 
+    def _take_dropped(
+        self, passage: Passage, stat: ServerStat, fault: ExchangeFault
+    ) -> Response | None:
+        """Go on after a kept connection turned out to be dropped by its server.
+
+        It says nothing of the server's load or health, so the same one may be next.
+        """
+        passage.detail = f"kept connection: {fault.detail}"
+        note_report(stat, self._state.service(passage.service), None, self._clock())
+        passage.may_have_run = True
+        if passage.route.is_idempotent and self._may_repeat(passage):
+            return None
+        return self._give_up(passage)
+
     def _take_answer(
         self,
         passage: Passage,
@@ -439,9 +486,15 @@
         if told_not_run or response.status == 421:
             passage.detail = f"server answered {response.status}, not run"
             return self._take_not_run(passage, stat, response, report)
-        note_answer(stat, service, elapsed, backlog, report, now)
+        failed = response.status >= 500
+        note_end(stat, now, failed=failed)
+        if failed and elapsed < estimate_unit(stat, service, now):
+            # A failure that came early says nothing of how long work takes.
+            note_report(stat, service, report, now)
+        else:
+            note_answer(stat, service, elapsed, backlog, report, now)
         idle = report is not None and not report.waiting and backlog < stat.slots
-        if passage.key_hash is not None and idle:
+        if passage.key_hash is not None and idle and not failed:
             self._state.note_speed(stat.row.name, elapsed)
         fault = find_answer_fault(response, dialect, passage.request_id)
         if fault:
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -6,7 +6,7 @@
 from dragonflyrock.models import Delta, HostRecord
 from dragonflyrock.router import RouterState
 from dragonflyrock.router.budget import BudgetPolicy
-from dragonflyrock.transport.messages import HostRenew, HostUpdate
+from dragonflyrock.transport.messages import HostRenew, HostUpdate, NearRenew
 
 RENEW: float = 0.7
 TICK: float = 0.1
@@ -18,7 +18,7 @@
     def __init__(self) -> None:
         """Start without rows."""
         self.now = 100.0
-        self.sent: list[tuple[str, HostRenew]] = []
+        self.sent: list[tuple[str, HostRenew | NearRenew]] = []
         state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
         record = HostRecord("host", 1, "a", "127.0.0.1:1", "")
         config = AgentConfig(record, ("one", "two"), RENEW, prompt=False)
--- a/tests/router/bench.py
+++ b/tests/router/bench.py
@@ -59,17 +59,19 @@
 
     def __init__(self) -> None:
         """Start without servers."""
-        self.state = RouterState(BudgetPolicy(), time.monotonic)
+        self.stopped_at: float | None = None
+        self.state = RouterState(BudgetPolicy(), self.clock)
         self.connections = Connections()
         self.reports = Reports()
         self.lines = LineLog("test", 1, time.monotonic)
+        self.metrics = Metrics()
         self.router = Router(
             RouterConfig("host", "a", DIALECT),
             self.state,
             self.connections,
             self.lines,
-            Metrics(),
-            time.monotonic,
+            self.metrics,
+            self.clock,
             Random(1),
             self.reports,
         )
@@ -78,6 +80,10 @@
         self.servers: list[HttpServer] = []
         self._revision = 0
 
+    def clock(self) -> float:
+        """Return the router's time, which a scene may stop."""
+        return time.monotonic() if self.stopped_at is None else self.stopped_at
+
     async def add_server(self, name: str, answer: Answer | None = None) -> ServerRow:
         """Start a stand-in server."""
 
