Let a control node bear a disk that refuses writes

Cause: Group.flush let the error of the log's write out, since a member whose memory is ahead of its disk must not go on; and the buffered file kept the refused bytes. Change: what could not be saved is undone (log, term, vote, commit index), nothing of it is sent or applied. A leader asks the most advanced voter to take over; the member then only notes who leads, each 0.5 s cuts the log to what was synced and writes 64 kB, and takes part again.

Lines disk-lost and disk-regained, metrics dragonflyrock_disk_lost and dragonflyrock_disk_refusals. Open: a stalled disk holds the thread; a folder that cannot be written at the start ends the start.

--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -8,7 +8,9 @@
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
+from .files import Files
 from .log import Log
+from .membership import give_up_leadership
 from .models import (
     EntryKind,
     JoinRequest,
@@ -20,16 +22,29 @@
     VoteAnswer,
     VoteRequest,
 )
-from .replica import Replica, make_replica, take_output
+from .replica import (
+    Output,
+    Replica,
+    become_follower,
+    make_replica,
+    reset_election,
+    take_output,
+    undo_output,
+)
 from .replication import propose, replicate
-from .step import receive, tick
-from .storage import Storage, open_storage
+from .step import observe, receive, tick
+from .storage import Storage, StorageError, open_storage
 
 __all__ = ["Group", "Outgoing", "StateMachine", "open_group"]
 
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_SNAPSHOT_ENTRIES: Final = 400
+# Between two tries to write to a disk that refused it.
+DISK_RETRY_SECONDS: Final = 0.5
+# Between two tries of a snapshot for which there was no room.
+SNAPSHOT_RETRY_SECONDS: Final = 5.0
+NEVER: Final = float("-inf")
 
 
 class StateMachine(Protocol):
@@ -61,7 +76,11 @@
 
 
 class Group:
-    """Drive a replica: persist before sending, apply in order, snapshot."""
+    """Drive a replica: persist before sending, apply in order, snapshot.
+
+    While its disk refuses writes, a member gives up the lead, observes who leads and
+    promises nothing: it neither acknowledges nor votes nor stands for election.
+    """
 
     def __init__(
         self,
@@ -76,6 +95,10 @@
         self.replica = replica
         self.machine = machine
         self.applied = replica.log.snapshot.log_index
+        self.disk_error = ""
+        self.disk_failures = 0
+        self._retry_disk_at = NEVER
+        self._snapshot_at = NEVER
         self._storage = storage
         self._snapshot_entries = snapshot_entries
         self._waiters: dict[int, Waiter] = {}
@@ -98,7 +121,10 @@
         """Take a message, unless it is meant for an earlier data folder."""
         if identity not in ("", self.replica.me.identity):
             return
-        receive(self.replica, sender, message, now)
+        if self.disk_error:
+            observe(self.replica, sender, message, now)
+        else:
+            receive(self.replica, sender, message, now)
 
     def propose(self, payload: bytes, notify: Callable[[object], None]) -> bool:
         """Propose a command; ``notify`` gets its result, or None when it is lost."""
@@ -110,23 +136,73 @@
 
     def tick(self, now: float) -> None:
         """Let time pass."""
-        tick(self.replica, now)
+        if not self.disk_error:
+            tick(self.replica, now)
 
     def flush(self, now: float) -> list[Outgoing]:
         """Persist all that has come together, apply, and return what to send."""
+        if self.disk_error:
+            self._regain_disk(now)
         replicate(self.replica, now)
         output = take_output(self.replica)
-        self._storage.write(output)
+        if not self._persist(output, now):
+            # Nothing that the output says may be sent, since it is not saved.
+            return self._address(take_output(self.replica))
         if output.snapshot is not None:
             self._install(output.snapshot)
         self._apply()
         self._drop_lost_waiters()
-        self._compact()
+        self._compact(now)
+        return self._address(output)
+
+    def _address(self, output: Output) -> list[Outgoing]:
+        """Return the messages of an output with the identities they are meant for."""
         return [
             Outgoing(item.peer, self._identity(item.peer, item.message), item.message)
             for item in output.messages
         ]
 
+    def _persist(self, output: Output, now: float) -> bool:
+        """Save an output; without it, go back to what is on disk."""
+        try:
+            self._storage.write(output)
+        except StorageError as error:
+            self._lose_disk(output, error, now)
+            return False
+        return True
+
+    def _lose_disk(self, output: Output, error: StorageError, now: float) -> None:
+        """Undo what could not be saved, and give up the lead."""
+        replica = self.replica
+        self.disk_error = str(error)
+        self.disk_failures += 1
+        self._retry_disk_at = now + DISK_RETRY_SECONDS
+        undo_output(replica, output, self._storage.hard, self.applied)
+        give_up_leadership(replica, now)
+        leader = replica.leader if replica.role == Role.FOLLOWER else ""
+        become_follower(replica, replica.hard.term, leader, now)
+        self._drop_lost_waiters()
+        last = replica.log.last_index
+        _LOGGER.error("%s: disk lost at index %d: %s", self.name, last, error)
+
+    def _regain_disk(self, now: float) -> None:
+        """Try the disk, not more often than its pace, and take part again."""
+        if now < self._retry_disk_at:
+            return
+        try:
+            self._storage.recover()
+        except StorageError as error:
+            self.disk_error = str(error)
+            self.disk_failures += 1
+            self._retry_disk_at = now + DISK_RETRY_SECONDS
+            return
+        self.disk_error = ""
+        # A snapshot that is due may be what makes room.
+        self._snapshot_at = now
+        reset_election(self.replica, now)
+        last = self.replica.log.last_index
+        _LOGGER.warning("%s: disk regained at index %d", self.name, last)
+
     def close(self) -> None:
         """Close the data folder."""
         self._storage.close()
@@ -169,17 +245,29 @@
         for waiter in lost:
             waiter.notify(None)
 
-    def _compact(self) -> None:
-        """Take a snapshot every few hundred entries."""
+    def _compact(self, now: float) -> None:
+        """Take a snapshot every few hundred entries.
+
+        Without room for it the log goes on, and the snapshot is tried again later.
+        """
         log = self.replica.log
         if self.applied - log.snapshot.log_index < self._snapshot_entries:
             return
+        if self.disk_error or now < self._snapshot_at:
+            return
         term = log.term_at(self.applied)
         assert term is not None
         configuration = log.configuration_at(self.applied)
         image = SnapshotImage(self.applied, term, configuration, self.machine.dump())
         kept = log.entries_from(self.applied + 1, log.last_index)
-        self._storage.save_snapshot(image, kept)
+        try:
+            self._storage.save_snapshot(image, kept)
+        except StorageError as error:
+            self._snapshot_at = now + SNAPSHOT_RETRY_SECONDS
+            _LOGGER.warning("%s: no snapshot at %d: %s", self.name, self.applied, error)
+            if self._storage.is_broken:
+                self._lose_disk(Output(), error, now)
+            return
         log.compact(image)
         _LOGGER.debug("%s: snapshot at %d", self.name, image.log_index)
 
@@ -194,9 +282,10 @@
     machine: StateMachine,
     now: float,
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES,
+    files: Files | None = None,
 ) -> Group:
     """Open the data folder of a group and return its member on this host."""
-    storage, recovered = open_storage(folder)
+    storage, recovered = open_storage(folder, files)
     if recovered.cut_bytes:
         _LOGGER.warning("%s: cut a torn tail: %d bytes", name, recovered.cut_bytes)
     log = Log(recovered.snapshot)
--- a/src/dragonflyrock/consensus/log.py
+++ b/src/dragonflyrock/consensus/log.py
@@ -39,6 +39,13 @@
         self._entries: list[Entry] = []
         self._configurations = [(snapshot.log_index, snapshot.configuration)]
 
+    def copy(self) -> Log:
+        """Return a log with the same entries."""
+        twin = Log(self.snapshot)
+        twin._entries = list(self._entries)
+        twin._configurations = list(self._configurations)
+        return twin
+
     @property
     def last_index(self) -> int:
         """Return the index of the last entry."""
--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -13,6 +13,7 @@
     "add_learner",
     "admit_waiting",
     "drop_silent",
+    "give_up_leadership",
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
@@ -136,16 +137,41 @@
     """
     if replica.role != Role.LEADER:
         return False
+    successor = _find_successor(replica)
+    if not successor:
+        return False
+    if replica.peers[successor].match_index < replica.log.last_index:
+        return False
+    _hand_over_to(replica, successor, now)
+    return True
+
+
+def give_up_leadership(replica: Replica, now: float) -> None:
+    """Follow, and ask the most advanced voter to take over if there is one.
+
+    Unlike a planned hand-over it cannot wait until one has caught up. A voter that
+    lacks something that was committed is not elected.
+    """
+    if replica.role != Role.LEADER:
+        return
+    successor = _find_successor(replica)
+    if successor:
+        _hand_over_to(replica, successor, now)
+    else:
+        become_follower(replica, replica.hard.term, "", now)
+
+
+def _find_successor(replica: Replica) -> str:
+    """Return the most advanced other voter, of equals the one heard last."""
     candidates = [
-        (replica.peers[voter.name].match_index, voter.name)
+        (progress.match_index, progress.acked_sent_at, voter.name)
         for voter in replica.configuration.voters
-        if voter.name in replica.peers
+        if (progress := replica.peers.get(voter.name)) is not None
     ]
-    if not candidates:
-        return False
-    match_index, name = max(candidates)
-    if match_index < replica.log.last_index:
-        return False
+    return max(candidates)[-1] if candidates else ""
+
+
+def _hand_over_to(replica: Replica, name: str, now: float) -> None:
+    """Ask a voter to take over, and follow."""
     send(replica, name, TakeOver(replica.hard.term))
     become_follower(replica, replica.hard.term, "", now)
-    return True
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -26,9 +26,12 @@
     "Replica",
     "append_own",
     "become_follower",
+    "durable_log",
+    "keep_durable_log",
     "make_replica",
     "send",
     "take_output",
+    "undo_output",
 ]
 
 NEVER: Final = float("-inf")
@@ -47,6 +50,7 @@
 
     Install the snapshot, truncate the log, append the entries, save the hard
     state, sync, and only then send the messages and apply up to ``commit``.
+    ``durable_log`` is the log as it is on disk, where entries of it are dropped.
     """
 
     snapshot: SnapshotImage | None = None
@@ -54,6 +58,7 @@
     entries: list[Entry] = field(default_factory=list)
     hard: HardState | None = None
     messages: list[Addressed] = field(default_factory=list)
+    durable_log: Log | None = None
 
     @property
     def needs_sync(self) -> bool:
@@ -174,6 +179,33 @@
     return output
 
 
+def durable_log(replica: Replica, output: Output) -> Log:
+    """Return the log without what an output was to change."""
+    if output.durable_log is not None:
+        return output.durable_log
+    log = replica.log.copy()
+    if output.entries:
+        log.truncate(output.entries[0].log_index)
+    return log
+
+
+def keep_durable_log(replica: Replica) -> None:
+    """Keep the log as it is on disk before entries of it are dropped."""
+    replica.output.durable_log = durable_log(replica, replica.output)
+
+
+def undo_output(
+    replica: Replica, output: Output, hard: HardState, applied: int
+) -> None:
+    """Return to what is on disk, since an output could not be saved.
+
+    Nothing of it was sent or applied, so this is as safe as a restart.
+    """
+    replica.log = durable_log(replica, output)
+    replica.hard = hard
+    replica.commit = applied
+
+
 def save_hard(replica: Replica, term: int, voted_for: str) -> None:
     """Change the term or the vote, to be saved before anything is sent."""
     hard = HardState(term, voted_for)
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -17,6 +17,7 @@
     Replica,
     append_own,
     become_follower,
+    keep_durable_log,
     reset_election,
     send,
 )
@@ -149,6 +150,7 @@
         if term == entry.term or entry.log_index <= replica.log.snapshot.log_index:
             continue
         if term is not None:
+            keep_durable_log(replica)
             replica.log.truncate(entry.log_index)
             _truncate_output(replica, entry.log_index)
         fresh = request.entries[position:]
@@ -210,6 +212,7 @@
         return
     snapshot = request.snapshot
     if snapshot.log_index > replica.commit:
+        keep_durable_log(replica)
         replica.log.compact(snapshot)
         replica.commit = snapshot.log_index
         replica.output.snapshot = snapshot
--- a/src/dragonflyrock/consensus/step.py
+++ b/src/dragonflyrock/consensus/step.py
@@ -16,7 +16,7 @@
 )
 from .replica import Replica
 
-__all__ = ["receive", "tick"]
+__all__ = ["observe", "receive", "tick"]
 
 
 def tick(replica: Replica, now: float) -> None:
@@ -43,3 +43,15 @@
             membership.on_join_request(replica, sender, message)
         case TakeOver():
             election.on_take_over(replica, message, now)
+
+
+def observe(replica: Replica, sender: Member, message: Message, now: float) -> None:
+    """Take a message while nothing can be saved: note who leads, promise nothing."""
+    match message:
+        case AppendRequest() | SnapshotRequest():
+            known = replica.configuration.find(sender.name) in (None, sender)
+            if known and message.term >= replica.hard.term:
+                replica.leader = sender.name
+                replica.heard_at = now
+        case JoinRequest():
+            membership.on_join_request(replica, sender, message)
--- a/src/dragonflyrock/consensus/storage.py
+++ b/src/dragonflyrock/consensus/storage.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import os
 import struct
 import uuid
 from collections.abc import Iterator
@@ -20,6 +19,7 @@
 
 from ..codec import Codec, CodecError
 from ..errors import DragonflyrockError
+from .files import Files
 from .models import Entry, HardState, SnapshotImage
 from .replica import Output
 
@@ -31,6 +31,10 @@
 _SNAPSHOT_FILE: Final = "snapshot"
 _LOG_FILE: Final = "log"
 
+# A disk counts as regained when it takes this much; so a disk with room for hardly
+# more than one small record is not lost again at the next one.
+PROBE_BYTES: Final = 64 * 1024
+
 # It travels in every message; two folders of one host must not get the same one.
 IDENTITY_DIGITS: Final = 12
 
@@ -59,88 +63,145 @@
 
 
 class Storage:
-    """The open data folder of one group; every method syncs before it returns."""
+    """The open data folder of one group; every method syncs before it returns.
+
+    A write that failed may have left a part behind, or bytes that a failed sync has
+    dropped without a word. So nothing is written after it before ``recover`` has cut
+    the log to what was synced.
+    """
 
-    def __init__(self, folder: Path, log: BinaryIO, hard: HardState) -> None:
-        """Keep the folder, its open log file and the last hard state in it."""
+    def __init__(
+        self, folder: Path, files: Files, log: BinaryIO, size: int, hard: HardState
+    ) -> None:
+        """Keep the folder, its open log file, that file's size and its hard state."""
         self._folder = folder
+        self._files = files
         self._log = log
+        self._size = size
         self._hard = hard
+        self.is_broken = False
         self.sync_count = 0
 
+    @property
+    def hard(self) -> HardState:
+        """Return the term and vote that are synced."""
+        return self._hard
+
+    @property
+    def _log_path(self) -> Path:
+        """Return where the log file is."""
+        return self._folder / _LOG_FILE
+
     def write(self, output: Output) -> None:
         """Persist an output: snapshot, truncation, entries and hard state."""
         if not output.needs_sync:
             return
+        hard = output.hard or self._hard
         try:
-            if output.hard is not None:
-                self._hard = output.hard
             if output.snapshot is not None:
-                self._restart(output.snapshot, ())
-            self._append(output)
+                self._restart(output.snapshot, tuple(output.entries), hard)
+            else:
+                self._append(_frame_output(output))
         except OSError as error:
-            raise self._failure(error) from error
-
-    def _append(self, output: Output) -> None:
-        """Append the frames of an output and sync."""
-        frames = bytearray()
-        if output.truncate_from:
-            frames += _frame(Truncation(output.truncate_from))
-        for entry in output.entries:
-            frames += _frame(entry)
-        if output.hard is not None:
-            frames += _frame(output.hard)
-        self._log.write(frames)
-        self._log.flush()
-        os.fsync(self._log.fileno())
+            # The caller must not go on as if it had been saved.
+            self.is_broken = True
+            raise self._failure("write", error) from error
+        self._hard = hard
+
+    def _append(self, frames: bytes) -> None:
+        """Append frames and sync."""
+        if self.is_broken:
+            detail = f"{self._folder}: an earlier write failed"
+            raise StorageError(detail, step="write")
+        self._files.append(self._log, frames)
+        self._files.sync(self._log)
+        self._size += len(frames)
         self.sync_count += 1
 
     def save_snapshot(self, snapshot: SnapshotImage, kept: tuple[Entry, ...]) -> None:
-        """Replace the snapshot and start a log that holds only what follows it."""
+        """Replace the snapshot and start a log that holds only what follows it.
+
+        After a failure the present log goes on, unless the storage is broken.
+        """
         try:
-            self._restart(snapshot, kept)
+            self._restart(snapshot, kept, self._hard)
         except OSError as error:
-            raise self._failure(error) from error
+            raise self._failure("snapshot", error) from error
 
-    def _restart(self, snapshot: SnapshotImage, kept: tuple[Entry, ...]) -> None:
-        """Put the snapshot and then the shorter log in place."""
-        _replace_file(self._folder / _SNAPSHOT_FILE, _frame(snapshot))
+    def _restart(
+        self, snapshot: SnapshotImage, kept: tuple[Entry, ...], hard: HardState
+    ) -> None:
+        """Put the snapshot and then the shorter log in place.
+
+        The old log fits the new snapshot as well, so a stop between the two loses
+        nothing.
+        """
+        _replace_file(self._files, self._folder / _SNAPSHOT_FILE, _frame(snapshot))
         # The log starts anew, so it must carry the term and the vote along.
-        frames = bytearray(_frame(self._hard))
-        for entry in kept:
-            frames += _frame(entry)
+        frames = _frame(hard) + b"".join(_frame(entry) for entry in kept)
+        self._files.replace(self._log_path, frames)
+        # Until the new file is open and its name synced, nothing may be appended.
+        self.is_broken = True
+        self._size = len(frames)
+        self._reopen()
+        self._files.sync_folder(self._folder)
+        self.is_broken = False
+
+    def _reopen(self) -> None:
+        """Open the file that now has the log's name."""
+        log = self._files.open_log(self._log_path)
         self._log.close()
-        path = self._folder / _LOG_FILE
-        _replace_file(path, bytes(frames))
-        self._log = path.open("ab")
+        self._log = log
 
-    def _failure(self, error: OSError) -> StorageError:
-        """Return the error for a write that failed."""
+    def recover(self) -> None:
+        """Cut what a failed write left behind, and prove that the disk takes bytes.
+
+        It raises ``StorageError`` while the disk refuses them.
+        """
+        try:
+            self._reopen()
+            if self._log_path.stat().st_size < self._size:
+                detail = f"{self._log_path}: damaged: synced bytes are missing"
+                raise StorageError(detail, step="recover")
+            self._files.cut(self._log_path, self._size)
+            self._files.sync_folder(self._folder)
+            self._files.append(self._log, bytes(PROBE_BYTES))
+            self._files.sync(self._log)
+            self._files.cut(self._log_path, self._size)
+        except OSError as error:
+            raise self._failure("recover", error) from error
+        self.is_broken = False
+
+    def _failure(self, step: str, error: OSError) -> StorageError:
+        """Return the error for an operation that failed."""
         detail = f"{self._folder}: {error.strerror or error}"
-        return StorageError(detail, step="write")
+        return StorageError(detail, step=step)
 
     def close(self) -> None:
         """Close the log file."""
         self._log.close()
 
 
-def open_storage(folder: Path) -> tuple[Storage, Recovered]:
+def open_storage(folder: Path, files: Files | None = None) -> tuple[Storage, Recovered]:
     """Open a data folder, making it when it is new, and read what it holds."""
+    files = files or Files()
+    path = folder / _LOG_FILE
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        identity = _read_identity(folder)
+        identity = _read_identity(files, folder)
         snapshot = _read_snapshot(folder / _SNAPSHOT_FILE)
-        recovered = _read_log(folder / _LOG_FILE, identity, snapshot)
-        log = (folder / _LOG_FILE).open("ab")
+        recovered = _read_log(files, path, identity, snapshot)
+        log = files.open_log(path)
         # What a killed process wrote and did not sync counts from here on.
-        os.fsync(log.fileno())
+        files.sync(log)
+        size = path.stat().st_size
     except OSError as error:
         detail = f"{folder}: {error.strerror or error}"
         raise StorageError(detail, step="open") from error
-    return Storage(folder, log, recovered.hard), recovered
+    return Storage(folder, files, log, size, recovered.hard), recovered
 
 
-def _read_identity(folder: Path) -> str:
+def _read_identity(files: Files, folder: Path) -> str:
     """Return the folder's identity, made anew when the folder is empty."""
     path = folder / _IDENTITY_FILE
     if path.exists():
@@ -151,7 +212,7 @@
     if (folder / _LOG_FILE).exists() or (folder / _SNAPSHOT_FILE).exists():
         raise StorageError(f"{path}: missing beside a log", step="open")
     identity = uuid.uuid4().hex[:IDENTITY_DIGITS]
-    _replace_file(path, identity.encode())
+    _replace_file(files, path, identity.encode())
     return identity
 
 
@@ -165,7 +226,9 @@
     return frames[0]
 
 
-def _read_log(path: Path, identity: str, snapshot: SnapshotImage) -> Recovered:
+def _read_log(
+    files: Files, path: Path, identity: str, snapshot: SnapshotImage
+) -> Recovered:
     """Replay the log file over the snapshot and cut a torn tail."""
     entries: list[Entry] = []
     hard = HardState()
@@ -181,7 +244,7 @@
                     entries = [entry for entry in entries if entry.log_index < index]
                 case int():
                     cut = path.stat().st_size - frame
-                    _cut(path, frame)
+                    files.cut(path, frame)
                 case _:
                     raise StorageError(f"{path}: damaged: a stray record", step="open")
     return Recovered(identity, snapshot, tuple(entries), hard, cut)
@@ -248,23 +311,19 @@
     return _HEADER.pack(len(body), checksum, header_checksum) + body
 
 
-def _cut(path: Path, size: int) -> None:
-    """Shorten a file and sync it."""
-    with path.open("r+b") as file:
-        file.truncate(size)
-        os.fsync(file.fileno())
+def _frame_output(output: Output) -> bytes:
+    """Return the frames of an output without a snapshot."""
+    frames = bytearray()
+    if output.truncate_from:
+        frames += _frame(Truncation(output.truncate_from))
+    for entry in output.entries:
+        frames += _frame(entry)
+    if output.hard is not None:
+        frames += _frame(output.hard)
+    return bytes(frames)
 
 
-def _replace_file(path: Path, data: bytes) -> None:
+def _replace_file(files: Files, path: Path, data: bytes) -> None:
     """Write a file aside, sync it, put it in place and sync the folder."""
-    aside = path.with_name(path.name + ".new")
-    with aside.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(aside, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    files.replace(path, data)
+    files.sync_folder(path.parent)
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -291,6 +291,8 @@
             group.tick(now)
             leading = group.replica.role == Role.LEADER
             self._metrics.leading.labels(group.name).set(leading)
+            self._metrics.disk_lost.labels(group.name).set(bool(group.disk_error))
+            self._metrics.disk_refusals.labels(group.name).set(group.disk_failures)
         leader = self._settled_leader(now)
         if leader is not None:
             self._run(leader.tick(now))
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -97,6 +97,7 @@
         self._server: HttpServer | None = None
         self._metrics = make_metrics_server(settings, self._loop.metrics)
         self._role = ""
+        self._disk_error = ""
 
     # Life
 
@@ -174,6 +175,9 @@
         """
         replica = self._group.replica
         now = self._loop.clock()
+        if self._group.disk_error:
+            # What is committed meanwhile is not known here.
+            return False
         if replica.role == Role.LEADER or now - replica.heard_at > LEADER_HEARD_SECONDS:
             return False
         row = self._state.servers.get(beat.name)
@@ -299,12 +303,25 @@
         self._calls.tick(now)
         self._tell_heard(now)
         self._member.tick(now)
+        self._tell_disk()
         if replica.role != self._role:
             self._role = replica.role
             self._loop.lines.add(
                 "role", role=replica.role, term=replica.hard.term, leader=replica.leader
             )
 
+    def _tell_disk(self) -> None:
+        """Write a line when the disk is lost or regained."""
+        error = self._group.disk_error
+        if bool(error) != bool(self._disk_error):
+            self._loop.lines.add(
+                "disk-lost" if error else "disk-regained",
+                error=error or self._disk_error,
+                log_index=self._group.replica.log.last_index,
+                refusals=self._group.disk_failures,
+            )
+        self._disk_error = error
+
 
 def _no_leader(step: Step) -> Refusal:
     """Return that no leader answered in time; what became of it is not known."""
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -70,6 +70,18 @@
             ["group"],
             registry=self.registry,
         )
+        self.disk_lost = Gauge(
+            "dragonflyrock_disk_lost",
+            "1 while the disk of a group's log refuses writes",
+            ["group"],
+            registry=self.registry,
+        )
+        self.disk_refusals = Gauge(
+            "dragonflyrock_disk_refusals",
+            "Writes of a group's log that the disk refused since the start",
+            ["group"],
+            registry=self.registry,
+        )
         self.loop_seconds = Histogram(
             "dragonflyrock_loop_seconds",
             "Time of one pass of the runtime's loop",
--- /dev/null
+++ b/tests/consensus/test_disks.py
@@ -0,0 +1,442 @@
+"""Members whose disks refuse writes: what counts, who leads, and what comes back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyrock.consensus import (
+    Entry,
+    EntryKind,
+    HardState,
+    Output,
+    Role,
+    SnapshotImage,
+    StorageError,
+    open_storage,
+)
+from dragonflyrock.consensus.models import AppendAnswer, TakeOver, VoteAnswer
+
+from .groups import FaultyFiles, Fleet
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    """Return three members with a leader and one committed command."""
+    members = Fleet(tmp_path, "abc", seed=3)
+    members.settle()
+    members.propose(b"first")
+    members.run(0.5)
+    assert members.acknowledged == [b"first"]
+    yield members
+    members.close()
+
+
+def make_entries(first: int, last: int, term: int = 1) -> list[Entry]:
+    """Return entries of a term."""
+    return [
+        Entry(index, term, EntryKind.COMMAND, b"payload %d" % index)
+        for index in range(first, last + 1)
+    ]
+
+
+# Guards against: a leader whose disk is full ended its process.
+def test_a_leader_whose_disk_is_full_hands_its_lead_over(fleet: Fleet) -> None:
+    old = fleet.leader()
+    fleet.disks[old].room = 7
+    before = len(fleet.sent)
+    fleet.propose(b"lost")
+    assert fleet.refused == [b"lost"]
+    assert fleet.groups[old].disk_error
+    new = fleet.settle(0.25)
+    assert new != old, "the lead was handed over, not won after a time-out"
+    sent = [letter for letter in fleet.sent[before:] if letter.sender.name == old]
+    assert isinstance(sent[0].message, TakeOver)
+    fleet.propose(b"second")
+    fleet.run(0.5)
+    assert fleet.acknowledged == [b"first", b"second"]
+
+
+# Guards against: two disks are lost in turn, and the lead goes to the lost one.
+def test_the_lead_is_not_handed_to_a_voter_whose_disk_is_lost(fleet: Fleet) -> None:
+    first = fleet.leader()
+    other, last = sorted(set(fleet.groups) - {first})
+    group = fleet.groups[last]
+    fleet.disks[last].room = 0
+    # A vote is all that it may have to save, so that its log is not behind.
+    group.replica.output.hard = HardState(group.replica.hard.term, "x")
+    fleet.run(0.4)
+    assert group.disk_error
+    fleet.disks[first].fails.add("sync")
+    fleet.propose(b"lost")
+    asked = [s.peer for s in fleet.sent if isinstance(s.message, TakeOver)]
+    assert asked == [other]
+
+
+# Guards against: a follower acknowledged entries that its disk did not take.
+@pytest.mark.parametrize("fault", ["append", "sync"])
+def test_a_follower_that_cannot_write_promises_nothing(
+    fleet: Fleet, fault: str
+) -> None:
+    leader = fleet.leader()
+    victim = next(name for name in fleet.names if name != leader)
+    group = fleet.groups[victim]
+    fleet.disks[victim].fails.add(fault)
+    fleet.propose(b"second")
+    fleet.run(0.05)
+    assert group.disk_error
+    before = len(fleet.sent)
+    last = group.replica.log.last_index
+    fleet.propose(b"third")
+    fleet.run(2.0)
+    promises = [
+        letter
+        for letter in fleet.sent[before:]
+        if letter.sender.name == victim
+        and isinstance(letter.message, AppendAnswer | VoteAnswer)
+    ]
+    assert promises == []
+    assert group.replica.log.last_index == last
+    assert fleet.leader() == leader, "two of three go on"
+    assert fleet.acknowledged == [b"first", b"second", b"third"]
+    assert group.replica.leader == leader, "it can forward to the leader"
+    assert group.replica.heard_at > fleet.now - 0.2
+
+
+# Guards against: a voter without a disk voted in an election, and then forgot.
+def test_a_voter_that_cannot_write_elects_nobody_and_does_not_stand(
+    fleet: Fleet,
+) -> None:
+    leader = fleet.leader()
+    victim, other = sorted(set(fleet.groups) - {leader})
+    fleet.disks[victim].room = 0
+    fleet.propose(b"second")
+    fleet.run(0.3)
+    fleet.cuts.add(leader)
+    term = fleet.groups[victim].replica.hard.term
+    fleet.run(3.0)
+    assert fleet.groups[victim].replica.role == Role.FOLLOWER
+    assert fleet.groups[victim].replica.hard.term == term
+    assert not fleet.groups[other].is_settled_leader(fleet.now)
+    fleet.disks[victim].room = None
+    fleet.run(2.0)
+    assert fleet.leader() in (victim, other)
+    assert b"second" in fleet.machines[other].commands
+
+
+# Guards against: a member took part again without what was committed meanwhile.
+def test_a_member_catches_up_when_its_disk_takes_bytes_again(fleet: Fleet) -> None:
+    victim = fleet.leader()
+    group = fleet.groups[victim]
+    fleet.disks[victim].room = 10
+    fleet.propose(b"lost")
+    fleet.settle()
+    for number in range(5):
+        fleet.propose(b"meanwhile %d" % number)
+    fleet.run(3.0)
+    assert group.disk_error
+    assert 2 <= group.disk_failures <= 8, "tried again at a bounded pace"
+    fleet.disks[victim].room = None
+    fleet.run(1.5)
+    assert not group.disk_error
+    expected = [b"first", *(b"meanwhile %d" % number for number in range(5))]
+    assert fleet.machines[victim].commands == expected
+    assert fleet.acknowledged == expected
+    fleet.start(victim)
+    fleet.run(1.0)
+    assert fleet.machines[victim].commands == expected
+
+
+# Guards against: one voter alone with a full disk ended; it steps down and returns.
+def test_a_single_voter_steps_down_and_leads_again(tmp_path: Path) -> None:
+    fleet = Fleet(tmp_path, "a", seed=1)
+    fleet.settle()
+    fleet.propose(b"first")
+    fleet.disks["a"].room = 3
+    fleet.propose(b"lost")
+    assert (fleet.acknowledged, fleet.refused) == ([b"first"], [b"lost"])
+    fleet.run(2.0)
+    assert not fleet.leading()
+    assert fleet.machines["a"].commands == [b"first"]
+    fleet.disks["a"].room = None
+    fleet.settle()
+    fleet.propose(b"second")
+    fleet.start("a")
+    fleet.settle()
+    assert fleet.machines["a"].commands == [b"first", b"second"]
+    fleet.close()
+
+
+# Guards against: a candidate whose disk is full kept a term that it never saved, and
+# refused the leader's heartbeats.
+def test_a_candidate_that_cannot_save_its_term_follows_again(fleet: Fleet) -> None:
+    leader = fleet.leader()
+    victim = next(name for name in fleet.names if name != leader)
+    group = fleet.groups[victim]
+    term = group.replica.hard.term
+    fleet.disks[victim].room = 0
+    group.receive(fleet.groups[leader].replica.me, "", TakeOver(term), fleet.now)
+    fleet.run(0.5)
+    assert group.disk_error
+    assert (group.replica.hard.term, group.replica.role) == (term, Role.FOLLOWER)
+    assert group.replica.leader == fleet.leader() == leader
+
+
+# Guards against: entries that a new leader replaced were lost from memory, though the
+# disk still had them, when their replacement could not be saved.
+def test_a_truncation_that_cannot_be_saved_is_undone(fleet: Fleet) -> None:
+    old = fleet.leader()
+    fleet.cuts.add(old)
+    fleet.propose(b"alone", old)
+    before = fleet.groups[old].replica.log.copy()
+    fleet.run(2.0)
+    new = fleet.settle()
+    fleet.propose(b"agreed")
+    fleet.run(0.2)
+    group = fleet.groups[old]
+    fleet.cuts.clear()
+    while group.replica.hard.term < fleet.groups[new].replica.hard.term:
+        fleet.run(0.02)
+    assert group.replica.log.entries_from(1, 99) == before.entries_from(1, 99)
+    # The term is saved; what comes next drops the entry and saves another one.
+    fleet.disks[old].room = 0
+    fleet.run(0.4)
+    assert group.disk_error
+    log = group.replica.log
+    assert log.entries_from(1, 99) == before.entries_from(1, 99)
+    assert group.replica.leader == new
+    fleet.disks[old].room = None
+    fleet.run(1.5)
+    assert fleet.machines[old].commands == [b"first", b"agreed"]
+
+
+# Guards against: a member whose snapshot of the leader could not be saved went on with
+# a log that begins at the snapshot.
+def test_an_installed_snapshot_that_cannot_be_saved_is_undone(tmp_path: Path) -> None:
+    fleet = Fleet(tmp_path, "abc", seed=5, snapshots=5)
+    leader = fleet.settle()
+    victim = next(name for name in fleet.names if name != leader)
+    fleet.run(0.5)
+    fleet.cuts.add(victim)
+    for number in range(12):
+        fleet.propose(b"%d" % number)
+        fleet.run(0.1)
+    log = fleet.groups[victim].replica.log
+    before = (log.snapshot, log.entries_from(1, 99))
+    fleet.disks[victim].room = 0
+    fleet.cuts.clear()
+    fleet.run(1.5)
+    group = fleet.groups[victim]
+    assert group.disk_error
+    log = group.replica.log
+    assert (log.snapshot, log.entries_from(1, 99)) == before
+    assert group.applied == group.replica.commit
+    assert fleet.machines[victim].commands == []
+    fleet.disks[victim].room = None
+    fleet.run(3.0)
+    assert fleet.machines[victim].commands == fleet.acknowledged
+    fleet.close()
+
+
+# Guards against: the part of a failed write stayed, and the next record followed it.
+@pytest.mark.parametrize("room", [0, 1, 13, 40, 100])
+def test_what_a_failed_write_left_is_cut_before_the_next(
+    tmp_path: Path, room: int
+) -> None:
+    files = FaultyFiles()
+    storage, _ = open_storage(tmp_path, files)
+    storage.write(Output(entries=make_entries(1, 3), hard=HardState(1, "a")))
+    files.room = room
+    with pytest.raises(StorageError, match="No space left"):
+        storage.write(Output(entries=make_entries(4, 9), hard=HardState(2, "b")))
+    assert storage.hard == HardState(1, "a")
+    with pytest.raises(StorageError, match="an earlier write failed"):
+        storage.write(Output(entries=make_entries(4, 4)))
+    with pytest.raises(StorageError) as caught:
+        storage.recover()
+    assert caught.value.step == "recover"
+    files.room = None
+    storage.recover()
+    storage.write(Output(entries=make_entries(4, 4, term=3)))
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.entries == (*make_entries(1, 3), *make_entries(4, 4, term=3))
+    assert recovered.hard == HardState(1, "a")
+    assert not recovered.cut_bytes
+
+
+# Guards against: bytes whose sync failed were in the file and taken for synced.
+def test_what_a_failed_sync_left_is_cut_before_the_next(tmp_path: Path) -> None:
+    files = FaultyFiles()
+    storage, _ = open_storage(tmp_path, files)
+    storage.write(Output(entries=make_entries(1, 3)))
+    files.fails.add("sync")
+    with pytest.raises(StorageError, match="Input/output error"):
+        storage.write(Output(entries=make_entries(4, 9)))
+    files.fails.clear()
+    storage.recover()
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.entries == tuple(make_entries(1, 3))
+
+
+# Guards against: a log shorter than what was synced was filled up with zeros.
+def test_a_log_that_lost_synced_bytes_is_not_regained(tmp_path: Path) -> None:
+    storage, _ = open_storage(tmp_path)
+    storage.write(Output(entries=make_entries(1, 3)))
+    (tmp_path / "log").write_bytes(b"")
+    with pytest.raises(StorageError, match="synced bytes are missing"):
+        storage.recover()
+
+
+# Guards against: a stop between an installed snapshot and the entries after it lost
+# entries that had been acknowledged.
+@pytest.mark.parametrize("fault", ["append", "sync", "rename", "sync_folder", "none"])
+def test_a_snapshot_that_fails_keeps_the_acknowledged_entries(
+    tmp_path: Path, fault: str
+) -> None:
+    files = FaultyFiles()
+    storage, _ = open_storage(tmp_path, files)
+    storage.write(Output(entries=make_entries(1, 9), hard=HardState(1, "a")))
+    files.fails.add(fault)
+    image = SnapshotImage(5, 1, payload=b"image")
+    output = Output(snapshot=image, entries=make_entries(6, 9))
+    if fault == "none":
+        storage.write(output)
+    else:
+        with pytest.raises(StorageError):
+            storage.write(output)
+        files.fails.clear()
+        assert not list(tmp_path.glob("*.new")), "nothing half written takes room"
+        storage.recover()
+    storage.write(Output(entries=make_entries(10, 10)))
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.entries[-5:] == tuple(make_entries(6, 10))
+    assert recovered.hard == HardState(1, "a")
+
+
+# Guards against: no room for a snapshot ended the member, or was tried at each pass.
+def test_without_room_for_a_snapshot_the_log_goes_on(tmp_path: Path) -> None:
+    fleet = Fleet(tmp_path, "a", seed=1, snapshots=5)
+    fleet.settle()
+    disk = fleet.disks["a"]
+    disk.fails.add("rename")
+    for number in range(20):
+        fleet.propose(b"%d" % number)
+    group = fleet.groups["a"]
+    assert len(fleet.acknowledged) == 20
+    assert not group.disk_error
+    assert group.replica.log.snapshot.log_index == 0
+    disk.fails.clear()
+    fleet.run(6.0)
+    assert group.replica.log.snapshot.log_index == group.applied
+    fleet.start("a")
+    assert fleet.machines["a"].commands == [b"%d" % number for number in range(20)]
+    fleet.close()
+
+
+class DoubtfulFiles(FaultyFiles):
+    """Files whose names cannot be synced once the log got a new file."""
+
+    armed = True
+
+    def rename(self, old: Path, new: Path) -> None:
+        """Rename, and fail from the first new log on."""
+        super().rename(old, new)
+        if new.name == "log" and self.armed:
+            self.armed = False
+            self.fails.add("sync_folder")
+
+
+# Guards against: a log whose new name was not synced was appended to, and a loss of
+# power brought the old one back without what followed.
+def test_a_log_whose_name_is_in_doubt_counts_as_a_lost_disk(tmp_path: Path) -> None:
+    fleet = Fleet(tmp_path, "a", seed=1, snapshots=5)
+    fleet.settle()
+    disk = fleet.disks["a"] = DoubtfulFiles()
+    fleet.start("a")
+    fleet.settle()
+    for number in range(20):
+        fleet.propose(b"%d" % number)
+    group = fleet.groups["a"]
+    assert "Input/output error" in group.disk_error
+    assert not fleet.leading()
+    disk.fails.clear()
+    fleet.settle()
+    fleet.propose(b"last")
+    fleet.start("a")
+    assert set(fleet.acknowledged) <= set(fleet.machines["a"].commands) | {b"last"}
+    fleet.settle()
+    assert fleet.machines["a"].commands == fleet.acknowledged
+    fleet.close()
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 10_000),
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.sampled_from(
+                ["full", "append", "sync", "rename", "sync_folder", "well", "new"]
+            ),
+            st.integers(0, 300),
+            st.integers(0, 4),
+        ),
+        max_size=14,
+    ),
+)
+# Guards against: any order of full and failing disks and restarts that loses what was
+# acknowledged, applies it twice, or makes members disagree.
+def test_disks_that_fail_in_any_order_lose_nothing(
+    tmp_path_factory: pytest.TempPathFactory,
+    seed: int,
+    steps: list[tuple[str, str, int, int]],
+) -> None:
+    fleet = Fleet(tmp_path_factory.mktemp("fleet"), "abc", seed, snapshots=6)
+    fleet.settle()
+    count = 0
+    for name, fault, room, wait in steps:
+        disk = fleet.disks[name]
+        match fault:
+            case "full":
+                disk.room = room
+            case "well":
+                disk.room = None
+                disk.fails.clear()
+            case "new":
+                # A restart is not the fault here: the disk takes bytes by then.
+                disk.room = None
+                disk.fails.clear()
+                fleet.start(name)
+            case _:
+                disk.fails.add(fault)
+        for _ in range(2):
+            count += 1
+            fleet.propose(b"%d" % count)
+            fleet.run(wait * 0.1)
+    for disk in fleet.disks.values():
+        disk.room = None
+        disk.fails.clear()
+    fleet.run(2.0)
+    fleet.settle()
+    fleet.propose(b"last")
+    fleet.run(6.0)
+    assert fleet.acknowledged[-1] == b"last"
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.settle()
+    fleet.run(1.0)
+    commands = fleet.machines["a"].commands
+    assert fleet.machines["b"].commands == commands
+    assert fleet.machines["c"].commands == commands
+    assert len(set(commands)) == len(commands)
+    acknowledged = [c for c in commands if c in set(fleet.acknowledged)]
+    assert acknowledged == sorted(fleet.acknowledged, key=commands.index)
+    assert set(fleet.acknowledged) <= set(commands)
+    fleet.close()
--- /dev/null
+++ b/tests/node/test_control_disk.py
@@ -0,0 +1,138 @@
+"""A control node whose disk refuses writes while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from dragonflyrock.control.calls import BeatAccepted
+from dragonflyrock.control.directed_models import Order, OrderResult, ServerBeat
+from dragonflyrock.errors import Reason, Refusal
+from dragonflyrock.http import Request, Response, make_response
+from dragonflyrock.models import ServerRow
+from dragonflyrock.node import loop as node_loop
+from dragonflyrock.node.control import ControlNode
+from dragonflyrock.node.settings import NodeSettings, load_node_settings
+from dragonflyrock.routes import RouteDocument
+
+from ..common import free_port
+from ..consensus.groups import FaultyFiles
+
+NAME = "127.0.0.1"
+BEAT = ServerBeat("server", "service", "127.0.0.1:9", "a", 1, 1)
+
+
+class KeptLines:
+    """Structured lines, kept for the test instead of written."""
+
+    def __init__(self, *_: object, **__: object) -> None:
+        """Keep nothing yet."""
+        self.lines: list[dict[str, object]] = []
+
+    def add(self, event: str, **fields: object) -> None:
+        """Keep a line."""
+        self.lines.append({"event": event, **fields})
+
+    def flush(self) -> None:
+        """Write nothing."""
+
+
+@pytest.fixture
+def settings(tmp_path: Path) -> NodeSettings:
+    """Return the settings of a control group of one node on loopback."""
+    path = tmp_path / "node.toml"
+    path.write_text(
+        f"""
+seeds = ["{NAME}:80"]
+[node]
+name = "{NAME}"
+label = "core-1"
+role = "control"
+availability_zone = "a"
+forming = true
+data_folder = "{tmp_path}"
+[listen]
+link = "{NAME}:{free_port()}"
+control = "{NAME}:{free_port()}"
+"""
+    )
+    return load_node_settings(path)
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait for a condition; the bound only ends a test that would hang."""
+    async with asyncio.timeout(30):
+        while not holds():
+            await asyncio.sleep(0.02)
+
+
+async def send_nothing(order: Order, seconds: float) -> OrderResult:
+    """Be the way to backend servers, of which the test has none."""
+    raise AssertionError(f"no order was due: {order}")
+
+
+async def answer(request: Request) -> Response:
+    """Answer at the control address."""
+    return make_response(200, b"")
+
+
+# Guards against: a control node with a full disk ended itself, was started again, and
+# ended again until the disk took bytes.
+def test_a_control_node_outlasts_a_full_disk(
+    settings: NodeSettings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node_loop, "LineLog", KeptLines)
+    files = FaultyFiles()
+
+    async def live() -> list[dict[str, object]]:
+        node = ControlNode(settings, send_nothing)
+        node._group._storage._files = files
+        task = asyncio.create_task(node.run(answer))
+        await until(lambda: node._group.is_settled_leader(node._loop.clock()))
+        assert isinstance(await node.hear(BEAT), BeatAccepted)
+        files.room = 20
+        leaving = BEAT._replace(leaving=True, sequence=2)
+        refused = await node.hear(leaving)
+        assert isinstance(refused, Refusal), "nothing was saved"
+        assert refused.reason == Reason.NO_LEADER
+        assert isinstance(await node.read_routes(), Refusal), "nobody leads"
+        assert not task.done()
+        assert not node._state.servers["server"].stopping
+        metrics = node._loop.metrics.registry
+        labels = {"group": "control"}
+        assert metrics.get_sample_value("dragonflyrock_disk_lost", labels) == 1
+        assert metrics.get_sample_value("dragonflyrock_disk_refusals", labels)
+        files.room = None
+        await until(lambda: node._group.is_settled_leader(node._loop.clock()))
+        assert isinstance(await node.hear(leaving), BeatAccepted)
+        assert isinstance(await node.read_routes(), RouteDocument)
+        node.stop()
+        await task
+        lines = node._loop.lines
+        assert isinstance(lines, KeptLines)
+        return lines.lines
+
+    lines = [line for line in asyncio.run(live()) if "disk" in str(line["event"])]
+    assert [line["event"] for line in lines] == ["disk-lost", "disk-regained"]
+    for line in lines:
+        assert "No space left on device" in str(line["error"])
+        assert line["log_index"]
+
+
+# Guards against: a follower whose disk is lost acknowledged an announcement by what was
+# committed when its disk was lost, though the leader knew better by then.
+def test_a_node_without_its_disk_knows_no_server(settings: NodeSettings) -> None:
+    async def ask() -> tuple[bool, bool]:
+        node = ControlNode(settings, send_nothing)
+        row = ServerRow("server", "service", BEAT.address, "a", 1, 1, 1, False)
+        node._state.servers["server"] = row
+        before = node._is_known(BEAT)
+        node._group.disk_error = "No space left on device"
+        after = node._is_known(BEAT)
+        node._loop.close()
+        return before, after
+
+    assert asyncio.run(ask()) == (True, False)
