Tell a torn last batch from damage inside of what was synced

Cause: a bad checksum alone does not tell a write that was never synced from damage. Change: what is written and synced at once begins with a numbered Batch record, which is written only after all before it was synced. Bytes that do not check are cut where no batch begins behind them, and refused otherwise; so are a missing batch and a whole record of an unknown type. A stop in order writes one more mark. New logs, and at the start logs of the earlier form, begin with a batch; the earlier rule holds in a part without batches. Open: damage in the last batch of a process that was killed is cut as if it was torn.

--- a/src/dragonflyrock/consensus/storage.py
+++ b/src/dragonflyrock/consensus/storage.py
@@ -1,32 +1,32 @@
-"""A member's data folder: identity, snapshot, and a checksummed log file.
+"""A member's data folder: identity, snapshot, and a log file; see ``frames``.
 
-A log file is a sequence of frames. A frame is a header (length of the body and
-checksum of the body, then a checksum of those two, each 32 bits, little endian)
-and a body, a record encoded by ``_CODEC``. A frame that was cut short at the end
-of the file was never acknowledged and is dropped. Any other damage may hide
+A torn tail of the log, which was never acknowledged, is cut. Any other damage may hide
 something that was acknowledged, so it ends the start.
 """
 
 from __future__ import annotations
 
-import struct
+import contextlib
+import logging
 import uuid
-from collections.abc import Iterator
 from pathlib import Path
 from typing import BinaryIO, Final, NamedTuple
 
-import xxhash
-
-from ..codec import Codec, CodecError
-from ..errors import DragonflyrockError
 from .files import Files
+from .frames import (
+    Batch,
+    StorageError,
+    Truncation,
+    encode_frame,
+    read_frames,
+)
 from .models import Entry, HardState, SnapshotImage
 from .replica import Output
 
 __all__ = ["Recovered", "Storage", "StorageError", "open_storage"]
 
-_HEADER: Final = struct.Struct("<III")
-_LENGTHS: Final = struct.Struct("<II")
+_LOGGER = logging.getLogger(__name__)
+
 _IDENTITY_FILE: Final = "identity"
 _SNAPSHOT_FILE: Final = "snapshot"
 _LOG_FILE: Final = "log"
@@ -39,27 +39,18 @@
 IDENTITY_DIGITS: Final = 12
 
 
-class StorageError(DragonflyrockError):
-    """A data folder that cannot be read or written; the text names the file."""
-
-
-class Truncation(NamedTuple):
-    """Drop the entry at ``index`` and all after it."""
-
-    log_index: int
-
-
-_CODEC: Final = Codec([Entry, HardState, Truncation, SnapshotImage])
-
-
 class Recovered(NamedTuple):
-    """What a data folder held; ``cut_bytes`` is the size of a torn tail."""
+    """What a data folder held; ``cut_bytes`` is the size of a torn tail.
+
+    ``batch`` is the number of the log's last batch, 0 where it has none.
+    """
 
     identity: str
     snapshot: SnapshotImage
     entries: tuple[Entry, ...]
     hard: HardState
     cut_bytes: int
+    batch: int
 
 
 class Storage:
@@ -71,13 +62,20 @@
     """
 
     def __init__(
-        self, folder: Path, files: Files, log: BinaryIO, size: int, hard: HardState
+        self,
+        folder: Path,
+        files: Files,
+        log: BinaryIO,
+        size: int,
+        batch: int,
+        hard: HardState,
     ) -> None:
-        """Keep the folder, its open log file, that file's size and its hard state."""
+        """Keep the folder, its open log file, and what the file holds."""
         self._folder = folder
         self._files = files
         self._log = log
         self._size = size
+        self._batch = batch
         self._hard = hard
         self.is_broken = False
         self.sync_count = 0
@@ -113,9 +111,11 @@
         if self.is_broken:
             detail = f"{self._folder}: an earlier write failed"
             raise StorageError(detail, step="write")
-        self._files.append(self._log, frames)
+        batch = encode_frame(Batch(self._batch + 1)) + frames
+        self._files.append(self._log, batch)
         self._files.sync(self._log)
-        self._size += len(frames)
+        self._batch += 1
+        self._size += len(batch)
         self.sync_count += 1
 
     def save_snapshot(self, snapshot: SnapshotImage, kept: tuple[Entry, ...]) -> None:
@@ -136,12 +136,15 @@
         The old log fits the new snapshot as well, so a stop between the two loses
         nothing.
         """
-        _replace_file(self._files, self._folder / _SNAPSHOT_FILE, _frame(snapshot))
+        _replace_file(
+            self._files, self._folder / _SNAPSHOT_FILE, encode_frame(snapshot)
+        )
         # The log starts anew, so it must carry the term and the vote along.
-        frames = _frame(hard) + b"".join(_frame(entry) for entry in kept)
+        frames = _frame_log(self._batch + 1, hard, kept)
         self._files.replace(self._log_path, frames)
         # Until the new file is open and its name synced, nothing may be appended.
         self.is_broken = True
+        self._batch += 1
         self._size = len(frames)
         self._reopen()
         self._files.sync_folder(self._folder)
@@ -178,7 +181,11 @@
         return StorageError(detail, step=step)
 
     def close(self) -> None:
-        """Close the log file."""
+        """Close the log file, after a mark that all in it was synced."""
+        if not self.is_broken:
+            # It need not be synced, and a disk without room for it loses nothing.
+            with contextlib.suppress(OSError):
+                self._files.append(self._log, encode_frame(Batch(self._batch + 1)))
         self._log.close()
 
 
@@ -191,6 +198,8 @@
         identity = _read_identity(files, folder)
         snapshot = _read_snapshot(folder / _SNAPSHOT_FILE)
         recovered = _read_log(files, path, identity, snapshot)
+        if not recovered.batch:
+            recovered = _begin_batches(files, path, recovered)
         log = files.open_log(path)
         # What a killed process wrote and did not sync counts from here on.
         files.sync(log)
@@ -198,7 +207,22 @@
     except OSError as error:
         detail = f"{folder}: {error.strerror or error}"
         raise StorageError(detail, step="open") from error
-    return Storage(folder, files, log, size, recovered.hard), recovered
+    storage = Storage(folder, files, log, size, recovered.batch, recovered.hard)
+    return storage, recovered
+
+
+def _begin_batches(files: Files, path: Path, recovered: Recovered) -> Recovered:
+    """Write a new log, or one of an earlier form, so that it begins with a batch."""
+    is_new = not path.exists()
+    try:
+        frames = _frame_log(1, recovered.hard, recovered.entries)
+        _replace_file(files, path, frames)
+    except OSError as error:
+        if is_new:
+            raise
+        _LOGGER.warning("%s: kept in its earlier form: %s", path, error)
+        return recovered
+    return recovered._replace(batch=1)
 
 
 def _read_identity(files: Files, folder: Path) -> str:
@@ -220,7 +244,7 @@
     """Return the snapshot, or an empty one."""
     if not path.exists():
         return SnapshotImage()
-    frames = list(_read_frames(path))
+    frames = list(read_frames(path))
     if len(frames) != 1 or not isinstance(frames[0], SnapshotImage):
         raise StorageError(f"{path}: damaged: not one snapshot", step="open")
     return frames[0]
@@ -233,13 +257,16 @@
     entries: list[Entry] = []
     hard = HardState()
     cut = 0
+    batch = 0
     if path.exists():
-        for frame in _read_frames(path):
+        for frame in read_frames(path):
             match frame:
                 case Entry():
                     _add_entry(path, entries, frame, snapshot)
                 case HardState():
                     hard = frame
+                case Batch(number):
+                    batch = number
                 case Truncation(index):
                     entries = [entry for entry in entries if entry.log_index < index]
                 case int():
@@ -247,7 +274,7 @@
                     files.cut(path, frame)
                 case _:
                     raise StorageError(f"{path}: damaged: a stray record", step="open")
-    return Recovered(identity, snapshot, tuple(entries), hard, cut)
+    return Recovered(identity, snapshot, tuple(entries), hard, cut, batch)
 
 
 def _add_entry(
@@ -263,66 +290,24 @@
     entries.append(entry)
 
 
-def _read_frames(
-    path: Path,
-) -> Iterator[Entry | HardState | Truncation | SnapshotImage | int]:
-    """Yield the records of a file, then the offset of a torn tail if it has one."""
-    data = path.read_bytes()
-    offset = 0
-    while offset < len(data):
-        record = _read_frame(path, data, offset)
-        if record is None:
-            yield offset
-            return
-        yield record[0]
-        offset = record[1]
-
-
-def _read_frame(
-    path: Path, data: bytes, offset: int
-) -> tuple[Entry | HardState | Truncation | SnapshotImage, int] | None:
-    """Return the record at an offset and where the next begins; None when torn."""
-    if not any(data[offset:]):
-        # The file had grown, but its blocks were never written.
-        return None
-    start = offset + _HEADER.size
-    if start > len(data):
-        return None
-    length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
-    if xxhash.xxh32_intdigest(_LENGTHS.pack(length, checksum)) != header_checksum:
-        raise StorageError(f"{path}: damaged: header at byte {offset}", step="open")
-    body = data[start : start + length]
-    if len(body) < length:
-        return None
-    if xxhash.xxh32_intdigest(body) != checksum:
-        raise StorageError(f"{path}: damaged: record at byte {offset}", step="open")
-    try:
-        return _CODEC.decode(body), start + length
-    except CodecError as error:
-        detail = f"{path}: damaged: record at byte {offset}: {error}"
-        raise StorageError(detail, step="open") from error
-
-
-def _frame(record: object) -> bytes:
-    """Return the frame of a record."""
-    body = _CODEC.encode(record)
-    checksum = xxhash.xxh32_intdigest(body)
-    header_checksum = xxhash.xxh32_intdigest(_LENGTHS.pack(len(body), checksum))
-    return _HEADER.pack(len(body), checksum, header_checksum) + body
-
-
 def _frame_output(output: Output) -> bytes:
     """Return the frames of an output without a snapshot."""
     frames = bytearray()
     if output.truncate_from:
-        frames += _frame(Truncation(output.truncate_from))
+        frames += encode_frame(Truncation(output.truncate_from))
     for entry in output.entries:
-        frames += _frame(entry)
+        frames += encode_frame(entry)
     if output.hard is not None:
-        frames += _frame(output.hard)
+        frames += encode_frame(output.hard)
     return bytes(frames)
 
 
+def _frame_log(batch: int, hard: HardState, entries: tuple[Entry, ...]) -> bytes:
+    """Return the whole content of a log that starts anew."""
+    frames = [encode_frame(entry) for entry in entries]
+    return b"".join([encode_frame(Batch(batch)), encode_frame(hard), *frames])
+
+
 def _replace_file(files: Files, path: Path, data: bytes) -> None:
     """Write a file aside, sync it, put it in place and sync the folder."""
     files.replace(path, data)
