--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -13,6 +13,7 @@
     "add_learner",
     "admit_waiting",
     "drop_silent",
+    "give_up_leadership",
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
@@ -23,8 +24,6 @@
 # A voter that acknowledged nothing for so long is taken as lost; a restart takes
 # about one second, and a successor is to count within four.
 SILENT_VOTER_SECONDS: Final = 2.0
-# A voter that acknowledged one of so many last heartbeats is there.
-HEARD_HEARTBEATS: Final = 2
 # A group of two is not made one of one: that would bear no loss at all.
 FEWEST_TO_DROP_FROM: Final = 4
 
@@ -133,24 +132,46 @@
 def hand_over_leadership(replica: Replica, now: float) -> bool:
     """Ask the most advanced voter to take over; return whether one was asked.
 
-    Of equal ones, a voter that was heard just now goes before one that may be lost.
-
     The successor's voters are released from their promise to this leader, so
     it gives up its lease by following at once.
     """
     if replica.role != Role.LEADER:
         return False
-    heard_since = now - HEARD_HEARTBEATS * replica.timing.heartbeat
+    successor = _find_successor(replica)
+    if not successor:
+        return False
+    if replica.peers[successor].match_index < replica.log.last_index:
+        return False
+    _hand_over_to(replica, successor, now)
+    return True
+
+
+def give_up_leadership(replica: Replica, now: float) -> None:
+    """Follow, and ask the most advanced voter to take over if there is one.
+
+    Unlike a planned hand-over it cannot wait until one has caught up. A voter that
+    lacks something that was committed is not elected.
+    """
+    if replica.role != Role.LEADER:
+        return
+    successor = _find_successor(replica)
+    if successor:
+        _hand_over_to(replica, successor, now)
+    else:
+        become_follower(replica, replica.hard.term, "", now)
+
+
+def _find_successor(replica: Replica) -> str:
+    """Return the most advanced other voter, of equals the one heard last."""
     candidates = [
-        (peer.match_index, peer.acked_sent_at > heard_since, voter.name)
+        (progress.match_index, progress.acked_sent_at, voter.name)
         for voter in replica.configuration.voters
-        if (peer := replica.peers.get(voter.name)) is not None
+        if (progress := replica.peers.get(voter.name)) is not None
     ]
-    if not candidates:
-        return False
-    match_index, _, name = max(candidates)
-    if match_index < replica.log.last_index:
-        return False
+    return max(candidates)[-1] if candidates else ""
+
+
+def _hand_over_to(replica: Replica, name: str, now: float) -> None:
+    """Ask a voter to take over, and follow."""
     send(replica, name, TakeOver(replica.hard.term))
     become_follower(replica, replica.hard.term, "", now)
-    return True
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -387,6 +387,8 @@
             group.tick(now)
             leading = group.replica.role == Role.LEADER
             self._metrics.leading.labels(group.name).set(leading)
+            self._metrics.disk_lost.labels(group.name).set(bool(group.disk_error))
+            self._metrics.disk_refusals.labels(group.name).set(group.disk_failures)
         self._take_kept_renewals(now)
         if self._config.directed is not None:
             self._tick_near(now)
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -183,11 +183,15 @@
         if not failure.done():
             fields = await finish()
         self.lines.add("stopped", **fields)
-        self._links.close()
-        self.lines.flush()
+        self.close()
         if failure.done():
             failure.result()
 
+    def close(self) -> None:
+        """Close the links and write the last lines."""
+        self._links.close()
+        self.lines.flush()
+
 
 class LineEvents(EventRing):
     """The ring of events, each of which is also a structured line."""
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -156,6 +156,18 @@
             "Syncs of a group's log since the start",
             "group",
         )
+        self.disk_lost = Family(
+            Count,
+            "dragonflyrock_disk_lost",
+            "1 while the disk of a group's log refuses writes",
+            "group",
+        )
+        self.disk_refusals = Family(
+            Count,
+            "dragonflyrock_disk_refusals",
+            "Writes of a group's log that the disk refused since the start",
+            "group",
+        )
         self._dropped_frames = Family(
             Count,
             "dragonflyrock_dropped_frames",
@@ -193,6 +205,8 @@
             self.leading,
             self.moves,
             self.log_syncs,
+            self.disk_lost,
+            self.disk_refusals,
             self._dropped_frames,
             self._revision,
             self._lease_seconds,
