--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -100,6 +100,7 @@
             self._clock,
             settings.timeouts.entry_lease_ms / 1000,
             settings.limits.waiting_requests,
+            settings.timeouts.drift_percent / 100,
         )
         self._callers: CallersApp | None = None
         self._servers = self._bind()
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -69,13 +69,18 @@
     """The tables of an entry host and the requests that pass through it."""
 
     def __init__(
-        self, clock: Callable[[], float], lease: float, max_waiting: int
+        self,
+        clock: Callable[[], float],
+        lease: float,
+        max_waiting: int,
+        drift: float = 0.02,
     ) -> None:
-        """Start without a lease; ``lease`` is in seconds."""
+        """Start without a lease; ``lease`` is in seconds, ``drift`` a share."""
         self.tables = EntryTables()
         self._clock = clock
         self._lease = lease
         self._max_waiting = max_waiting
+        self._drift = drift
         self._waiting = 0
         self._changed = threading.Condition()
         self._flights = _Flights()
@@ -258,7 +263,9 @@
             if flights.suspects.get(flight.server.holder) == flight.fingerprint:
                 del flights.suspects[flight.server.holder]
             if may_still_run and not flight.server.checks_grants:
-                flights.lingering.append((flight.ref, flight.deadline))
+                # A server counts the deadline by a clock that may run slower.
+                margin = (flight.deadline - flight.started_at) * self._drift
+                flights.lingering.append((flight.ref, flight.deadline + margin))
             load = self._loads[flight.ref]
             load.requests += 1
             load.busy_ms += (now - flight.started_at) * 1000
--- /dev/null
+++ b/tests/control/test_drift.py
@@ -0,0 +1,113 @@
+"""Leases, grants and deadlines under clocks that run 1% fast or slow."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.control.tables import LeaderTiming
+
+from .world import TICK, TIMING, World
+
+FAST = 1.01
+SLOW = 0.99
+SEEDS = range(3)
+LONG = TIMING._replace(longest_deadline=30.0)
+LONG_LEASES = TIMING._replace(entry_lease=6.0, grant=6.0)
+PLACES = ("host-0", "host-1", "server-0", "server-1", "server-2")
+PARTED = [(FAST, SLOW), (SLOW, FAST), (1.0, SLOW), (FAST, 1.0)]
+
+
+def start(
+    seed: int,
+    leader: float,
+    others: float,
+    *,
+    checks: bool = True,
+    timing: LeaderTiming = LONG,
+) -> World:
+    """Return a world that is settled, with messages that take no time."""
+    rates = {"leader": leader} | dict.fromkeys(PLACES, others)
+    world = World(seed, checks=checks, rates=rates, timing=timing)
+    world.delay = 0.0
+    world.run(2 * timing.outlast(timing.grant) + 1.0 + seed * 0.037)
+    assert all(row.owner for row in world.state.ranges)
+    return world
+
+
+def holds_grant(world: World, name: str) -> bool:
+    """Return whether a server would still run something."""
+    grants = world.servers[name].grants
+    rows = [row for row in world.state.ranges if row.owner.startswith(f"{name}@")]
+    return any(grants.covers(row.low, row.epoch) for row in rows)
+
+
+# Guards against: a giver takes a lease or a grant for over while its holder, whose
+# clock runs slower, still acts on it.
+@pytest.mark.parametrize(("leader", "others"), PARTED)
+def test_no_lease_is_outlived_by_its_holder(leader: float, others: float) -> None:
+    for seed in SEEDS:
+        world = start(seed, leader, others, timing=LONG_LEASES)
+        assert world.leader is not None
+        tables = world.leader.tables
+        world.cuts.add("leader")
+        lapsed = 0
+        for _ in range(400):
+            world.run(TICK, calls_per_tick=0)
+            now = world.clock("leader")
+            for host in tables.hosts.values():
+                if world.hosts[host.record.name].gate.lease_left() > 0:
+                    assert host.lease_until > now, f"seed {seed}"
+            for name, server in world.servers.items():
+                grant = tables.grants[server.holder]
+                lapsed += grant.lease_until <= now
+                if holds_grant(world, name):
+                    assert grant.lease_until > now, f"seed {seed}"
+        assert lapsed, "the grants never ended"
+
+
+def return_after_handover(world: World) -> None:
+    """Let server-2 go on once another server has run one of its keys."""
+    keys = {ran.key for ran in world.ran if ran.holder.startswith("server-2")}
+    assert keys
+    froze_at = world.now
+    while not any(ran.at > froze_at and ran.key in keys for ran in world.ran):
+        world.run(TICK, calls_per_tick=4)
+        assert world.now < froze_at + 2 * LONG.longest_deadline
+    world.frozen.discard("server-2")
+    world.run(1.0, calls_per_tick=4)
+    world.check_sole_ownership()
+
+
+# Guards against: the leader, whose clock runs fast, outwaits a lost host's requests too
+# early, and a server that does not check runs one after its key has gone to another.
+@pytest.mark.parametrize(("leader", "others"), PARTED)
+def test_a_lost_hosts_requests_are_outwaited(leader: float, others: float) -> None:
+    for seed in SEEDS:
+        world = start(seed, leader, others, checks=False)
+        world.run(0.5, calls_per_tick=4)
+        world.shortest_deadline = LONG.longest_deadline
+        world.calling = {"host-0"}
+        world.cuts.add("host-0")
+        world.muted.add("host-0")
+        world.frozen.add("server-2")
+        world.run(2.0, calls_per_tick=1)
+        world.calling = {"host-1"}
+        world.shortest_deadline = 0.2
+        return_after_handover(world)
+
+
+# Guards against: an entry host, whose clock runs fast, takes a request that it gave up
+# for over while the server that does not check may still run it.
+@pytest.mark.parametrize("others", [FAST, SLOW])
+def test_a_request_that_was_given_up_is_outwaited(others: float) -> None:
+    for seed in SEEDS:
+        world = start(seed, 1.0, others, checks=False)
+        world.run(0.5, calls_per_tick=4)
+        world.shortest_deadline = LONG.longest_deadline
+        world.calling = {"host-0"}
+        world.frozen.add("server-2")
+        world.run(0.5, calls_per_tick=8)
+        world.calling = {"host-1"}
+        world.run(1.0, calls_per_tick=0)
+        world.shortest_deadline = 0.2
+        return_after_handover(world)
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
@@ -35,6 +35,7 @@
 from dragonflyrock.transport.messages import HostRenew, HostUpdate
 
 SERVICE: Final = "finder"
+STARTED_AT: Final = 100.0
 TICK: Final = 0.02
 KEYS: Final = 16
 LONGEST_DEADLINE: Final = 4.0
@@ -102,10 +103,24 @@
     """One service, a leader, hosts and servers."""
 
     def __init__(
-        self, seed: int, hosts: int = 2, servers: int = 3, *, checks: bool = True
+        self,
+        seed: int,
+        hosts: int = 2,
+        servers: int = 3,
+        *,
+        checks: bool = True,
+        rates: Mapping[str, float] | None = None,
+        timing: LeaderTiming = TIMING,
     ) -> None:
-        """Start everything; nobody owns anything yet."""
-        self.now = 100.0
+        """Start everything; nobody owns anything yet.
+
+        ``rates`` tells how fast the clocks of some places run. Deadlines on the way
+        to a server are by wall clocks, which are taken to agree.
+        """
+        self.now = STARTED_AT
+        self.rates = rates or {}
+        self.timing = timing
+        self.delay = 0.03
         self.random = Random(seed)
         self.state = ControlState()
         self.leader: ControlLeader | None = None
@@ -134,6 +149,10 @@
 
     # Making things happen
 
+    def clock(self, place: str) -> float:
+        """Return the time by a place's clock."""
+        return STARTED_AT + (self.now - STARTED_AT) * self.rates.get(place, 1.0)
+
     def elect(self) -> None:
         """Let a new leader begin; the old one's messages stay under way."""
         self.term += 1
@@ -143,22 +162,22 @@
             self.term,
             self.state,
             {SERVICE: self._policy},
-            TIMING,
+            self.timing,
             events,
-            self.now,
+            self.clock("leader"),
         )
 
     def start_host(self, name: str) -> None:
         """Start, or restart, an entry host without any memory."""
-        gate = Gate(lambda: self.now, TIMING.entry_lease, 1000)
+        gate = Gate(lambda: self.clock(name), self.timing.entry_lease, 1000)
         self._incarnations += 1
         record = HostRecord(name, self._incarnations, "zone", "127.0.0.1:1", "")
         config = AgentConfig(record, ("leader",), 0.4)
         agent = EntryAgent(
             config,
             gate,
-            lambda _, renew: self.post("leader", lambda: self._renew(renew)),
-            lambda: self.now,
+            lambda _, renew: self._send_renewal(name, renew),
+            lambda: self.clock(name),
         )
         gate.on_drained = agent.hurry
         self.hosts[name] = Host(gate, agent)
@@ -167,15 +186,17 @@
         """Start, or restart, a server under a new incarnation."""
         self._incarnations += 1
         holder = f"{name}@{self._incarnations}"
-        grants = Grants(holder, lambda: self.now)
+        grants = Grants(holder, lambda: self.clock(name))
         self.servers[name] = Server(name, self._incarnations, self._checks, grants)
 
-    def post(self, place: str, action: Callable[[], None], most: float = 0.03) -> None:
+    def post(
+        self, place: str, action: Callable[[], None], most: float | None = None
+    ) -> None:
         """Have something happen at a place after a random delay."""
         if place in self.cuts:
             return
         self._order += 1
-        at = self.now + self.random.uniform(0.0, most)
+        at = self.now + self.random.uniform(0.0, self.delay if most is None else most)
         heappush(self._later, Later(at, self._order, place, action))
 
     def run(self, seconds: float, *, calls_per_tick: int = 1) -> None:
@@ -189,9 +210,9 @@
                     self._announce(server)
             for name, host in self.hosts.items():
                 if name not in self.frozen:
-                    host.agent.tick(self.now)
+                    host.agent.tick(self.clock(name))
             if self.leader is not None and "leader" not in self.frozen:
-                self._carry_out(self.leader.tick(self.now))
+                self._carry_out(self.leader.tick(self.clock("leader")))
             for _ in range(calls_per_tick):
                 self.call()
 
@@ -203,9 +224,10 @@
         key = self.random.randrange(KEYS)
         host = self.hosts[name]
         deadline = self.now + self.random.uniform(
-            self.shortest_deadline, LONGEST_DEADLINE
+            self.shortest_deadline, self.timing.longest_deadline
         )
-        flight = host.gate.try_enter(SERVICE, hash_of(key), "f", deadline)
+        until = self.clock(name) + deadline - self.now
+        flight = host.gate.try_enter(SERVICE, hash_of(key), "f", until)
         if not isinstance(flight, Flight):
             return
         number = len(self.asked)
@@ -213,8 +235,9 @@
         request = Request(number, key, name, flight, deadline)
         flight.close = lambda: self._cancel(request)
         host.flights.add(number)
+        given_up_at = self.now + (deadline - self.now) / self.rates.get(name, 1.0)
         late = Later(
-            deadline, -number, name, lambda: self._leave(request, unknown=True)
+            given_up_at, -number, name, lambda: self._leave(request, unknown=True)
         )
         heappush(self._later, late)
         holder = flight.server.holder
@@ -235,11 +258,17 @@
             else:
                 item.action()
 
+    def _send_renewal(self, name: str, renew: HostRenew) -> None:
+        """Send a host's renewal to the leader."""
+        if name not in self.muted:
+            self.post("leader", lambda: self._renew(renew))
+
     def _renew(self, renew: HostRenew) -> None:
         """Have the leader renew a host's lease."""
         if self.leader is None:
             return
-        update, effects = self.leader.renew_host(renew, self.state.revision, self.now)
+        now = self.clock("leader")
+        update, effects = self.leader.renew_host(renew, self.state.revision, now)
         self._send_update(renew.host.name, update)
         self._carry_out(effects)
 
@@ -249,7 +278,7 @@
 
         def receive() -> None:
             if self.hosts[name] is host:
-                host.agent.receive(update, self.now)
+                host.agent.receive(update, self.clock(name))
 
         self.post(name, receive)
 
@@ -269,7 +298,8 @@
         assert self.leader is not None
         self.state.apply(self.state.revision + 1, c.COMMANDS.encode(command))
         self.leader.settle(command)
-        self._carry_out(self.leader.push_updates(self.state.revision, self.now))
+        now = self.clock("leader")
+        self._carry_out(self.leader.push_updates(self.state.revision, now))
 
     def _announce(self, server: Server) -> None:
         """Have a server announce itself when it is time."""
@@ -298,7 +328,7 @@
         """Have the leader answer an announcement."""
         if self.leader is None:
             return
-        answer, effects = self.leader.announce(announcement, self.now)
+        answer, effects = self.leader.announce(announcement, self.clock("leader"))
         if isinstance(answer, calls.GrantSet):
             self.post(announcement.name, lambda: self._push(answer))
         self._carry_out(effects)
