Move a stopping server's ranges again as soon as callers had their turn

Cause: a cancelled move was held for 2 s, and the placement was looked at again only when a row or the loads had changed. Change: a stopping owner's range is held for the drain limit (0.25 s), and the end of a hold has the placement looked at again.

--- a/src/dragonflyrock/control/moves.py
+++ b/src/dragonflyrock/control/moves.py
@@ -37,6 +37,7 @@
     revision: int
     loads_at: float
     candidates: list[Candidate]
+    held: frozenset[RangeRef]
 
 
 class Moves:
@@ -100,8 +101,7 @@
                     finished.append(move)
                 case Cancel():
                     cancelled.append(move)
-                    pause = self._timing.cancelled_pause
-                    self._tables.held_until[row.ref] = now + pause
+                    self._tables.held_until[row.ref] = now + self._find_pause(row)
                 case Revoke():
                     self._tables.revoking[row.ref] = row.revision
                 case Wait():
@@ -143,6 +143,17 @@
             now,
         )
 
+    def _find_pause(self, row: RangeRow) -> float:
+        """Return how long a range stays after its move was cancelled.
+
+        A server that is to stop must get nothing new soon, so its ranges try again
+        as soon as callers have had their turn.
+        """
+        holder = self._state.find_holder(row.owner)
+        if holder is not None and self._state.servers[holder.name].stopping:
+            return self._timing.drain_limit
+        return self._timing.cancelled_pause
+
     @staticmethod
     def _has_acknowledged(grant: GrantRow, row: RangeRow) -> bool:
         """Return whether the holder has a set that leaves the range out."""
@@ -153,19 +164,20 @@
     def start(self, now: float) -> list[Effect]:
         """Begin the moves that the placement asks for.
 
-        A service is planned anew only when its servers, the rows or the loads
-        have changed, since a plan reads every range of the service.
+        A service is planned anew only when its servers, the rows, the loads or the
+        ranges that stay have changed, since a plan reads every range of the service.
         """
         effects: list[Effect] = []
+        held = self._find_held(now)
         for service, policy in self._services.items():
             candidates = self._candidates(service, now)
             basis = _PlanBasis(
-                self._state.revision, self._tables.window_started_at, candidates
+                self._state.revision, self._tables.window_started_at, candidates, held
             )
             if basis == self._planned_on.get(service):
                 continue
             self._planned_on[service] = basis
-            moves = self._plan(service, candidates, policy, now)
+            moves = self._plan(service, candidates, policy, held, now)
             if moves:
                 effects += self._proposals.propose(c.BeginMoves(moves))
         return effects
@@ -175,6 +187,7 @@
         service: str,
         candidates: list[Candidate],
         policy: ServicePolicy,
+        held: frozenset[RangeRef],
         now: float,
     ) -> tuple[c.Move, ...]:
         """Return the moves to begin for a service."""
@@ -186,7 +199,6 @@
         moved = {row.ref: loads[row.ref].moved_at for row in rows if row.ref in loads}
         balanced_at = self._balanced_at.get(service, NEVER)
         may_balance = now - balanced_at >= policy.placement.balance_interval
-        held = self._find_held(now)
         view = PlacementView(rows, candidates, busy, moved, held, may_balance, now)
         planned = plan_moves(view, policy.placement)
         for move in planned:
--- a/tests/control/test_ownership.py
+++ b/tests/control/test_ownership.py
@@ -263,3 +263,20 @@
             world._commit(c.PlanStop(change, "operator", name))
         case "unready":
             world.servers[name].ready = not world.servers[name].ready
+
+
+# Guards against: a host that is cut off has the moves of a planned stop cancelled, each
+# waits 2 s for its next try, and the server gets new work for 3.2 s.
+@pytest.mark.parametrize("direction", ["unheard", "deaf"])
+def test_a_planned_stop_beside_a_host_that_is_cut_off(direction: str) -> None:
+    for number in range(12):
+        world = start(number)
+        world.run(number * 0.03)
+        cut = world.muted if direction == "unheard" else world.cuts
+        cut.add("host-0")
+        planned_at = world.now
+        world._commit(c.PlanStop("stop", "operator", "server-2"))
+        world.run(6.0, calls_per_tick=6)
+        ran = [ran.at for ran in world.ran if ran.holder.startswith("server-2")]
+        assert max(ran) < planned_at + 2, f"seed {number}"
+        world.check_sole_ownership()
