--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Plays faults on the real programs and checks what callers, servers and operators see."""
+"""Faults on the real programs, and checks of what others see of them."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Command line: play seeds, and print what breaks a check."""
+"""Play seeds, and print what breaks a check."""
 
 from __future__ import annotations
 
@@ -8,31 +8,27 @@
 from pathlib import Path
 from typing import Final
 
-from .const import DEFAULT_SECONDS
+from . import const
 from .history import merge_time_line
 from .run import Result, play_seed
 
-__all__ = ["list_regressions", "main"]
-
 REGRESSIONS: Final = Path(__file__).parent / "seeds.toml"
 SHOWN_VIOLATIONS: Final = 3
 
 
-def list_regressions() -> tuple[tuple[int, float], ...]:
+def list_regressions() -> list[tuple[int, float]]:
     """Return the seeds that ever failed, with the seconds of their scripts."""
     table = tomllib.loads(REGRESSIONS.read_text(encoding="utf-8"))
-    return tuple((one["seed"], float(one["seconds"])) for one in table.get("seed", ()))
+    return [(one["seed"], float(one["seconds"])) for one in table["seeds"]]
 
 
-def _parse(words: list[str]) -> argparse.Namespace:
+def parse(words: list[str]) -> argparse.Namespace:
     """Read the command line."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
-    parser.add_argument("--seed", type=int, help="play one seed")
-    parser.add_argument("--seeds", help="play seeds A-B", metavar="A-B")
+    parser.add_argument("--seed", type=int, default=1, help="play one seed")
+    parser.add_argument("--seeds", help="play several", metavar="A-B")
     parser.add_argument("--regressions", action="store_true", help="seeds that failed")
-    parser.add_argument(
-        "--seconds", type=float, default=DEFAULT_SECONDS, help="length of a script"
-    )
+    parser.add_argument("--seconds", type=float, default=const.DEFAULT_SECONDS)
     parser.add_argument("--keep", type=Path, help="folder for the logs of failures")
     return parser.parse_args(words)
 
@@ -40,12 +36,10 @@
 def _list_seeds(options: argparse.Namespace) -> list[tuple[int, float]]:
     """Return the seeds to play, with the seconds of their scripts."""
     if options.regressions:
-        return list(list_regressions())
-    if options.seeds:
-        first, _, last = options.seeds.partition("-")
-        numbers = range(int(first), int(last or first) + 1)
-        return [(number, options.seconds) for number in numbers]
-    return [(options.seed or 1, options.seconds)]
+        return list_regressions()
+    first, _, last = (options.seeds or str(options.seed)).partition("-")
+    numbers = range(int(first), int(last or first) + 1)
+    return [(number, options.seconds) for number in numbers]
 
 
 def _tell(line: str) -> None:
@@ -60,25 +54,26 @@
     for step in result.script:
         print(f"  {step.at:7.3f}  {step.what} {step.target} {step[3:]}")
     for violation in result.violations[:SHOWN_VIOLATIONS]:
-        print(f"seed {result.seed}: {violation.check} at {violation.at:.3f} s")
-        print(f"  {violation.detail} [{violation.subject}]")
-        for line in merge_time_line(result.history.records, violation):
+        print(f"seed {result.seed}: {violation.check} at {violation.at:.3f} s:")
+        print(f"  {violation.detail} {violation.subjects}")
+        for line in merge_time_line(result.events, violation):
             print(f"  {line}")
     print(f"seed {result.seed}: logs in {result.folder}")
 
 
-def _format_row(result: Result) -> str:
+def format_row(result: Result) -> str:
     """Return a seed's line of the table."""
     checks = sorted({violation.check for violation in result.violations})
     outcome = "failed " + ",".join(checks) if checks else "passed"
-    counts = f"{len(result.script):3} steps {result.answered:5} answered"
-    took = result.history.records[-1].at if result.history.records else 0.0
-    return f"{result.seed:6}  {took:5.1f} s  {counts} {result.broken:3} cut  {outcome}"
+    took = result.events[-1].at if result.events else 0.0
+    counts = [f"{result.count(how):5} {how}" for how in ("answered", "broken", "left")]
+    steps = f"{len(result.script):3} steps"
+    return f"{result.seed:6}  {took:5.1f} s  {steps} {' '.join(counts)}  {outcome}"
 
 
 def main(words: list[str]) -> int:
     """Play the seeds that the command line names; return 1 if one failed."""
-    options = _parse(words)
+    options = parse(words)
     rows, failed = [], 0
     for seed, seconds in _list_seeds(options):
         result = play_seed(seed, seconds, options.keep, _tell)
@@ -86,7 +81,7 @@
         if result.violations:
             failed += 1
             print_failure(result)
-        rows.append(_format_row(result))
+        rows.append(format_row(result))
         print(rows[-1], flush=True)
     print(f"{len(rows) - failed} passed, {failed} failed")
     if len(rows) > 1:
--- a/soak/const.py
+++ b/soak/const.py
@@ -15,49 +15,47 @@
 RECOVERY_SECONDS: Final = 15.0
 READY_SECONDS: Final = 0.5
 ADDRESS_REUSE_SECONDS: Final = 2.0
-# A server that works on a request in the last sixth of the grace time may be cut,
-# if the request was sent early enough.
+# Work of a request that was sent early may be cut in the last sixth of the grace time.
 LATE_WORK_SECONDS: Final = GRACE_SECONDS * 5 / 6
 EARLY_SEND_SECONDS: Final = 3.0
-
 # An answer is due this long after the deadline at the latest.
 PATIENCE_SECONDS: Final = 0.5
-# A stop of a server is in force this much later at the latest, with its queue.
-ARRIVAL_SLACK_SECONDS: Final = 0.1
+# A process that is still starting has no handler for SIGTERM and has taken nothing.
+STARTING_SECONDS: Final = 1.5
 
 # What is started
 
 CONTROL_NODES: Final = 3
 ENTRY_NODES: Final = 4
 SHARDED_SERVERS: Final = 3
-PLAIN_SERVERS: Final = 3
+SERVERS: Final = 6
 SLOTS: Final = 4
 QUEUE_REQUESTS: Final = 6
 ZONES: Final = ("zone-a", "zone-b", "zone-c")
 KEYS: Final = 65536
-
 CALLERS: Final = 12
 # Connections to each entry node that are kept open and mostly idle.
-KEPT_PER_NODE: Final = 10
+KEPT_PER_NODE: Final = 16
 CALLER_PAUSE_SECONDS: Final = 0.12
 KEPT_PAUSE_SECONDS: Final = 5.0
 DEADLINE_SECONDS: Final = 1.5
 ROUTE_TIMEOUT_MS: Final = 2_000
 MAX_ATTEMPTS: Final = 2
 RESENDS: Final = 2
-CONNECT_SECONDS: Final = 1.0
 LEAVE_EARLY_SHARE: Final = 0.02
 
 # Times of a run
 
-START_SECONDS: Final = 12.0
-RESTART_SECONDS: Final = 0.5
+DEFAULT_SECONDS: Final = 12.0
+START_SECONDS: Final = 15.0
+CALL_SECONDS: Final = 1.0
 HEARTBEAT_SECONDS: Final = 1.0
 READY_CHECK_SECONDS: Final = 1.0
 OPERATOR_PAUSE_SECONDS: Final = 1.5
 OPERATOR_GIVES_UP_SECONDS: Final = 8.0
 CHECK_SECONDS: Final = 2.0
-DEFAULT_SECONDS: Final = 12.0
+# The soak's own event loop was late by this much: its clock proves nothing then.
+BLIND_SECONDS: Final = 0.1
 
 # Ports at each node's address
 
--- a/soak/facts.py
+++ b/soak/facts.py
@@ -1,109 +1,98 @@
-"""What checks look up in a history: who was disturbed when, and each request's parts."""
+"""What checks look up in a history: who was disturbed, and the parts of a request."""
 
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import Final
 
-from .const import CONNECTIVITY_SECONDS
-from .models import (
-    Acted,
-    Answered,
-    Began,
-    Ended,
-    Finished,
-    Put,
-    Record,
-    Sent,
-    Started,
-)
+from . import const
+from .models import Acted, Began, Ended, Event, Finished, Outcome, Put, Sent, Started
 
-__all__ = ["Facts"]
-
-# These do not excuse a lost request: the process is told of them, or hardly slowed.
-GENTLE = ("stop", "hup", "change", "delay", "leave", "slow", "replace")
+# These excuse no lost request: the process is told of them, or is hardly slowed.
+GENTLE: Final = ("stop", "hup", "change", "delay", "leave", "slow")
+BLIND: Final = "soak"
 
 
 class Facts:
-    """A history by subject."""
+    """A history by subject; times are those of the events."""
 
-    def __init__(
-        self, records: list[Record], now: float, is_over: bool = False
-    ) -> None:
-        """Index the records seen until now; ``is_over`` when none will follow."""
-        self.is_over = is_over
-        self.records = records
+    def __init__(self, events: list[Event], now: float, is_over: bool = False) -> None:
+        """Index the events seen until now; ``is_over`` when none will follow."""
+        self.events = events
         self.now = now
-        self.sent: dict[str, Sent] = {}
-        self.began: defaultdict[str, list[Began]] = defaultdict(list)
-        self.finished: dict[tuple[str, str], Finished] = {}
-        self.answered: dict[str, Answered] = {}
-        self.acted: list[Acted] = []
-        self.started: list[Started] = []
-        self.ended: list[Ended] = []
-        self.accepted: list[Put] = []
-        self.puts: list[Put] = []
-        for record in records:
-            self._take(record)
+        self.is_over = is_over
+        self.sent: dict[str, tuple[float, Sent]] = {}
+        self.began: defaultdict[str, list[tuple[float, Began]]] = defaultdict(list)
+        self.finished: dict[tuple[str, str], tuple[float, str]] = {}
+        self.outcomes: list[tuple[float, Outcome]] = []
+        self.acted: list[tuple[float, Acted]] = []
+        self.started: list[tuple[float, str]] = []
+        self.ended: list[tuple[float, Ended]] = []
+        self.puts: list[tuple[float, Put]] = []
+        for event in events:
+            self._take(*event)
+        self.accepted = [(at, put) for at, put in self.puts if put.status == 200]
 
-    def _take(self, record: Record) -> None:
+    def _take(self, at: float, record: object) -> None:
         """Index a record."""
         match record:
             case Sent():
-                self.sent[record.request] = record
+                self.sent[record.request] = at, record
             case Began():
-                self.began[record.request].append(record)
+                self.began[record.request].append((at, record))
             case Finished():
-                self.finished[record.request, record.server] = record
-            case Answered():
-                self.answered[record.request] = record
+                self.finished[record.request, record.server] = at, record.how
+            case Outcome():
+                self.outcomes.append((at, record))
             case Acted():
-                self.acted.append(record)
+                self.acted.append((at, record))
             case Started():
-                self.started.append(record)
+                self.started.append((at, record.node))
             case Ended():
-                self.ended.append(record)
+                self.ended.append((at, record))
             case Put():
-                self.puts.append(record)
-                if record.status == 200:
-                    self.accepted.append(record)
+                self.puts.append((at, record))
+
+    def is_blind(self, start: float, end: float) -> bool:
+        """Return whether the soak itself stood still in a time."""
+        return any(
+            act.target == BLIND and at <= end and start <= act.until
+            for at, act in self.acted
+        )
 
     def is_struck(self, name: str, start: float, end: float) -> bool:
-        """Return whether a kill, freeze, cut or reset on ``name`` itself touches a time.
+        """Return whether a kill, freeze, cut or reset touches a node in a time.
 
-        Only its own process and the way of its callers count.
+        Only those of its own process and of the way of its callers count.
         """
+        late = const.CONNECTIVITY_SECONDS
         return any(
-            act.target == name
-            and act.what.partition("<")[0] not in GENTLE
-            and act.at <= end
-            and start <= act.until + CONNECTIVITY_SECONDS
-            for act in self.acted
-        )
+            act.target == name and act.what not in GENTLE
+            and at <= end and start <= act.until + late
+            for at, act in self.acted
+        )  # fmt: skip
 
     def is_touched(self, prefix: str, start: float, end: float) -> bool:
-        """Return whether anything at all was done around ``prefix`` near a time."""
-        near = start - CONNECTIVITY_SECONDS
+        """Return whether anything at all was done around a name near a time."""
+        near = start - const.CONNECTIVITY_SECONDS
         return any(
-            (act.target.startswith(prefix) or f"<{prefix}" in act.what)
-            and act.at <= end
-            and near <= act.until
-            for act in self.acted
+            (act.target.startswith(prefix) or act.source.startswith(prefix))
+            and at <= end and near <= act.until
+            for at, act in self.acted
         ) or any(
-            one.node.startswith(prefix) and near <= one.at <= end
-            for one in self.started
-        )
+            node.startswith(prefix) and near <= at <= end for at, node in self.started
+        )  # fmt: skip
 
     def is_calm(self, node: str, start: float, end: float) -> bool:
         """Return whether a node was in touch and the control group stable."""
-        return not (
-            self.is_touched(node, start, end) or self.is_touched("control-", start, end)
-        )
+        names = (node, "control")
+        return not any(self.is_touched(name, start, end) for name in names)
 
     def find_stop(self, node: str, at: float) -> float | None:
         """Return the time of the SIGTERM under which a node was at a time."""
         stops = [
-            act.at
-            for act in self.acted
-            if act.target == node and act.what == "stop" and act.at <= at <= act.until
+            since
+            for since, act in self.acted
+            if (act.target, act.what) == (node, "stop") and since <= at <= act.until
         ]
         return max(stops, default=None)
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -2,28 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from .const import (
-    CALLERS_PORT,
-    CONTROL_NODES,
-    CONTROL_PORT,
-    ENTRY_NODES,
-    GRACE_SECONDS,
-    LINK_PORT,
-    READY_PORT,
-    ZONES,
-)
+from . import const
 
-__all__ = ["Layout", "NodePlace", "reserve_network"]
+NETWORKS: Final = range(20, 200)
 
-FIRST_NETWORK: Final = 20
-LAST_NETWORK: Final = 200
 
-
-class NodePlace(NamedTuple):
+class Place(NamedTuple):
     """A node; ``door`` is where a proxy listens for it, ``home`` its own address."""
 
     name: str
@@ -32,49 +21,50 @@
     door: str
     home: str
 
+    @property
+    def port(self) -> int:
+        """Return the port at which it is called from outside."""
+        return const.CONTROL_PORT if self.role == "control" else const.CALLERS_PORT
+
+    @property
+    def address(self) -> str:
+        """Return where it is called from outside, by way of its proxy."""
+        return f"{self.door}:{self.port}"
+
 
 class Layout(NamedTuple):
     """The nodes of a run within one block of loopback addresses."""
 
     network: int
 
-    @property
-    def nodes(self) -> tuple[NodePlace, ...]:
-        """Return the control nodes and then the entry nodes."""
-        places = []
-        for role, count in (("control", CONTROL_NODES), ("entry", ENTRY_NODES)):
-            for number in range(1, count + 1):
-                host = number + (0 if role == "control" else 10)
-                places.append(
-                    NodePlace(
-                        f"{role}-{number}",
-                        role,
-                        ZONES[(number - 1) % len(ZONES)],
-                        f"127.{self.network}.1.{host}",
-                        f"127.{self.network}.2.{host}",
-                    )
-                )
-        return tuple(places)
-
-    def list_role(self, role: str) -> tuple[NodePlace, ...]:
+    def list_role(self, role: str) -> list[Place]:
         """Return the nodes of a role."""
-        return tuple(node for node in self.nodes if node.role == role)
-
-    def server_door(self, number: int) -> str:
-        """Return the IP at which a server is announced."""
-        return f"127.{self.network}.3.{number}"
+        count = const.CONTROL_NODES if role == "control" else const.ENTRY_NODES
+        places = []
+        for number in range(1, count + 1):
+            host = number + (0 if role == "control" else 10)
+            zone = const.ZONES[number % len(const.ZONES)]
+            door, home = (f"127.{self.network}.{net}.{host}" for net in (1, 2))
+            places.append(Place(f"{role}-{number}", role, zone, door, home))
+        return places
+
+    def list_nodes(self) -> list[Place]:
+        """Return the control nodes and then the entry nodes."""
+        return self.list_role("control") + self.list_role("entry")
 
-    def server_home(self, number: int) -> str:
-        """Return the IP at which a server listens."""
-        return f"127.{self.network}.4.{number}"
+    def find_server(self, number: int) -> tuple[str, str]:
+        """Return where a server is announced, and where it listens."""
+        port = const.SERVER_PORT
+        door, home = (f"127.{self.network}.{net}.{number}:{port}" for net in (3, 4))
+        return door, home
 
 
 def reserve_network() -> tuple[Layout, socket.socket]:
     """Return a free block; it stays taken while the socket is open."""
-    for network in range(FIRST_NETWORK, LAST_NETWORK):
+    for network in NETWORKS:
         holder = socket.socket()
         try:
-            holder.bind((f"127.{network}.0.1", LINK_PORT))
+            holder.bind((f"127.{network}.0.1", const.LINK_PORT))
             holder.listen()
         except OSError:
             # Another run has this block.
@@ -84,34 +74,23 @@
     raise RuntimeError("no free block of loopback addresses")
 
 
-def write_settings(
-    path: Path, layout: Layout, node: NodePlace, folder: Path, forming: bool, slack: int
-) -> None:
-    """Write a node's settings file; ``slack`` is a value that a change may alter."""
-    seeds = ", ".join(
-        f'"{seed.door}:{CONTROL_PORT}"' for seed in layout.list_role("control")
-    )
-    lines = [
-        f"seeds = [{seeds}]",
-        "[node]",
-        f'name = "{node.door}"',
-        f'label = "{node.name}"',
-        f'role = "{node.role}"',
-        f'availability_zone = "{node.zone}"',
-        f"forming = {'true' if forming else 'false'}",
-    ]
-    if node.role == "control":
-        lines.append(f'data_folder = "{folder}"')
-    lines += ["[listen]", f'link = "{node.home}:{LINK_PORT}"']
+def encode_settings(
+    layout: Layout, node: Place, folder: Path, forming: bool, slack: int
+) -> str:
+    """Return a node's settings file; ``slack`` is a value that a change alters."""
+    listen = {"link": f"{node.home}:{const.LINK_PORT}"}
+    identity: dict[str, object] = {"name": node.door, "label": node.name}
+    identity |= {"role": node.role, "availability_zone": node.zone, "forming": forming}
     if node.role == "control":
-        lines.append(f'control = "{node.home}:{CONTROL_PORT}"')
+        identity["data_folder"] = str(folder)
+        listen["control"] = f"{node.home}:{node.port}"
     else:
-        lines.append(f'callers = "{node.home}:{CALLERS_PORT}"')
-        lines.append(f'ready = "{node.home}:{READY_PORT}"')
-    lines += [
-        "[bounds]",
-        f"stop_grace_ms = {int(GRACE_SECONDS * 1000)}",
-        f"retry_slack = {slack}.0",
-        "",
-    ]
-    path.write_text("\n".join(lines), encoding="utf-8")
+        listen["callers"] = f"{node.home}:{node.port}"
+        listen["ready"] = f"{node.home}:{const.READY_PORT}"
+    bounds = {"stop_grace_ms": int(const.GRACE_SECONDS * 1000), "retry_slack": slack}
+    seeds = [seed.address for seed in layout.list_role("control")]
+    lines = [f"seeds = {json.dumps(seeds)}"]
+    for title, table in (("node", identity), ("listen", listen), ("bounds", bounds)):
+        lines.append(f"[{title}]")
+        lines += [f"{key} = {json.dumps(value)}" for key, value in table.items()]
+    return "\n".join(lines) + "\n"
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -6,27 +6,19 @@
 from random import Random
 from typing import Final, NamedTuple
 
-from . import http1, wire
-from .const import (
-    CONTROL_PORT,
-    OPERATOR_GIVES_UP_SECONDS,
-    OPERATOR_PAUSE_SECONDS,
-)
+from . import const, wire
 from .history import History
-from .layout import Layout, NodePlace
+from .layout import Layout
 from .models import Put, Read
 
-__all__ = ["Desk", "Operator"]
-
 CLEAR: Final = (200, 400, 409, 412, 413, 422)
-CALL_SECONDS: Final = 1.0
 BACK_OFF_SECONDS: Final = 0.15
 MAX_ADDED_ROUTES: Final = 6
 REPLAY_SHARE: Final = 0.3
 SHARDED_SERVICE: Final = "svc-keys"
 PLAIN_SERVICE: Final = "svc-plain"
 SERVICES: Final = {SHARDED_SERVICE: True, PLAIN_SERVICE: False}
-FIRST_ROUTES: Final = (
+FIRST_ROUTES: tuple[wire.RouteSpec, ...] = (
     wire.RouteSpec("look", "/look/", True, SHARDED_SERVICE),
     wire.RouteSpec("mark", "/mark/", False, SHARDED_SERVICE),
     wire.RouteSpec("book", "/book/", False, PLAIN_SERVICE),
@@ -42,14 +34,12 @@
     version: int
     body: bytes
     routes: tuple[wire.RouteSpec, ...]
-    adds: str = ""
 
     @property
     def content(self) -> str:
         """Return what the configuration is once the change is in force."""
-        return wire.make_content(
-            wire.encode_config(self.version, self.routes, SERVICES)
-        )
+        body = wire.encode_config(self.version, self.routes, SERVICES)
+        return wire.make_content(body)
 
 
 class Desk:
@@ -58,7 +48,7 @@
     def __init__(self) -> None:
         """Start before the first configuration."""
         self.version = 0
-        self.routes: tuple[wire.RouteSpec, ...] = ()
+        self.routes = FIRST_ROUTES
         self.sent: dict[str, tuple[wire.RouteSpec, ...]] = {}
 
     def note(self, version: int, routes: tuple[wire.RouteSpec, ...]) -> None:
@@ -84,14 +74,15 @@
     async def put_first(self) -> None:
         """Put the first configuration, until it is accepted."""
         body = wire.encode_config(1, FIRST_ROUTES, SERVICES)
-        change = Change(wire.CONFIG_PUT, 0, 1, body, FIRST_ROUTES)
+        change = Change(wire.names.CONFIG_PUT, 0, 1, body, FIRST_ROUTES)
         while await self._send(change) != 200:
             await asyncio.sleep(BACK_OFF_SECONDS)
 
     async def work(self) -> None:
         """Change the configuration now and then, and read it."""
         while True:
-            await asyncio.sleep(self._random.expovariate(1 / OPERATOR_PAUSE_SECONDS))
+            pause = self._random.expovariate(1 / const.OPERATOR_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
             change = self._make_change()
             status = await self._send(change)
             if status == 200 and self._random.random() < REPLAY_SHARE:
@@ -100,95 +91,59 @@
 
     def _make_change(self) -> Change:
         """Return a change on top of the newest version that is known."""
-        base = self._desk.version
+        base, routes = self._desk.version, self._desk.routes
         version = base + self._random.randint(1, 3)
-        added = [r for r in self._desk.routes if r.name.startswith("more-")]
-        self._count += 1
+        added = routes[len(FIRST_ROUTES) :]
+        patch = wire.names.CONFIG_PATCH
         if len(added) >= MAX_ADDED_ROUTES:
             gone = self._random.choice(added)
-            routes = tuple(r for r in self._desk.routes if r != gone)
-            body = wire.encode_patch(version, (), (gone.name,))
-            return Change(wire.CONFIG_PATCH, base, version, body, routes)
-        label = f"{self._name}-{self._count}"
+            body = wire.encode_patch(version, (), gone.name)
+            kept = tuple(route for route in routes if route != gone)
+            return Change(patch, base, version, body, kept)
+        self._count += 1
+        label = f"more-{self._name}-{self._count}"
         service = self._random.choice(list(SERVICES))
-        safe = self._random.random() < 0.5
-        route = wire.RouteSpec(f"more-{label}", f"/more/{label}/", safe, service)
-        routes = (*self._desk.routes, route)
+        route = wire.RouteSpec(
+            label, f"/{label}/", self._random.random() < 0.5, service
+        )
+        routes = (*routes, route)
         if self._random.random() < 0.5:
-            body = wire.encode_config(version, routes, SERVICES)
-            path = wire.CONFIG_PUT
-        else:
-            body = wire.encode_patch(version, (route,), ())
-            path = wire.CONFIG_PATCH
-        return Change(path, base, version, body, routes, route.name)
+            body = wire.encode_patch(version, (route,), "")
+            return Change(patch, base, version, body, routes)
+        body = wire.encode_config(version, routes, SERVICES)
+        return Change(wire.names.CONFIG_PUT, base, version, body, routes)
 
     async def _send(self, change: Change, again: bool = False) -> int:
         """Send a change, to other nodes until there is a clear answer."""
-        self._desk.sent[change.content] = change.routes
-        sent_at = self._history.now()
-        status, tries, node = 0, 0, self._nodes[0]
+        path, base, version, body, routes = change
+        self._desk.sent[change.content] = routes
+        sent_at, status, tries, node = self._history.now(), 0, 0, self._nodes[0]
         try:
-            while self._history.now() - sent_at < OPERATOR_GIVES_UP_SECONDS:
+            while self._history.now() - sent_at < const.OPERATOR_GIVES_UP_SECONDS:
                 node = self._random.choice(self._nodes)
-                tries += 1
-                headers = {wire.BASE_VERSION: b"r%d" % change.base}
-                answer = await self._call(
-                    node, "POST", change.path, headers, change.body
-                )
+                answer = await wire.call(node.address, "POST", path, body, base)
                 if answer is not None and answer.status in CLEAR:
                     status = answer.status
                     break
+                tries += 1
                 await asyncio.sleep(BACK_OFF_SECONDS * tries)
         finally:
             # One that is broken off at the end of a run had no clear answer.
-            now, content = self._history.now(), change.content
-            self._history.add(
-                Put(
-                    now,
-                    sent_at,
-                    node.name,
-                    change.version,
-                    change.base,
-                    content,
-                    status,
-                    again,
-                    change.adds,
-                    tries,
-                )
-            )
+            put = Put(sent_at, node.name, version, base, change.content, status, again)
+            self._history.add(put)
         if status == 200:
-            self._desk.note(change.version, change.routes)
+            self._desk.note(version, routes)
         return status
 
     async def read(self, last: bool = False) -> bool:
         """Read the configuration at one node; return whether there was an answer."""
-        node = self._random.choice(self._nodes)
-        sent_at = self._history.now()
-        answer = await self._call(node, "GET", wire.CONFIG_GET, {}, b"")
+        node, sent_at = self._random.choice(self._nodes), self._history.now()
+        answer = await wire.call(node.address, "GET", wire.names.CONFIG_GET)
         if answer is None or answer.status != 200:
             return False
         version = wire.read_version(answer.body)
         content = wire.make_content(answer.body)
-        now = self._history.now()
-        self._history.add(Read(now, sent_at, node.name, version, content, last))
+        self._history.add(Read(sent_at, node.name, version, content, last))
         if content in self._desk.sent:
             self._desk.note(version, self._desk.sent[content])
         return True
-
-    async def _call(
-        self,
-        node: NodePlace,
-        method: str,
-        path: str,
-        headers: dict[bytes, bytes],
-        body: bytes,
-    ) -> http1.Message | None:
-        """Call a control node; None where there is no answer."""
-        try:
-            async with asyncio.timeout(CALL_SECONDS):
-                return await http1.call(
-                    f"{node.door}:{CONTROL_PORT}", method, path, headers, body
-                )
-        except http1.FAULTS:
-            # No clear answer; the caller sends it again or lets it be.
-            return None
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -3,26 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import re
 from contextlib import suppress
-from pathlib import Path
 from typing import Final, NamedTuple
 
-__all__ = ["Fault", "Proxies", "find_process"]
-
 CHUNK_BYTES: Final = 65536
 POLL_SECONDS: Final = 0.02
 ANYONE: Final = ""
-
-FindPeer = Callable[[int], str]
+DOOR_NAME: Final = re.compile(rb"127\.\d+\.1\.\d+")
+FROM_CONTROL: Final = re.compile(rb"POST /-/|GET /health")
 
 
 class Fault(NamedTuple):
-    """What a proxy does; ``source`` is a name, or empty for everyone.
+    """What a proxy does to a target's connections; ``source`` may be anyone.
 
-    ``forward`` and ``back`` are the directions held up: their bytes wait until the
-    fault ends, unless the sender resets the connection before. ``half`` passes on
-    half of the next bytes and resets.
+    Bytes of the directions that are held up wait until the fault ends, unless their
+    sender resets the connection. ``half`` passes half of the next bytes, and resets.
     """
 
     source: str
@@ -33,23 +29,32 @@
     half: bool = False
 
 
-class _Way(NamedTuple):
-    """One direction of a connection through a proxy."""
+class Way:
+    """A connection through a proxy; its first bytes tell who opened it."""
 
-    source: str
-    target: str
-    is_forward: bool
+    def __init__(self, target: str) -> None:
+        """Start with a source that is not known yet."""
+        self.target = target
+        self.source = ANYONE
+
+    def identify(self, data: bytes, names: dict[bytes, str]) -> None:
+        """Find the source in bytes that it sends."""
+        if self.target.endswith("/link"):
+            found = DOOR_NAME.search(data)
+            self.source = names.get(found.group(), ANYONE) if found else ANYONE
+        elif self.target.startswith("server"):
+            self.source = "control" if FROM_CONTROL.match(data) else "entry"
 
 
 class Proxies:
     """All proxies of a run; a target is the name of who listens behind one."""
 
-    def __init__(self, find_peer: FindPeer) -> None:
-        """Start without proxies; ``find_peer`` names who has a local port."""
-        self._find_peer = find_peer
+    def __init__(self, names: dict[bytes, str]) -> None:
+        """Start without proxies; ``names`` are the nodes by their doors."""
+        self._names = names
         self._faults: list[Fault] = []
         self._servers: list[asyncio.Server] = []
-        self._open: dict[asyncio.Task[None], tuple[str, str]] = {}
+        self._open: dict[asyncio.Task[None], Way] = {}
 
     async def listen(self, target: str, door: str, home: str) -> None:
         """Pass connections from ``door`` on to ``home``, both ``ip:port``."""
@@ -59,27 +64,22 @@
         ) -> None:
             task = asyncio.current_task()
             assert task is not None
-            port = writer.get_extra_info("peername")[1]
-            source = self._find_peer(port)
-            self._open[task] = (source, target)
-            try:
-                await self._carry(source, target, home, reader, writer)
-            except asyncio.CancelledError:
-                # A reset, which is ours.
-                pass
-            finally:
-                self._open.pop(task, None)
-                writer.transport.abort()
-
-        host, _, port_text = door.rpartition(":")
-        server = await asyncio.start_server(accept, host, int(port_text), backlog=512)
+            way = self._open[task] = Way(target)
+            # A reset, by either side or by a fault, ends both sides.
+            with suppress(OSError, asyncio.CancelledError):
+                await self._carry(way, home, reader, writer)
+            del self._open[task]
+            writer.transport.abort()
+
+        host, _, port = door.rpartition(":")
+        server = await asyncio.start_server(accept, host, int(port), backlog=512)
         self._servers.append(server)
 
     def add(self, fault: Fault) -> None:
         """Begin a fault."""
         self._faults.append(fault)
 
-    def remove(self, fault: Fault, reset: bool) -> None:
+    def remove(self, fault: Fault, reset: bool = False) -> None:
         """End a fault; what it held up goes on, or is lost with its connections."""
         if reset:
             self.reset(fault.source, fault.target)
@@ -88,66 +88,50 @@
 
     def reset(self, source: str, target: str) -> None:
         """Reset the connections from a source to a target."""
-        for task, (peer, name) in list(self._open.items()):
-            if name == target and source in (ANYONE, peer):
+        for task, way in list(self._open.items()):
+            if way.target == target and source in (ANYONE, way.source):
                 task.cancel()
 
     async def close(self) -> None:
         """End all proxies and connections."""
         for server in self._servers:
             server.close()
-        tasks = list(self._open)
-        for task in tasks:
+        for task in self._open:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def _list_faults(self, way: _Way) -> list[Fault]:
-        """Return the faults that act on a direction."""
-        return [
-            fault
-            for fault in self._faults
-            if fault.target == way.target and fault.source in (ANYONE, way.source)
-        ]
+        await asyncio.gather(*self._open, return_exceptions=True)
 
-    def _is_held(self, way: _Way) -> bool:
-        """Return whether the bytes of a direction are held up."""
-        return any(
-            fault.forward if way.is_forward else fault.back
-            for fault in self._list_faults(way)
-        )
+    def _list_faults(self, way: Way) -> list[Fault]:
+        """Return the faults that act on a connection."""
+        sources = (ANYONE, way.source)
+        found = [fault for fault in self._faults if fault.target == way.target]
+        return [fault for fault in found if fault.source in sources]
+
+    async def _hold(
+        self, way: Way, forward: bool, reader: asyncio.StreamReader
+    ) -> None:
+        """Wait while a direction is held up; raise if its sender resets meanwhile."""
+        while any(f.forward if forward else f.back for f in self._list_faults(way)):
+            await asyncio.sleep(POLL_SECONDS)
+            if reader.exception() is not None:
+                raise ConnectionResetError("held up until its sender reset it")
 
     async def _carry(
         self,
-        source: str,
-        target: str,
+        way: Way,
         home: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Connect through and pass bytes on both ways until both have ended."""
-        way = _Way(source, target, True)
-        while self._is_held(way):
-            await asyncio.sleep(POLL_SECONDS)
-            if reader.exception() is not None:
-                return
+        await self._hold(way, True, reader)
         host, _, port = home.rpartition(":")
-        try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            # Nobody listens: the door's caller is reset, as it would be there.
-            return
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
         both = [
-            asyncio.create_task(self._pump(way, reader, far_writer)),
-            asyncio.create_task(
-                self._pump(way._replace(is_forward=False), far_reader, writer)
-            ),
+            asyncio.create_task(self._pump(way, True, reader, far_writer)),
+            asyncio.create_task(self._pump(way, False, far_reader, writer)),
         ]
         try:
-            # A direction that was broken off ends the other one too.
             await asyncio.gather(*both)
-        except OSError:
-            # A reset by either side; both ends are reset below.
-            pass
         finally:
             for task in both:
                 task.cancel()
@@ -155,49 +139,24 @@
             far_writer.transport.abort()
 
     async def _pump(
-        self, way: _Way, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        way: Way,
+        forward: bool,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Pass the bytes of one direction on; raise ``OSError`` at a reset."""
         while data := await reader.read(CHUNK_BYTES):
+            if forward and not way.source:
+                way.identify(data, self._names)
             for fault in self._list_faults(way):
-                if fault.delay:
-                    await asyncio.sleep(fault.delay)
+                await asyncio.sleep(fault.delay)
                 if fault.half:
-                    self.remove(fault, reset=False)
+                    self.remove(fault)
                     writer.write(data[: len(data) // 2])
-                    raise ConnectionResetError("half sent")
-            while self._is_held(way):
-                await asyncio.sleep(POLL_SECONDS)
-                error = reader.exception()
-                if error is not None:
-                    raise ConnectionResetError("held until its sender reset") from error
+                    raise ConnectionResetError("half of it was sent")
+            await self._hold(way, forward, reader)
             writer.write(data)
             await writer.drain()
         if writer.can_write_eof():
-            with suppress(OSError):
-                # The other side may have gone already.
-                writer.write_eof()
-
-
-def find_process(port: int, pids: dict[str, int]) -> str:
-    """Return which of our processes has a local TCP port, or an empty text."""
-    wanted = f"{port:04X}"
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        if fields[1].endswith(":" + wanted) and fields[9] != "0":
-            link = f"socket:[{fields[9]}]"
-            for name, pid in pids.items():
-                if pid and _has_link(pid, link):
-                    return name
-    return ANYONE
-
-
-def _has_link(pid: int, link: str) -> bool:
-    """Return whether a process of ours has an open file of this name."""
-    try:
-        return any(
-            str(path.readlink()) == link for path in Path(f"/proc/{pid}/fd").iterdir()
-        )
-    except OSError:
-        # The process ended, or closed the file meanwhile.
-        return False
+            writer.write_eof()
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import resource
 import shutil
 import tempfile
 from collections.abc import Callable, Coroutine
@@ -11,37 +10,25 @@
 from random import Random
 from typing import Any, Final, NamedTuple
 
+from . import const
 from .callers import Balancer, Caller
-from .checks import CHECKS, list_useless
-from .config_checks import CONFIG_CHECKS
-from .const import (
-    CALLERS,
-    CALLERS_PORT,
-    CHECK_SECONDS,
-    CONTROL_PORT,
-    KEPT_PER_NODE,
-    LINK_PORT,
-    PLAIN_SERVERS,
-    RECOVERY_SECONDS,
-    SHARDED_SERVERS,
-    START_SECONDS,
-    ZONES,
-)
-from .facts import Facts
+from .checks import check_history, list_useless
+from .facts import BLIND, Facts
 from .history import History
 from .layout import Layout, reserve_network
-from .models import Answered, Broken, Violation
+from .models import Acted, Event, Outcome, Violation
 from .operators import PLAIN_SERVICE, SHARDED_SERVICE, Desk, Operator
 from .player import Player
 from .processes import NodeProcess
-from .proxies import Proxies, find_process
+from .proxies import Proxies
 from .script import Step, make_script
 from .servers import StandIn
 
-__all__ = ["Result", "check_history", "play_seed"]
-
 TAIL_SECONDS: Final = 2.0
-FILES: Final = 4096
+POLL_SECONDS: Final = 0.2
+BEAT_SECONDS: Final = 0.05
+
+Tell = Callable[[str], None]
 
 
 class Result(NamedTuple):
@@ -49,103 +36,86 @@
 
     seed: int
     script: tuple[Step, ...]
-    violations: tuple[Violation, ...]
-    history: History
-    folder: str
-
-    @property
-    def answered(self) -> int:
-        """Return how many requests had a server's answer."""
-        return sum(isinstance(r, Answered) and r.stamped for r in self.history.records)
-
-    @property
-    def broken(self) -> int:
-        """Return how many connections ended before their answer."""
-        return sum(isinstance(r, Broken) for r in self.history.records)
+    violations: list[Violation]
+    events: list[Event]
+    folder: Path
 
-
-def check_history(facts: Facts) -> list[Violation]:
-    """Return what breaks any check, in the order of time."""
-    found = [one for check in (*CHECKS, *CONFIG_CHECKS) for one in check(facts)]
-    return sorted(found, key=lambda violation: violation.at)
+    def count(self, how: str) -> int:
+        """Return how many attempts ended in a way."""
+        records = (event.record for event in self.events)
+        return sum(isinstance(one, Outcome) and one.how == how for one in records)
 
 
 class Run:
     """All parties of one run."""
 
-    def __init__(
-        self, seed: int, folder: Path, layout: Layout, tell: Callable[[str], None]
-    ) -> None:
+    def __init__(self, seed: int, folder: Path, layout: Layout, tell: Tell) -> None:
         """Prepare the parties; ``tell`` takes lines of progress."""
-        self.history = History()
+        self.history = history = History()
         self._seed = seed
         self._tell = tell
         self._layout = layout
-        self.nodes = {
-            place.name: NodeProcess(layout, place, folder, self.history)
-            for place in layout.nodes
-        }
-        self._servers = {
-            server.label: server
-            for server in (
-                self._make_server(number)
-                for number in range(1, SHARDED_SERVERS + PLAIN_SERVERS + 1)
-            )
+        places = layout.list_nodes()
+        self._nodes = {
+            place.name: NodeProcess(layout, place, folder, history) for place in places
         }
-        self.proxies = Proxies(self._find_peer)
+        servers = [self._make_server(number + 1) for number in range(const.SERVERS)]
+        self._servers = {server.label: server for server in servers}
+        self._proxies = Proxies({p.door.encode(): p.name for p in places})
         self._desk = Desk()
-        self._late = {
-            place.name: asyncio.Event() for place in layout.list_role("entry")
-        }
+        self._operators = [
+            Operator(name, layout, history, self._desk, self._draw(name))
+            for name in ("op1", "op2")
+        ]
+        self._stopping = {p.name: asyncio.Event() for p in layout.list_role("entry")}
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _make_server(self, number: int) -> StandIn:
-        """Return the stand-in of a number."""
-        sharded = number <= SHARDED_SERVERS
-        service = SHARDED_SERVICE if sharded else PLAIN_SERVICE
-        zone = ZONES[number % len(ZONES)]
-        return StandIn(self._layout, number, service, sharded, zone)
-
-    def _find_peer(self, port: int) -> str:
-        """Return which node has a local port."""
-        return find_process(port, {name: n.pid for name, n in self.nodes.items()})
-
     def _draw(self, name: str) -> Random:
         """Return a source of chance for one party."""
         return Random(f"{self._seed} {name}")
 
+    def _make_server(self, number: int) -> StandIn:
+        """Return the stand-in of a number."""
+        sharded = number <= const.SHARDED_SERVERS
+        service = SHARDED_SERVICE if sharded else PLAIN_SERVICE
+        draw = self._draw(f"server {number}")
+        return StandIn(self._layout, number, service, self.history, draw)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a party until the end."""
         self._tasks.append(asyncio.create_task(work))
 
     async def start(self) -> None:
         """Start proxies, nodes and servers; wait until requests are served."""
-        for place in self._layout.nodes:
-            ports = {LINK_PORT: f"{place.name}/link"}
-            ports[CONTROL_PORT if place.role == "control" else CALLERS_PORT] = (
-                place.name
+        self._spawn(self._watch_itself())
+        for place in self._layout.list_nodes():
+            await self._proxies.listen(
+                place.name, place.address, f"{place.home}:{place.port}"
             )
-            for port, target in ports.items():
-                await self.proxies.listen(
-                    target, f"{place.door}:{port}", f"{place.home}:{port}"
-                )
-        for server in self._servers.values():
-            await self.proxies.listen(server.label, *server.addresses)
-        await asyncio.gather(*(n.start(forming=True) for n in self.nodes.values()))
+            link = (f"{ip}:{const.LINK_PORT}" for ip in (place.door, place.home))
+            await self._proxies.listen(f"{place.name}/link", *link)
+        await asyncio.gather(*(n.start(forming=True) for n in self._nodes.values()))
         for server in self._servers.values():
-            await server.start(self.history, self._draw(server.label))
-        self._operators = [
-            Operator(name, self._layout, self.history, self._desk, self._draw(name))
-            for name in ("op1", "op2")
-        ]
-        async with asyncio.timeout(START_SECONDS):
+            await self._proxies.listen(server.label, *server.addresses)
+            await server.start()
+        async with asyncio.timeout(const.START_SECONDS):
             await self._operators[0].put_first()
             self._start_callers()
             while list_useless(self._make_facts()):
-                await asyncio.sleep(0.2)
+                await asyncio.sleep(POLL_SECONDS)
         for operator in self._operators:
             self._spawn(operator.work())
 
+    async def _watch_itself(self) -> None:
+        """Record when this event loop stood still."""
+        last = self.history.now()
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            now = self.history.now()
+            if now - last > BEAT_SECONDS + const.BLIND_SECONDS:
+                self.history.events.append(Event(last, Acted(BLIND, "stall", now)))
+            last = now
+
     def _start_callers(self) -> None:
         """Start the readiness checks and all callers."""
         balancer = Balancer(self._layout, self.history, self._draw("balancer"))
@@ -155,34 +125,32 @@
             draw = self._draw(name)
             return Caller(name, self.history, balancer, draw, lambda: self._desk.routes)
 
-        for number in range(CALLERS):
+        for number in range(const.CALLERS):
             self._spawn(make(f"caller{number}").call_often())
         for place in self._layout.list_role("entry"):
-            for number in range(KEPT_PER_NODE):
+            for number in range(const.KEPT_PER_NODE):
                 caller = make(f"kept{number}-{place.name}")
-                self._spawn(caller.call_seldom(place, self._late[place.name]))
+                self._spawn(caller.call_seldom(place, self._stopping[place.name]))
 
     def _make_facts(self, is_over: bool = False) -> Facts:
         """Return the history so far, indexed."""
-        return Facts(self.history.records, self.history.now(), is_over)
+        return Facts(self.history.events, self.history.now(), is_over)
 
     async def play(self, script: tuple[Step, ...]) -> list[Violation]:
         """Play a script, then wait until all are useful again; check meanwhile."""
         player = Player(
-            self.history, self.nodes, self._servers, self.proxies, self._late
+            self.history, self._nodes, self._servers, self._proxies, self._stopping
         )
-        playing = asyncio.create_task(player.play(script, self.history.now()))
+        playing = asyncio.create_task(player.play(script))
         try:
             while not playing.done():
-                await asyncio.wait({playing}, timeout=CHECK_SECONDS)
+                await asyncio.wait({playing}, timeout=const.CHECK_SECONDS)
                 if found := self._check():
                     return found
             playing.result()
             await asyncio.sleep(TAIL_SECONDS)
-            while not (found := self._check()):
-                if not list_useless(self._make_facts()):
-                    break
-                await asyncio.sleep(0.5)
+            while not (found := self._check()) and list_useless(self._make_facts()):
+                await asyncio.sleep(POLL_SECONDS)
             return found or await self._read_back()
         finally:
             playing.cancel()
@@ -191,25 +159,24 @@
     def _check(self) -> list[Violation]:
         """Check the history so far, after a line of progress."""
         facts = self._make_facts()
-        count = len(self.history.records)
-        self._tell(f"seed {self._seed}: {facts.now:5.1f} s, {count} records")
+        self._tell(f"seed {self._seed}: {facts.now:5.1f} s, {len(facts.events)} events")
         for task in self._tasks:
             if task.done():
                 task.result()
         return check_history(facts)
 
     async def _read_back(self) -> list[Violation]:
-        """Stop the operators' changes and read the configuration once more."""
-        await self.stop_parties()
-        until = self.history.now() + RECOVERY_SECONDS
+        """End the operators' changes and read the configuration once more."""
+        await self._end_parties()
+        until = self.history.now() + const.RECOVERY_SECONDS
         while not await self._operators[0].read(last=True):
             if self.history.now() > until:
                 detail = "the configuration could not be read back"
                 return [Violation("CONFIG", self.history.now(), detail)]
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(POLL_SECONDS)
         return check_history(self._make_facts(is_over=True))
 
-    async def stop_parties(self) -> None:
+    async def _end_parties(self) -> None:
         """End callers and operators."""
         for task in self._tasks:
             task.cancel()
@@ -218,45 +185,37 @@
 
     async def end(self) -> None:
         """End everything that was started."""
-        await self.stop_parties()
-        for node in self.nodes.values():
+        await self._end_parties()
+        for node in self._nodes.values():
             await node.kill()
         for server in self._servers.values():
             if server.name:
                 await server.crash()
-        await self.proxies.close()
+        await self._proxies.close()
 
 
-async def _play(
-    seed: int, script: tuple[Step, ...], folder: Path, tell: Callable[[str], None]
+async def play_script(
+    seed: int, script: tuple[Step, ...], folder: Path, tell: Tell
 ) -> Result:
-    """Play a script in a folder."""
+    """Play a script with the chance of a seed, with its files in a folder."""
     layout, holder = reserve_network()
     run = Run(seed, folder, layout, tell)
     try:
-        try:
-            await run.start()
-        except TimeoutError:
-            detail = f"nothing was served {START_SECONDS} s after the start"
-            found = [Violation("START", run.history.now(), detail)]
-        else:
-            found = await run.play(script)
+        await run.start()
+        found = await run.play(script)
+    except TimeoutError:
+        detail = f"nothing was served {const.START_SECONDS} s after the start"
+        found = [Violation("START", run.history.now(), detail)]
     finally:
         await run.end()
         holder.close()
-    return Result(seed, script, tuple(found), run.history, str(folder))
+    return Result(seed, script, found, run.history.events, folder)
 
 
-def play_seed(
-    seed: int, seconds: float, folder: Path | None, tell: Callable[[str], None]
-) -> Result:
+def play_seed(seed: int, seconds: float, folder: Path | None, tell: Tell) -> Result:
     """Play a seed; the logs of one that passes are removed."""
-    resource.setrlimit(
-        resource.RLIMIT_NOFILE,
-        (FILES, resource.getrlimit(resource.RLIMIT_NOFILE)[1]),
-    )
     place = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=folder))
-    result = asyncio.run(_play(seed, make_script(seed, seconds), place, tell))
+    result = asyncio.run(play_script(seed, make_script(seed, seconds), place, tell))
     if not result.violations:
         shutil.rmtree(place)
     return result
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -2,50 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
 import json
 from typing import Any, Final, NamedTuple
 
-from dragonflyrock.platform.names import (
-    BASE_VERSION,
-    CONFIG_GET,
-    CONFIG_PATCH,
-    CONFIG_PUT,
-    DIALECT,
-    GRANT_PATH,
-    HANDOVER,
-    INSTANCES_PREFIX,
-    RELEASE_PATH,
-    SETTINGS_VARIABLE,
+from dragonflyrock.http import (
+    Connections,
+    ExchangeFault,
+    Headers,
+    Request,
+    Response,
+    find_header,
+    make_response,
 )
+from dragonflyrock.platform import names
 
-from .const import MAX_ATTEMPTS, ROUTE_TIMEOUT_MS
-
-__all__ = [
-    "BASE_VERSION",
-    "CONFIG_GET",
-    "CONFIG_PATCH",
-    "CONFIG_PUT",
-    "DIALECT",
-    "GRANT_PATH",
-    "HANDOVER",
-    "HEALTH_PATH",
-    "HOST",
-    "READY_PATH",
-    "RELEASE_PATH",
-    "RETRY_AFTER",
-    "SETTINGS_VARIABLE",
-    "WORK_MS",
-    "RouteSpec",
-    "encode_beat",
-    "encode_config",
-    "encode_patch",
-    "make_content",
-    "make_path",
-    "read_grant",
-    "read_version",
-]
-
-HEALTH_PATH: Final = "/health"
+from . import const
+
+__all__ = ["names"]
+
+DIALECT: Final = names.DIALECT
+HEALTH_PATH: Final = b"/health"
 READY_PATH: Final = "/-/ready"
 RETRY_AFTER: Final = b"retry-after"
 HOST: Final = "soak.example"
@@ -68,56 +46,97 @@
     low: int
     high: int
     fence: int
-    hold_seconds: float
-
-
-def make_path(server: str, call: str) -> str:
+    hold: float
+
+
+async def call(
+    address: str, method: str, path: str, body: bytes = b"", base: int = -1
+) -> Response | None:
+    """Make a call on a connection of its own; None where there is no answer."""
+    headers: Headers = ((b"Host", address.encode()),)
+    if base >= 0:
+        headers = (*headers, (names.BASE_VERSION, b"r%d" % base))
+    connection = await Connections().connect(address, const.CALL_SECONDS)
+    if isinstance(connection, ExchangeFault):
+        return None
+    try:
+        async with asyncio.timeout(const.CALL_SECONDS):
+            request = Request(method.encode(), path.encode(), headers, body)
+            answer = await connection.exchange(request)
+    except TimeoutError:
+        return None
+    finally:
+        connection.close()
+    return None if isinstance(answer, ExchangeFault) else answer
+
+
+def make_refusal(request: Request, status: int, server: str) -> Response:
+    """Return a server's answer that promises that nothing has run."""
+    headers = ((DIALECT.not_run, b"1"), (DIALECT.server_name, server.encode()))
+    echoed = find_header(request.headers, DIALECT.request_id) or b""
+    return make_response(status, b"", (*headers, (DIALECT.request_id, echoed)))
+
+
+def make_stamp(body: bytes) -> bytes:
+    """Return the signature of a body."""
+    return hashlib.sha256(body).hexdigest()[:24].encode()
+
+
+def find_problem(answer: Response, request: str) -> str:
+    """Return why an answer is not that of a request, or an empty text."""
+    echoed = find_header(answer.headers, DIALECT.request_id)
+    if echoed not in (None, request.encode()):
+        return f"the answer of {echoed!r}"
+    stamp = find_header(answer.headers, DIALECT.signature)
+    if stamp is None:
+        return "a success without a signature" if answer.status < 300 else ""
+    if stamp != make_stamp(answer.body):
+        return "not the server's whole body"
+    whole = answer.body.startswith(request.encode() + b" ")
+    return "" if whole else "the body of another request"
+
+
+def make_announcement(server: str, call: str) -> str:
     """Return the path of a server's announcement."""
-    return f"{INSTANCES_PREFIX}{server}/{call}"
+    return f"{names.INSTANCES_PREFIX}{server}/{call}"
 
 
 def encode_beat(
-    service: str, address: str, zone: str, slots: int, state: str, sequence: int
+    service: str, address: str, zone: str, state: str, sequence: int
 ) -> bytes:
     """Return the body of a heartbeat."""
-    return json.dumps(
-        {
-            "service": service,
-            "address": address,
-            "zone": zone,
-            "version": "v1",
-            "slots": slots,
-            "state": state,
-            "warmupRemainingMs": 0,
-            "sequence": sequence,
-        }
-    ).encode()
+    beat = {"service": service, "address": address, "zone": zone, "state": state}
+    fixed = {"version": "v1", "slots": const.SLOTS, "warmupRemainingMs": 0}
+    return json.dumps(beat | fixed | {"sequence": sequence}).encode()
 
 
 def read_grant(body: bytes) -> GrantCall:
     """Return the body of a grant or release."""
     data = json.loads(body)
-    return GrantCall(
-        data["from"], data["to"], data["fence"], data.get("holdMs", 0) / 1000
-    )
+    hold = data.get("holdMs", 0) / 1000
+    return GrantCall(data["from"], data["to"], data["fence"], hold)
 
 
 def _make_rule(route: RouteSpec) -> dict[str, Any]:
     """Return a route as the configuration has it."""
+    action = {"service": route.service, "timeoutMs": const.ROUTE_TIMEOUT_MS}
     return {
         "name": route.name,
         "kind": "safe" if route.safe else "unsafe",
-        "targetLatencyMs": ROUTE_TIMEOUT_MS // 2,
+        "targetLatencyMs": const.ROUTE_TIMEOUT_MS // 2,
         "priority": 1,
         "match": {"pathPrefix": route.prefix},
-        "action": {
-            "service": route.service,
-            "timeoutMs": ROUTE_TIMEOUT_MS,
-            "maxAttempts": MAX_ATTEMPTS,
-        },
+        "action": action | {"maxAttempts": const.MAX_ATTEMPTS},
     }
 
 
+def _make_cluster(name: str, sharded: bool) -> dict[str, Any]:
+    """Return a service as the configuration has it."""
+    fixed = {"maxConnections": 130, "protocol": "h1", "tls": False, "warmS": 0.0}
+    own = {"name": name, "healthCheckPath": HEALTH_PATH.decode(), "sharded": sharded}
+    return own | fixed | {"grants": "call"}
+
+
 def _make_listeners(routes: tuple[RouteSpec, ...]) -> list[dict[str, Any]]:
     """Return the routes under their host."""
     return [{"host": HOST, "rules": [_make_rule(route) for route in routes]}]
@@ -127,45 +146,23 @@
     version: int, routes: tuple[RouteSpec, ...], services: dict[str, bool]
 ) -> bytes:
     """Return a whole configuration; ``services`` tells which ones have keys."""
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "limits": {
-                "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1 << 20,
-                "headerTimeoutMs": 3000,
-                "idleTimeoutMs": 15000,
-            },
-            "listeners": _make_listeners(routes),
-            "clusters": [
-                {
-                    "name": name,
-                    "healthCheckPath": HEALTH_PATH,
-                    "maxConnections": 130,
-                    "protocol": "h1",
-                    "tls": False,
-                    "sharded": sharded,
-                    "warmS": 0.0,
-                    "grants": "call",
-                }
-                for name, sharded in services.items()
-            ],
-        }
-    ).encode()
-
-
-def encode_patch(
-    version: int, added: tuple[RouteSpec, ...], removed: tuple[str, ...]
-) -> bytes:
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20}
+    times = {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+    config = {
+        "version": f"r{version}",
+        "limits": limits | times,
+        "listeners": _make_listeners(routes),
+        "clusters": [_make_cluster(*service) for service in services.items()],
+    }
+    return json.dumps(config).encode()
+
+
+def encode_patch(version: int, added: tuple[RouteSpec, ...], removed: str) -> bytes:
     """Return a change of named routes."""
     upsert = {"listeners": _make_listeners(added)} if added else {}
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "upsert": upsert,
-            "remove": {"routes": list(removed)},
-        }
-    ).encode()
+    remove = {"routes": [removed] if removed else []}
+    patch = {"version": f"r{version}", "upsert": upsert, "remove": remove}
+    return json.dumps(patch).encode()
 
 
 def read_version(body: bytes) -> int:
@@ -181,5 +178,4 @@
         for listener in data["listeners"]
         for rule in listener["rules"]
     ]
-    names = sorted(cluster["name"] for cluster in data["clusters"])
-    return "\n".join([*sorted(rules), *names])
+    return "\n".join(sorted(rules) + sorted(c["name"] for c in data["clusters"]))
