--- a/soak/checks.py
+++ b/soak/checks.py
@@ -87,7 +87,7 @@
             detail = _find_broken(facts, at, outcome, runs)
         elif outcome.how == "left":
             over = sent.until + const.PATIENCE_SECONDS - DEADLINE_SLACK_SECONDS
-            if at >= over and not facts.is_blind(sent_at, at):
+            if at >= over and not facts.is_blind(outcome.node, sent_at, at):
                 detail = "no answer well after its deadline"
         elif outcome.status in GIVEN_UP and not outcome.stamped:
             detail = _find_given_up(facts, at, outcome, runs)
@@ -102,7 +102,8 @@
 def _find_broken(facts: Facts, at: float, outcome: Outcome, runs: Runs) -> str:
     """Return why a connection that was closed counts as a lost request."""
     sent_at, sent = facts.sent[outcome.request]
-    crossed = at - sent_at <= const.LOSS_SLACK_SECONDS or facts.is_blind(sent_at, at)
+    crossed = at - sent_at <= const.LOSS_SLACK_SECONDS
+    crossed = crossed or facts.is_blind(outcome.node, sent_at, at)
     if (crossed and not runs) or _may_end(facts, at, sent_at, sent, runs):
         return ""
     return f"closed without an answer, run by {[run.server for _, run in runs]}"
@@ -167,7 +168,10 @@
                 if arrived - since <= const.DRAIN_SECONDS or sent is None:
                     continue
                 held = [a.what for _, a in facts.acted if a.target == label]
-                unsure = facts.is_blind(since, arrived) or {"cut", "delay"} & {*held}
+                unsure = facts.is_blind(sent[1].node, since, arrived) or {
+                    "cut",
+                    "delay",
+                } & {*held}
                 if facts.is_calm(sent[1].node, since, arrived) and not unsure:
                     detail = f"arrived {arrived - since:.3f} s after its word"
                     yield Violation("DRAIN", at, detail, (request, server))
@@ -184,7 +188,8 @@
                 since, status = said[node]
                 if status != 200 or at - since > const.READY_SECONDS + 1:
                     continue
-                if not facts.is_touched(node, since, at):
+                blind = facts.is_blind(node, since, at)
+                if not blind and not facts.is_touched(node, since, at):
                     detail = f"it was ready {at - since:.3f} s before"
                     yield Violation("READY", at, detail, (node,))
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -54,7 +54,7 @@
 OPERATOR_PAUSE_SECONDS: Final = 1.5
 OPERATOR_GIVES_UP_SECONDS: Final = 8.0
 CHECK_SECONDS: Final = 2.0
-# The soak's own event loop was late by this much: its clock proves nothing then.
+# Who waited so long for the machine's processor proves nothing about times.
 BLIND_SECONDS: Final = 0.1
 
 # Ports at each node's address
--- a/soak/facts.py
+++ b/soak/facts.py
@@ -6,11 +6,23 @@
 from typing import Final
 
 from . import const
-from .models import Acted, Began, Ended, Event, Finished, Outcome, Put, Sent, Started
+from .models import (
+    Acted,
+    Began,
+    Ended,
+    Event,
+    Finished,
+    Outcome,
+    Put,
+    Sent,
+    Started,
+    Starved,
+)
 
 # These excuse no lost request: the process is told of them, or is hardly slowed.
 GENTLE: Final = ("stop", "hup", "change", "delay", "leave", "slow")
-BLIND: Final = "soak"
+# The name under which the soak itself is recorded.
+SOAK: Final = "soak"
 
 
 class Facts:
@@ -26,6 +38,7 @@
         self.finished: dict[tuple[str, str], tuple[float, str]] = {}
         self.outcomes: list[tuple[float, Outcome]] = []
         self.acted: list[tuple[float, Acted]] = []
+        self.starved: list[tuple[float, Starved]] = []
         self.started: list[tuple[float, str]] = []
         self.ended: list[tuple[float, Ended]] = []
         self.puts: list[tuple[float, Put]] = []
@@ -46,6 +59,8 @@
                 self.outcomes.append((at, record))
             case Acted():
                 self.acted.append((at, record))
+            case Starved():
+                self.starved.append((at, record))
             case Started():
                 self.started.append((at, record.node))
             case Ended():
@@ -53,12 +68,14 @@
             case Put():
                 self.puts.append((at, record))
 
-    def is_blind(self, start: float, end: float) -> bool:
-        """Return whether the soak itself stood still in a time."""
-        return any(
-            act.target == BLIND and at <= end and start <= act.until
-            for at, act in self.acted
-        )
+    def is_blind(self, node: str, start: float, end: float) -> bool:
+        """Return whether the soak or a node stood still for want of processor."""
+        found = [
+            min(end, one.until) - max(start, at)
+            for at, one in self.starved
+            if one.name in (SOAK, node) and at <= end and start <= one.until
+        ]
+        return sum(found) > const.BLIND_SECONDS
 
     def is_struck(self, name: str, start: float, end: float) -> bool:
         """Return whether a kill, freeze, cut or reset touches a node in a time.
--- a/soak/models.py
+++ b/soak/models.py
@@ -99,6 +99,13 @@
     source: str = ""
 
 
+class Starved(NamedTuple):
+    """A process waited for the machine's processor until a time, or the soak did."""
+
+    name: str
+    until: float
+
+
 class Started(NamedTuple):
     """A process was started."""
 
@@ -116,7 +123,7 @@
 
 Record = (
     Sent | Outcome | Unreached | Readied | Began | Finished | Beaten | Put | Read
-    | Acted | Started | Ended
+    | Acted | Starved | Started | Ended
 )  # fmt: skip
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -43,6 +43,18 @@
         """Return whether there is a process that has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    def read_use(self) -> tuple[bool, float]:
+        """Return whether the process wants the processor, and its use in seconds."""
+        try:
+            assert self._process is not None
+            text = Path(f"/proc/{self._process.pid}/stat").read_text()
+        except (OSError, AssertionError):
+            # It has ended, or was never started.
+            return False, 0.0
+        fields = text.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return fields[0] == "R", ticks / os.sysconf("SC_CLK_TCK")
+
     def write_settings(self, forming: bool = False, change: bool = False) -> None:
         """Write the settings file, with another value if ``change`` is set."""
         self._slack += int(change)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,10 +13,10 @@
 from . import const
 from .callers import Balancer, Caller
 from .checks import check_history, list_useless
-from .facts import BLIND, Facts
+from .facts import SOAK, Facts
 from .history import History
 from .layout import Layout, reserve_network
-from .models import Acted, Event, Outcome, Violation
+from .models import Event, Outcome, Starved, Violation
 from .operators import PLAIN_SERVICE, SHARDED_SERVICE, Desk, Operator
 from .player import Player
 from .processes import NodeProcess
@@ -26,7 +26,7 @@
 
 TAIL_SECONDS: Final = 2.0
 POLL_SECONDS: Final = 0.2
-BEAT_SECONDS: Final = 0.05
+BEAT_SECONDS: Final = 0.1
 
 Tell = Callable[[str], None]
 
@@ -87,7 +87,7 @@
 
     async def start(self) -> None:
         """Start proxies, nodes and servers; wait until requests are served."""
-        self._spawn(self._watch_itself())
+        self._spawn(self._watch_processor())
         for place in self._layout.list_nodes():
             await self._proxies.listen(
                 place.name, place.address, f"{place.home}:{place.port}"
@@ -106,14 +106,22 @@
         for operator in self._operators:
             self._spawn(operator.work())
 
-    async def _watch_itself(self) -> None:
-        """Record when this event loop stood still."""
-        last = self.history.now()
+    async def _watch_processor(self) -> None:
+        """Record when this loop stood still, and nodes that got no processor."""
+        last, uses = self.history.now(), dict.fromkeys(self._nodes, (False, 0.0))
         while True:
             await asyncio.sleep(BEAT_SECONDS)
-            now = self.history.now()
+            now, seen = self.history.now(), uses
+            uses = {name: node.read_use() for name, node in self._nodes.items()}
+            waited = [
+                name
+                for name, (wants, use) in uses.items()
+                if wants and seen[name][0] and use - seen[name][1] < (now - last) / 4
+            ]
             if now - last > BEAT_SECONDS + const.BLIND_SECONDS:
-                self.history.events.append(Event(last, Acted(BLIND, "stall", now)))
+                waited = [SOAK]
+            for name in waited:
+                self.history.events.append(Event(last, Starved(name, now)))
             last = now
 
     def _start_callers(self) -> None:
