--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,20 +6,38 @@
 import sys
 import tomllib
 from pathlib import Path
-from typing import Final
+from typing import Final, NamedTuple
 
 from . import const
 from .history import merge_time_line
-from .run import Result, play_seed
+from .run import Result, play
+from .script import Step, make_script
 
 REGRESSIONS: Final = Path(__file__).parent / "seeds.toml"
 SHOWN_VIOLATIONS: Final = 3
 
 
-def list_regressions() -> list[tuple[int, float]]:
-    """Return the seeds that ever failed, with the seconds of their scripts."""
+class Regression(NamedTuple):
+    """A script that once failed; it is kept whole where ``steps`` are given."""
+
+    name: str
+    seed: int
+    seconds: float
+    cause: str
+    steps: tuple[Step, ...] = ()
+
+    def make_script(self) -> tuple[Step, ...]:
+        """Return the script as it was."""
+        return self.steps or make_script(self.seed, self.seconds)
+
+
+def list_regressions() -> list[Regression]:
+    """Return every script that ever failed."""
     table = tomllib.loads(REGRESSIONS.read_text(encoding="utf-8"))
-    return [(one["seed"], float(one["seconds"])) for one in table["seeds"]]
+    return [
+        Regression(**one | {"steps": tuple(Step(*s) for s in one.get("steps", ()))})
+        for one in table["regression"]
+    ]
 
 
 def parse(words: list[str]) -> argparse.Namespace:
@@ -33,13 +51,13 @@
     return parser.parse_args(words)
 
 
-def _list_seeds(options: argparse.Namespace) -> list[tuple[int, float]]:
-    """Return the seeds to play, with the seconds of their scripts."""
+def _list_scripts(options: argparse.Namespace) -> list[tuple[int, tuple[Step, ...]]]:
+    """Return the seeds to play, with their scripts."""
     if options.regressions:
-        return list_regressions()
+        return [(entry.seed, entry.make_script()) for entry in list_regressions()]
     first, _, last = (options.seeds or str(options.seed)).partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    return [(number, options.seconds) for number in numbers]
+    return [(number, make_script(number, options.seconds)) for number in numbers]
 
 
 def _tell(line: str) -> None:
@@ -75,8 +93,8 @@
     """Play the seeds that the command line names; return 1 if one failed."""
     options = parse(words)
     rows, failed = [], 0
-    for seed, seconds in _list_seeds(options):
-        result = play_seed(seed, seconds, options.keep, _tell)
+    for seed, script in _list_scripts(options):
+        result = play(seed, script, options.keep, _tell)
         _tell("")
         if result.violations:
             failed += 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,7 @@
 from .player import Player
 from .processes import NodeProcess
 from .proxies import Proxies
-from .script import Step, make_script
+from .script import Step
 from .servers import StandIn
 
 TAIL_SECONDS: Final = 2.0
@@ -202,10 +202,10 @@
         await self._proxies.close()
 
 
-async def play_script(
+async def _play(
     seed: int, script: tuple[Step, ...], folder: Path, tell: Tell
 ) -> Result:
-    """Play a script with the chance of a seed, with its files in a folder."""
+    """Play a script with its files in a folder."""
     layout, holder = reserve_network()
     run = Run(seed, folder, layout, tell)
     try:
@@ -220,10 +220,12 @@
     return Result(seed, script, found, run.history.events, folder)
 
 
-def play_seed(seed: int, seconds: float, folder: Path | None, tell: Tell) -> Result:
-    """Play a seed; the logs of one that passes are removed."""
+def play(
+    seed: int, script: tuple[Step, ...], folder: Path | None, tell: Tell
+) -> Result:
+    """Play a script with the chance of a seed; keep the logs if a check breaks."""
     place = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=folder))
-    result = asyncio.run(play_script(seed, make_script(seed, seconds), place, tell))
+    result = asyncio.run(_play(seed, script, place, tell))
     if not result.violations:
         shutil.rmtree(place)
     return result
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of soak."""
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,253 @@
+"""Each check of the soak is seen to fail on a history that was broken on purpose."""
+
+from __future__ import annotations
+
+import pytest
+from soak.checks import check_history
+from soak.facts import SOAK, Facts
+from soak.history import merge_time_line
+from soak.models import (
+    Acted,
+    Beaten,
+    Began,
+    Ended,
+    Event,
+    Finished,
+    Outcome,
+    Put,
+    Read,
+    Readied,
+    Record,
+    Sent,
+    Started,
+    Starved,
+    Unreached,
+)
+
+NODE = "entry-1"
+NOW = 40.0
+
+Told = list[tuple[float, Record]]
+
+
+def make_request(
+    at: float = 10.0,
+    name: str = "c-1",
+    safe: bool = False,
+    server: str = "server-1.1",
+    key: int = -1,
+    fence: int = 0,
+) -> Told:
+    """Return a request that a server ran, up to its run's end."""
+    return [
+        (at, Sent(name, NODE, "book", safe, at + 1.5)),
+        (at + 0.05, Began(name, server, key, fence, at + 0.05)),
+        (at + 0.30, Finished(name, server, "done")),
+    ]
+
+
+def make_answer(
+    at: float = 10.35, name: str = "c-1", status: int = 200, detail: str = ""
+) -> Told:
+    """Return an answer."""
+    return [(at, Outcome(name, NODE, "answered", status, status == 200, detail))]
+
+
+def make_break(at: float, name: str = "c-1", how: str = "broken") -> Told:
+    """Return an end without an answer."""
+    return [(at, Outcome(name, NODE, how))]
+
+
+def make_stop(at: float, node: str = NODE) -> Told:
+    """Return a SIGTERM."""
+    return [(at, Acted(node, "stop", at + 6.5))]
+
+
+def make_put(
+    at: float, version: int, base: int, content: str, status: int = 200
+) -> Told:
+    """Return a change."""
+    return [(at, Put(at - 0.1, "control-1", version, base, content, status))]
+
+
+def find_checks(told: Told) -> list[str]:
+    """Return the names of the checks that a history breaks."""
+    events = sorted((Event(at, record) for at, record in told), key=lambda e: e.at)
+    found = check_history(Facts(events, NOW, is_over=True))
+    return sorted({violation.check for violation in found})
+
+
+RULE = '{"name": "book"}'
+SENT = make_request()[:1]
+CUT_RUN: Told = [*make_request()[:2], (10.4, Finished("c-1", "server-1.1", "cut"))]
+OTHER_RUN = make_request(10.1, "c-2", key=7, fence=4, server="server-2.1")
+DRAINING: Told = [(7.0, Beaten("server-1.1", "draining", "control-1"))]
+PUT = make_put(1.0, 1, 0, "one")
+
+BROKEN: dict[str, tuple[Told, str]] = {
+    "a key run by two servers at once": (
+        make_request(key=7, fence=3) + make_answer() + OTHER_RUN,
+        "OWNER",
+    ),
+    "an older fence after a newer one": (
+        make_request(key=7, fence=5)
+        + make_answer()
+        + make_request(12.0, "c-2", key=7, fence=4, server="server-2.1"),
+        "OWNER",
+    ),
+    "a second run": (
+        make_request()
+        + make_answer()
+        + [(11.0, Began("c-1", "server-2.1", arrived=11.0))],
+        "TWICE",
+    ),
+    "a run that was not asked for": (make_request()[1:], "UNASKED"),
+    "a refusal of what has run": (make_request() + make_answer(status=503), "REFUSED"),
+    "a run after the refusal": (
+        make_request()[:1]
+        + make_answer(10.02, status=429)
+        + [(13.0, Began("c-1", "server-1.1"))],
+        "REFUSED",
+    ),
+    "an answer of another request": (
+        make_request() + make_answer(detail="the answer of c-2"),
+        "MIXED",
+    ),
+    "a request taken late after SIGTERM and cut (issue 14)": (
+        make_stop(5.2) + CUT_RUN + make_break(10.6),
+        "LOST",
+    ),
+    "a request read and cut without a run": (SENT + make_break(10.5), "LOST"),
+    "a request cut without any fault": (CUT_RUN + make_break(10.4), "LOST"),
+    "no answer by the deadline": (SENT + make_break(12.0, how="left"), "LOST"),
+    "an own answer in place of a server at work after SIGTERM": (
+        make_stop(8.0) + CUT_RUN + make_answer(10.45, status=502),
+        "LOST",
+    ),
+    "a process that ends by itself": ([(9.0, Ended(NODE, 1, -1.0, False))], "ENDED"),
+    "a process that outlasts its grace time": (
+        make_stop(5.0) + [(11.0, Ended(NODE, -9, 5.0, True))],
+        "GRACE",
+    ),
+    "a stop with an error": (
+        make_stop(5.0) + [(6.0, Ended(NODE, 1, 5.0, False))],
+        "GRACE",
+    ),
+    "new work at a server that leaves": (
+        DRAINING + make_request() + make_answer(),
+        "DRAIN",
+    ),
+    "a ready node that refuses connections": (
+        [(9.0, Readied(NODE, 200)), (9.5, Unreached(NODE))],
+        "READY",
+    ),
+    "a process of no use after its start": ([(9.0, Started(NODE))], "RECOVER"),
+    "an older version read": (
+        PUT + make_put(2.0, 2, 1, "two") + [(5.0, Read(4.9, "control-2", 1, "one"))],
+        "CONFIG",
+    ),
+    "an older version read at the end": (
+        PUT
+        + make_put(4.0, 2, 1, "two")
+        + [(5.0, Read(4.9, "control-2", 1, "one", last=True))],
+        "CONFIG",
+    ),
+    "another content under an accepted version": (
+        PUT + [(2.0, Read(1.9, "control-2", 1, "other"))],
+        "CONFIG",
+    ),
+    "a refused change in force": (
+        PUT
+        + make_put(2.0, 2, 1, "two", status=412)
+        + [(3.0, Read(2.9, "control-2", 2, "two"))],
+        "CONFIG",
+    ),
+    "two changes accepted on one version": (
+        PUT + make_put(2.0, 2, 1, "two") + make_put(2.1, 3, 1, "three"),
+        "CONFIG",
+    ),
+    "an accepted change refused when sent again": (
+        PUT + [(2.0, Put(1.9, "control-1", 1, 0, "one", 412, again=True))],
+        "CONFIG",
+    ),
+    "a route that a node does not know": (
+        make_put(1.0, 1, 0, RULE) + SENT + make_answer(10.1, status=404),
+        "CONFIG",
+    ),
+}
+
+ALLOWED: dict[str, Told] = {
+    "an answered request": make_request() + make_answer(),
+    "a request resent by a server's refusal": make_request(safe=True)
+    + make_answer()
+    + [(10.4, Began("c-1", "server-2.1"))],
+    "a request that crosses the close": SENT + make_break(10.1),
+    "a request at a node that was killed": [
+        (10.3, Acted(NODE, "kill", 11.0)),
+        *CUT_RUN,
+        *make_break(10.4),
+    ],
+    "a caller that leaves early": SENT + make_break(10.1, how="left"),
+    "early work in the last sixth of the grace time": make_stop(8.0)
+    + [
+        (10.0, Sent("c-1", NODE, "book", False, 20.0)),
+        (10.1, Began("c-1", "server-1.1")),
+        (13.2, Finished("c-1", "server-1.1", "cut")),
+    ]
+    + make_break(13.2),
+    "no answer while the node waited for the processor": [
+        *SENT,
+        (10.1, Starved(NODE, 11.9)),
+        *make_break(12.0, how="left"),
+    ],
+    "no answer while the soak stood still": [
+        *SENT,
+        (10.1, Starved(SOAK, 11.9)),
+        *make_break(12.0, how="left"),
+    ],
+    "a stop before the handler is there": [
+        (9.0, Started(NODE)),
+        *make_stop(9.1),
+        (9.2, Ended(NODE, -15, 9.1, False)),
+        (9.9, Started(NODE)),
+        *make_request(),
+        *make_answer(),
+    ],
+    "a stopped process": [*make_stop(5.0), (8.0, Ended(NODE, 0, 5.0, False))],
+    "work at a leaving server while control is disturbed": [
+        *DRAINING,
+        (7.5, Acted("control-2", "kill", 8.0)),
+        *make_request(),
+        *make_answer(),
+    ],
+    "an equal change sent again": PUT
+    + [(2.0, Put(1.9, "control-1", 1, 0, "one", 200, again=True))],
+    "an older read that was sent before it was due": PUT
+    + make_put(2.0, 2, 1, "two")
+    + [(3.0, Read(2.9, "control-2", 1, "one"))],
+    "an unclear change in force": PUT
+    + make_put(2.0, 2, 1, "two", status=0)
+    + [(3.0, Read(2.9, "control-2", 2, "two"))],
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_a_broken_history_breaks_its_check(name: str) -> None:
+    told, check = BROKEN[name]
+    assert find_checks(told) == [check]
+
+
+@pytest.mark.parametrize("name", ALLOWED)
+def test_an_allowed_history_breaks_none(name: str) -> None:
+    assert find_checks(ALLOWED[name]) == []
+
+
+def test_the_time_line_has_the_request_and_the_faults_near_it() -> None:
+    told = make_stop(5.2) + CUT_RUN + make_break(10.6)
+    told += [(10.1, Acted("server-6", "slow", 11.0)), *make_request(30.0, "c-9")]
+    events = sorted((Event(at, record) for at, record in told), key=lambda e: e.at)
+    violation = check_history(Facts(events, NOW))[0]
+    lines = merge_time_line(events, violation)
+    kinds = [line.split()[1] for line in lines]
+    assert kinds == ["acted", "sent", "began", "acted", "finished", "outcome"]
+    assert "server-6" in lines[3]
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,62 @@
+"""Short soaks of the real programs, and every script that ever failed."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+from soak.__main__ import Regression, list_regressions
+from soak.history import History, merge_time_line
+from soak.layout import reserve_network
+from soak.processes import NodeProcess
+from soak.run import Result, play
+from soak.script import make_script
+
+SEEDS = (3, 12)
+SECONDS = 8.0
+IMPORT_SECONDS = 0.1
+END_SECONDS = 1.0
+
+
+def explain(result: Result) -> str:
+    """Return the time lines of what broke."""
+    lines = []
+    for violation in result.violations:
+        lines += [str(violation), *merge_time_line(result.events, violation)]
+    return "\n".join(lines)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_short_soak_breaks_no_check(seed: int, tmp_path: Path) -> None:
+    result = play(seed, make_script(seed, SECONDS), tmp_path, print)
+    assert not result.violations, explain(result)
+    assert result.count("answered") > 0
+
+
+@pytest.mark.parametrize("entry", list_regressions(), ids=lambda entry: entry.name)
+def test_a_script_that_once_failed_breaks_no_check(
+    entry: Regression, tmp_path: Path
+) -> None:
+    result = play(entry.seed, entry.make_script(), tmp_path, print)
+    assert not result.violations, explain(result)
+
+
+def test_a_node_that_starts_is_not_ended_by_sighup(tmp_path: Path) -> None:
+    """Guard against a settings change that ends a process while it starts."""
+
+    async def run() -> bool:
+        layout, holder = reserve_network()
+        place = layout.list_role("entry")[0]
+        node = NodeProcess(layout, place, tmp_path, History())
+        await node.start()
+        await asyncio.sleep(IMPORT_SECONDS)
+        node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(END_SECONDS)
+        is_running = node.is_running
+        await node.kill()
+        holder.close()
+        return is_running
+
+    assert asyncio.run(run())
