--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,24 +18,20 @@
 
 
 class Regression(NamedTuple):
-    """A script that once failed; it is kept whole where ``steps`` are given."""
+    """A script that once failed, and whether CI plays it."""
 
     name: str
     seed: int
-    seconds: float
     cause: str
-    steps: tuple[Step, ...] = ()
-
-    def make_script(self) -> tuple[Step, ...]:
-        """Return the script as it was."""
-        return self.steps or make_script(self.seed, self.seconds)
+    ci: bool
+    steps: tuple[Step, ...]
 
 
 def list_regressions() -> list[Regression]:
     """Return every script that ever failed."""
     table = tomllib.loads(REGRESSIONS.read_text(encoding="utf-8"))
     return [
-        Regression(**one | {"steps": tuple(Step(*s) for s in one.get("steps", ()))})
+        Regression(**one | {"steps": tuple(Step(*step) for step in one["steps"])})
         for one in table["regression"]
     ]
 
@@ -54,7 +50,7 @@
 def _list_scripts(options: argparse.Namespace) -> list[tuple[int, tuple[Step, ...]]]:
     """Return the seeds to play, with their scripts."""
     if options.regressions:
-        return [(entry.seed, entry.make_script()) for entry in list_regressions()]
+        return [(entry.seed, entry.steps) for entry in list_regressions()]
     first, _, last = (options.seeds or str(options.seed)).partition("-")
     numbers = range(int(first), int(last or first) + 1)
     return [(number, make_script(number, options.seconds)) for number in numbers]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from random import Random
 from typing import Final, NamedTuple
 
 from dragonflyrock.http import (
@@ -16,9 +14,10 @@
 )
 
 from . import const, wire
-from .history import History
-from .layout import Layout, Place
+from .layout import Place
 from .models import Outcome, Readied, Sent, Unreached
+from .operators import Desk
+from .world import World
 
 PROMISES: Final = (429, 503)
 MISSES_OUT: Final = 2
@@ -43,11 +42,11 @@
 class Balancer:
     """Watches readiness, and picks nodes for new connections."""
 
-    def __init__(self, layout: Layout, history: History, random: Random) -> None:
+    def __init__(self, world: World) -> None:
         """Start with every entry node in rotation."""
-        self._history = history
-        self._random = random
-        self._nodes = layout.list_role("entry")
+        self._history = world.history
+        self._random = world.draw("balancer")
+        self._nodes = world.layout.list_role("entry")
         self._misses = dict.fromkeys(self._nodes, 0)
 
     async def watch(self) -> None:
@@ -78,20 +77,13 @@
 class Caller:
     """One caller with its connection, which it uses until it ends."""
 
-    def __init__(
-        self,
-        name: str,
-        history: History,
-        balancer: Balancer,
-        random: Random,
-        list_routes: Callable[[], tuple[wire.RouteSpec, ...]],
-    ) -> None:
-        """Prepare a caller that draws from ``random``."""
+    def __init__(self, name: str, world: World, balancer: Balancer, desk: Desk) -> None:
+        """Prepare a caller of the routes that are on the desk."""
         self._name = name
-        self._history = history
+        self._history = world.history
+        self._random = world.draw(name)
         self._balancer = balancer
-        self._random = random
-        self._list_routes = list_routes
+        self._desk = desk
         self._count = 0
         self._node: Place | None = None
         self._connection: ServerConnection | None = None
@@ -125,7 +117,7 @@
 
     def _draw(self, work_ms: tuple[float, float]) -> Want:
         """Return a new request."""
-        route = self._random.choice(self._list_routes())
+        route = self._random.choice(self._desk.routes)
         key = self._random.randrange(BUSY_KEYS) * (const.KEYS // BUSY_KEYS)
         until = self._history.now() + const.DEADLINE_SECONDS
         return Want(route, key, self._random.uniform(*work_ms), until)
@@ -156,7 +148,8 @@
     async def _attempt(self, want: Want, node: Place) -> tuple[int, float]:
         """Send a request once; return its status, or 0, and when to come back."""
         self._node = node
-        if not self._is_open():
+        fresh = not self._is_open()
+        if fresh:
             found = await Connections().connect(node.address, const.CALL_SECONDS)
             if isinstance(found, ExchangeFault):
                 self._history.add(Unreached(node.name))
@@ -164,8 +157,10 @@
             self._connection = found
         self._count += 1
         name = f"{self._name}-{self._count}"
-        route = want.route
-        self._history.add(Sent(name, node.name, route.name, route.safe, want.until))
+        sent = Sent(
+            name, node.name, want.route.name, want.route.safe, want.until, fresh
+        )
+        self._history.add(sent)
         outcome, wait = await self._exchange(want, node, name)
         self._history.add(outcome)
         return outcome.status, wait
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -142,7 +142,7 @@
         asked = end.asked_at if end.asked_at >= 0 else at
         if facts.is_struck(end.node, asked, at):
             continue
-        starts = [start for start, node in facts.started if node == end.node]
+        starts = [start for start, one in facts.started if one.node == end.node]
         age = asked - max((s for s in starts if s <= asked), default=0.0)
         if end.code == SIGTERM_CODE and age < const.STARTING_SECONDS:
             continue
@@ -178,25 +178,37 @@
 
 
 def check_ready(facts: Facts) -> Iterator[Violation]:
-    """Find nodes that said that they are ready and take no connections."""
+    """Find nodes that were ready just before and take no new connection.
+
+    A proxy takes it for a node that is down, and resets it at the first bytes.
+    """
     said: dict[str, tuple[float, int]] = {}
     for at, record in facts.events:
         match record:
             case Readied(node, status):
                 said[node] = at, status
-            case Unreached(node) if node in said:
-                since, status = said[node]
-                if status != 200 or at - since > const.READY_SECONDS + 1:
-                    continue
-                blind = facts.is_blind(node, since, at)
-                if not blind and not facts.is_touched(node, since, at):
-                    detail = f"it was ready {at - since:.3f} s before"
-                    yield Violation("READY", at, detail, (node,))
+            case Unreached(node):
+                yield from _find_unready(facts, at, node, said)
+            case Outcome(request, node, "broken") if request not in facts.began:
+                sent_at, sent = facts.sent[request]
+                if sent.fresh and at - sent_at <= const.LOSS_SLACK_SECONDS:
+                    yield from _find_unready(facts, at, node, said)
+
+
+def _find_unready(
+    facts: Facts, at: float, node: str, said: dict[str, tuple[float, int]]
+) -> Iterator[Violation]:
+    """Find out whether a node that took no connection was ready just before."""
+    since, status = said.get(node, (0.0, 0))
+    if status != 200 or at - since > const.READY_SECONDS:
+        return
+    if not facts.is_blind(node, since, at) and not facts.is_touched(node, since, at):
+        yield Violation("READY", at, f"it was ready {at - since:.3f} s before", (node,))
 
 
 def list_useless(facts: Facts) -> list[tuple[float, str]]:
     """Return the last starts of nodes that have been of no use since."""
-    last = {node: at for at, node in facts.started}
+    last = {one.node: at for at, one in facts.started}
     useful: dict[str, float] = {}
     for at, record in facts.events:
         match record:
--- a/soak/const.py
+++ b/soak/const.py
@@ -13,7 +13,7 @@
 DRAIN_SECONDS: Final = 2.0
 CONFIG_APPLY_SECONDS: Final = 2.0
 RECOVERY_SECONDS: Final = 15.0
-READY_SECONDS: Final = 0.5
+READY_SECONDS: Final = 1.0
 ADDRESS_REUSE_SECONDS: Final = 2.0
 # Work of a request that was sent early may be cut in the last sixth of the grace time.
 LATE_WORK_SECONDS: Final = GRACE_SECONDS * 5 / 6
--- a/soak/facts.py
+++ b/soak/facts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import Final
+from typing import Final, TypeVar
 
 from . import const
 from .models import (
@@ -24,6 +24,8 @@
 # The name under which the soak itself is recorded.
 SOAK: Final = "soak"
 
+_Kind = TypeVar("_Kind")
+
 
 class Facts:
     """A history by subject; times are those of the events."""
@@ -33,46 +35,31 @@
         self.events = events
         self.now = now
         self.is_over = is_over
-        self.sent: dict[str, tuple[float, Sent]] = {}
+        self.sent = {sent.request: (at, sent) for at, sent in self.list_of(Sent)}
+        self.finished = {
+            (run.request, run.server): (at, run.how)
+            for at, run in self.list_of(Finished)
+        }
         self.began: defaultdict[str, list[tuple[float, Began]]] = defaultdict(list)
-        self.finished: dict[tuple[str, str], tuple[float, str]] = {}
-        self.outcomes: list[tuple[float, Outcome]] = []
-        self.acted: list[tuple[float, Acted]] = []
-        self.starved: list[tuple[float, Starved]] = []
-        self.started: list[tuple[float, str]] = []
-        self.ended: list[tuple[float, Ended]] = []
-        self.puts: list[tuple[float, Put]] = []
-        for event in events:
-            self._take(*event)
+        for at, run in self.list_of(Began):
+            self.began[run.request].append((at, run))
+        self.outcomes = self.list_of(Outcome)
+        self.acted = self.list_of(Acted)
+        self.started = self.list_of(Started)
+        self.ended = self.list_of(Ended)
+        self.puts = self.list_of(Put)
         self.accepted = [(at, put) for at, put in self.puts if put.status == 200]
+        self._starved = self.list_of(Starved)
 
-    def _take(self, at: float, record: object) -> None:
-        """Index a record."""
-        match record:
-            case Sent():
-                self.sent[record.request] = at, record
-            case Began():
-                self.began[record.request].append((at, record))
-            case Finished():
-                self.finished[record.request, record.server] = at, record.how
-            case Outcome():
-                self.outcomes.append((at, record))
-            case Acted():
-                self.acted.append((at, record))
-            case Starved():
-                self.starved.append((at, record))
-            case Started():
-                self.started.append((at, record.node))
-            case Ended():
-                self.ended.append((at, record))
-            case Put():
-                self.puts.append((at, record))
+    def list_of(self, kind: type[_Kind]) -> list[tuple[float, _Kind]]:
+        """Return the records of a kind with their times."""
+        return [(at, one) for at, one in self.events if isinstance(one, kind)]
 
     def is_blind(self, node: str, start: float, end: float) -> bool:
         """Return whether the soak or a node stood still for want of processor."""
         found = [
             min(end, one.until) - max(start, at)
-            for at, one in self.starved
+            for at, one in self._starved
             if one.name in (SOAK, node) and at <= end and start <= one.until
         ]
         return sum(found) > const.BLIND_SECONDS
@@ -82,23 +69,27 @@
 
         Only those of its own process and of the way of its callers count.
         """
-        late = const.CONNECTIVITY_SECONDS
+        since = start - const.CONNECTIVITY_SECONDS
         return any(
-            act.target == name and act.what not in GENTLE
-            and at <= end and start <= act.until + late
+            act.target == name
+            and act.what not in GENTLE
+            and at <= end
+            and since <= act.until
             for at, act in self.acted
-        )  # fmt: skip
+        )
 
     def is_touched(self, prefix: str, start: float, end: float) -> bool:
         """Return whether anything at all was done around a name near a time."""
-        near = start - const.CONNECTIVITY_SECONDS
+        since = start - const.CONNECTIVITY_SECONDS
         return any(
             (act.target.startswith(prefix) or act.source.startswith(prefix))
-            and at <= end and near <= act.until
+            and at <= end
+            and since <= act.until
             for at, act in self.acted
         ) or any(
-            node.startswith(prefix) and near <= at <= end for at, node in self.started
-        )  # fmt: skip
+            one.node.startswith(prefix) and since <= at <= end
+            for at, one in self.started
+        )
 
     def is_calm(self, node: str, start: float, end: float) -> bool:
         """Return whether a node was in touch and the control group stable."""
--- a/soak/models.py
+++ b/soak/models.py
@@ -6,13 +6,17 @@
 
 
 class Sent(NamedTuple):
-    """A caller has written a whole request; ``until`` is its deadline."""
+    """A caller has written a request, to a fresh connection or one used before.
+
+    ``until`` is its deadline.
+    """
 
     request: str
     node: str
     route: str
     safe: bool
     until: float
+    fresh: bool = False
 
 
 class Outcome(NamedTuple):
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -3,26 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
 from typing import Final, NamedTuple
 
 from . import const, wire
-from .history import History
-from .layout import Layout
 from .models import Put, Read
+from .world import World
 
 CLEAR: Final = (200, 400, 409, 412, 413, 422)
 BACK_OFF_SECONDS: Final = 0.15
 MAX_ADDED_ROUTES: Final = 6
 REPLAY_SHARE: Final = 0.3
-SHARDED_SERVICE: Final = "svc-keys"
-PLAIN_SERVICE: Final = "svc-plain"
-SERVICES: Final = {SHARDED_SERVICE: True, PLAIN_SERVICE: False}
 FIRST_ROUTES: tuple[wire.RouteSpec, ...] = (
-    wire.RouteSpec("look", "/look/", True, SHARDED_SERVICE),
-    wire.RouteSpec("mark", "/mark/", False, SHARDED_SERVICE),
-    wire.RouteSpec("book", "/book/", False, PLAIN_SERVICE),
-    wire.RouteSpec("load", "/load/", True, PLAIN_SERVICE),
+    wire.RouteSpec("look", "/look/", True, wire.KEYS_SERVICE),
+    wire.RouteSpec("mark", "/mark/", False, wire.KEYS_SERVICE),
+    wire.RouteSpec("book", "/book/", False, wire.PLAIN_SERVICE),
+    wire.RouteSpec("load", "/load/", True, wire.PLAIN_SERVICE),
 )
 
 
@@ -38,7 +33,7 @@
     @property
     def content(self) -> str:
         """Return what the configuration is once the change is in force."""
-        body = wire.encode_config(self.version, self.routes, SERVICES)
+        body = wire.encode_config(self.version, self.routes)
         return wire.make_content(body)
 
 
@@ -60,20 +55,18 @@
 class Operator:
     """One operator; several race each other on one desk."""
 
-    def __init__(
-        self, name: str, layout: Layout, history: History, desk: Desk, random: Random
-    ) -> None:
+    def __init__(self, name: str, world: World, desk: Desk) -> None:
         """Prepare an operator."""
         self._name = name
-        self._nodes = layout.list_role("control")
-        self._history = history
+        self._nodes = world.layout.list_role("control")
+        self._history = world.history
+        self._random = world.draw(name)
         self._desk = desk
-        self._random = random
         self._count = 0
 
     async def put_first(self) -> None:
         """Put the first configuration, until it is accepted."""
-        body = wire.encode_config(1, FIRST_ROUTES, SERVICES)
+        body = wire.encode_config(1, FIRST_ROUTES)
         change = Change(wire.names.CONFIG_PUT, 0, 1, body, FIRST_ROUTES)
         while await self._send(change) != 200:
             await asyncio.sleep(BACK_OFF_SECONDS)
@@ -102,7 +95,7 @@
             return Change(patch, base, version, body, kept)
         self._count += 1
         label = f"more-{self._name}-{self._count}"
-        service = self._random.choice(list(SERVICES))
+        service = self._random.choice(list(wire.SERVICES))
         route = wire.RouteSpec(
             label, f"/{label}/", self._random.random() < 0.5, service
         )
@@ -110,7 +103,7 @@
         if self._random.random() < 0.5:
             body = wire.encode_patch(version, (route,), "")
             return Change(patch, base, version, body, routes)
-        body = wire.encode_config(version, routes, SERVICES)
+        body = wire.encode_config(version, routes)
         return Change(wire.names.CONFIG_PUT, base, version, body, routes)
 
     async def _send(self, change: Change, again: bool = False) -> int:
--- a/soak/player.py
+++ b/soak/player.py
@@ -28,14 +28,12 @@
         nodes: dict[str, NodeProcess],
         servers: dict[str, StandIn],
         proxies: Proxies,
-        stopping: dict[str, asyncio.Event],
     ) -> None:
-        """Act on these; ``stopping`` tells the callers of a node of its SIGTERM."""
+        """Act on these."""
         self._history = history
         self._nodes = nodes
         self._servers = servers
         self._proxies = proxies
-        self._stopping = stopping
         self._away: set[str] = set()
 
     async def play(self, script: tuple[Step, ...]) -> None:
@@ -73,12 +71,9 @@
         if node.is_down:
             return
         node.is_down = True
-        event = self._stopping.get(step.target, asyncio.Event())
         if step.what == "stop":
             self._note(step, step.length + const.GRACE_SECONDS)
-            event.set()
             await node.stop()
-            event.clear()
         else:
             self._note(step, step.length)
             await node.kill()
@@ -88,15 +83,17 @@
             case "flip":
                 node.flip(step.value)
         await asyncio.sleep(step.length)
+        if node.is_damaged:
+            self._note(step._replace(what="flip"), 0.0)
         await node.start()
-        if step.what == "flip":
+        if node.is_damaged:
             await self._replace_refused(step, node)
 
     async def _replace_refused(self, step: Step, node: NodeProcess) -> None:
         """Empty the folder of a node that refuses to start with it."""
         await asyncio.sleep(REFUSED_START_SECONDS)
         if not node.is_running and not node.is_down:
-            self._note(step, 0.0)
+            self._note(step._replace(what="flip"), 0.0)
             node.empty()
             await node.start()
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -11,9 +11,9 @@
 from typing import Final
 
 from . import const, wire
-from .history import History
-from .layout import Layout, Place, encode_settings
+from .layout import Place, encode_settings
 from .models import Ended, Started
+from .world import World
 
 PROGRAM: Final = Path(__file__).resolve().parents[1] / "deploy" / "node.py"
 FIRST_SLACK: Final = 60
@@ -23,17 +23,19 @@
 class NodeProcess:
     """One node's process over its restarts."""
 
-    def __init__(
-        self, layout: Layout, place: Place, folder: Path, history: History
-    ) -> None:
-        """Prepare a node that keeps its files in ``folder``."""
+    def __init__(self, world: World, place: Place) -> None:
+        """Prepare a node."""
+        folder = world.folder
         self.place = place
         self.is_down = False
+        self.is_damaged = False
+        # Set from SIGTERM until the process has ended.
+        self.stopping = asyncio.Event()
         self._data = folder / f"{place.name}-data"
         self._log = folder / f"{place.name}.log"
         self._settings = folder / f"{place.name}.toml"
-        self._layout = layout
-        self._history = history
+        self._layout = world.layout
+        self._history = world.history
         self._process: asyncio.subprocess.Process | None = None
         self._watch: asyncio.Task[None] | None = None
         self._slack = FIRST_SLACK
@@ -92,10 +94,12 @@
 
     async def stop(self) -> None:
         """Send SIGTERM, and SIGKILL after the grace time."""
+        self.stopping.set()
         self.send_signal(signal.SIGTERM)
         if self._watch is not None:
             await asyncio.wait({self._watch}, timeout=const.GRACE_SECONDS)
         await self.kill()
+        self.stopping.clear()
 
     async def kill(self) -> None:
         """Send SIGKILL, and wait for the end."""
@@ -106,6 +110,7 @@
     def empty(self) -> None:
         """Empty the data folder of a process that has ended."""
         shutil.rmtree(self._data, ignore_errors=True)
+        self.is_damaged = False
 
     def flip(self, position: float) -> None:
         """Change one bit of the log, at a share of its length."""
@@ -114,3 +119,4 @@
             if data:
                 data[int(position * (len(data) - 1))] ^= FLIPPED_BIT
                 path.write_bytes(bytes(data))
+                self.is_damaged = True
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,6 @@
 import tempfile
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from random import Random
 from typing import Any, Final, NamedTuple
 
 from . import const
@@ -15,18 +14,20 @@
 from .checks import check_history, list_useless
 from .facts import SOAK, Facts
 from .history import History
-from .layout import Layout, reserve_network
+from .layout import reserve_network
 from .models import Event, Outcome, Starved, Violation
-from .operators import PLAIN_SERVICE, SHARDED_SERVICE, Desk, Operator
+from .operators import Desk, Operator
 from .player import Player
 from .processes import NodeProcess
 from .proxies import Proxies
 from .script import Step
 from .servers import StandIn
+from .world import World
 
 TAIL_SECONDS: Final = 2.0
 POLL_SECONDS: Final = 0.2
 BEAT_SECONDS: Final = 0.1
+OPERATORS: Final = ("op1", "op2")
 
 Tell = Callable[[str], None]
 
@@ -49,38 +50,20 @@
 class Run:
     """All parties of one run."""
 
-    def __init__(self, seed: int, folder: Path, layout: Layout, tell: Tell) -> None:
+    def __init__(self, world: World, tell: Tell) -> None:
         """Prepare the parties; ``tell`` takes lines of progress."""
-        self.history = history = History()
-        self._seed = seed
+        self._world = world
+        self._history = world.history
         self._tell = tell
-        self._layout = layout
-        places = layout.list_nodes()
-        self._nodes = {
-            place.name: NodeProcess(layout, place, folder, history) for place in places
-        }
-        servers = [self._make_server(number + 1) for number in range(const.SERVERS)]
+        self._places = world.layout.list_nodes()
+        self._nodes = {place.name: NodeProcess(world, place) for place in self._places}
+        servers = [StandIn(world, number + 1) for number in range(const.SERVERS)]
         self._servers = {server.label: server for server in servers}
-        self._proxies = Proxies({p.door.encode(): p.name for p in places})
+        self._proxies = Proxies({p.door.encode(): p.name for p in self._places})
         self._desk = Desk()
-        self._operators = [
-            Operator(name, layout, history, self._desk, self._draw(name))
-            for name in ("op1", "op2")
-        ]
-        self._stopping = {p.name: asyncio.Event() for p in layout.list_role("entry")}
+        self._operators = [Operator(name, world, self._desk) for name in OPERATORS]
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _draw(self, name: str) -> Random:
-        """Return a source of chance for one party."""
-        return Random(f"{self._seed} {name}")
-
-    def _make_server(self, number: int) -> StandIn:
-        """Return the stand-in of a number."""
-        sharded = number <= const.SHARDED_SERVERS
-        service = SHARDED_SERVICE if sharded else PLAIN_SERVICE
-        draw = self._draw(f"server {number}")
-        return StandIn(self._layout, number, service, self.history, draw)
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a party until the end."""
         self._tasks.append(asyncio.create_task(work))
@@ -88,7 +71,7 @@
     async def start(self) -> None:
         """Start proxies, nodes and servers; wait until requests are served."""
         self._spawn(self._watch_processor())
-        for place in self._layout.list_nodes():
+        for place in self._places:
             await self._proxies.listen(
                 place.name, place.address, f"{place.home}:{place.port}"
             )
@@ -108,10 +91,10 @@
 
     async def _watch_processor(self) -> None:
         """Record when this loop stood still, and nodes that got no processor."""
-        last, uses = self.history.now(), dict.fromkeys(self._nodes, (False, 0.0))
+        last, uses = self._history.now(), dict.fromkeys(self._nodes, (False, 0.0))
         while True:
             await asyncio.sleep(BEAT_SECONDS)
-            now, seen = self.history.now(), uses
+            now, seen = self._history.now(), uses
             uses = {name: node.read_use() for name, node in self._nodes.items()}
             waited = [
                 name
@@ -121,34 +104,32 @@
             if now - last > BEAT_SECONDS + const.BLIND_SECONDS:
                 waited = [SOAK]
             for name in waited:
-                self.history.events.append(Event(last, Starved(name, now)))
+                self._history.events.append(Event(last, Starved(name, now)))
             last = now
 
     def _start_callers(self) -> None:
         """Start the readiness checks and all callers."""
-        balancer = Balancer(self._layout, self.history, self._draw("balancer"))
+        balancer = Balancer(self._world)
         self._spawn(balancer.watch())
 
         def make(name: str) -> Caller:
-            draw = self._draw(name)
-            return Caller(name, self.history, balancer, draw, lambda: self._desk.routes)
+            return Caller(name, self._world, balancer, self._desk)
 
         for number in range(const.CALLERS):
             self._spawn(make(f"caller{number}").call_often())
-        for place in self._layout.list_role("entry"):
+        for place in self._world.layout.list_role("entry"):
+            stopping = self._nodes[place.name].stopping
             for number in range(const.KEPT_PER_NODE):
                 caller = make(f"kept{number}-{place.name}")
-                self._spawn(caller.call_seldom(place, self._stopping[place.name]))
+                self._spawn(caller.call_seldom(place, stopping))
 
     def _make_facts(self, is_over: bool = False) -> Facts:
         """Return the history so far, indexed."""
-        return Facts(self.history.events, self.history.now(), is_over)
+        return Facts(self._history.events, self._history.now(), is_over)
 
     async def play(self, script: tuple[Step, ...]) -> list[Violation]:
         """Play a script, then wait until all are useful again; check meanwhile."""
-        player = Player(
-            self.history, self._nodes, self._servers, self._proxies, self._stopping
-        )
+        player = Player(self._history, self._nodes, self._servers, self._proxies)
         playing = asyncio.create_task(player.play(script))
         try:
             while not playing.done():
@@ -167,7 +148,9 @@
     def _check(self) -> list[Violation]:
         """Check the history so far, after a line of progress."""
         facts = self._make_facts()
-        self._tell(f"seed {self._seed}: {facts.now:5.1f} s, {len(facts.events)} events")
+        self._tell(
+            f"seed {self._world.seed}: {facts.now:5.1f} s, {len(facts.events)} events"
+        )
         for task in self._tasks:
             if task.done():
                 task.result()
@@ -176,11 +159,11 @@
     async def _read_back(self) -> list[Violation]:
         """End the operators' changes and read the configuration once more."""
         await self._end_parties()
-        until = self.history.now() + const.RECOVERY_SECONDS
+        until = self._history.now() + const.RECOVERY_SECONDS
         while not await self._operators[0].read(last=True):
-            if self.history.now() > until:
+            if self._history.now() > until:
                 detail = "the configuration could not be read back"
-                return [Violation("CONFIG", self.history.now(), detail)]
+                return [Violation("CONFIG", self._history.now(), detail)]
             await asyncio.sleep(POLL_SECONDS)
         return check_history(self._make_facts(is_over=True))
 
@@ -207,17 +190,18 @@
 ) -> Result:
     """Play a script with its files in a folder."""
     layout, holder = reserve_network()
-    run = Run(seed, folder, layout, tell)
+    history = History()
+    run = Run(World(layout, history, folder, seed), tell)
     try:
         await run.start()
         found = await run.play(script)
     except TimeoutError:
         detail = f"nothing was served {const.START_SECONDS} s after the start"
-        found = [Violation("START", run.history.now(), detail)]
+        found = [Violation("START", history.now(), detail)]
     finally:
         await run.end()
         holder.close()
-    return Result(seed, script, found, run.history.events, folder)
+    return Result(seed, script, found, history.events, folder)
 
 
 def play(
--- a/soak/script.py
+++ b/soak/script.py
@@ -2,27 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator, Sequence
 from random import Random
 from typing import Final, NamedTuple
 
 from . import const
 
-SCENE_SECONDS: Final = (1.5, 3.0)
-DELAY_SECONDS: Final = (0.02, 0.3)
-CUT_SECONDS: Final = (0.3, 3.0)
-FREEZE_SECONDS: Final = (0.3, 3.0)
-DOWN_SECONDS: Final = (0.2, 2.0)
-HERD_DOWN_SECONDS: Final = (0.2, 0.8)
-STOP_DOWN_SECONDS: Final = 0.5
-CONTROL_NAMES: Final = [f"control-{n + 1}" for n in range(const.CONTROL_NODES)]
-ENTRY_NAMES: Final = [f"entry-{n + 1}" for n in range(const.ENTRY_NODES)]
-SERVER_NAMES: Final = [f"server-{n + 1}" for n in range(const.SERVERS)]
-NODE_NAMES: Final = CONTROL_NAMES + ENTRY_NAMES
+Span = tuple[float, float]
+
+SCENE_SECONDS: Final[Span] = (1.5, 3.0)
+CUT: Final[Span] = (0.3, 3.0)
+DOWN: Final[Span] = (0.2, 2.0)
+HERD: Final[Span] = (0.2, 0.8)
+DELAY: Final[Span] = (0.02, 0.3)
+AT_ONCE: Final[Span] = (0.0, 0.0)
+SOURCE_SHARE: Final = 0.6
+CONTROL: Final = [f"control-{n + 1}" for n in range(const.CONTROL_NODES)]
+ENTRY: Final = [f"entry-{n + 1}" for n in range(const.ENTRY_NODES)]
+SERVERS: Final = [f"server-{n + 1}" for n in range(const.SERVERS)]
+NODES: Final = CONTROL + ENTRY
+WAYS: Final = [*NODES, *SERVERS, *(f"{name}/link" for name in NODES)]
+SAME: Final[list[str]] = []
+DISK_LOSSES: Final = ("wipe", "flip")
 
 
 class Step(NamedTuple):
-    """A fault: what, on whom (from whom), for how long.
+    """A fault: what, on whom, for how long, and for a cut between whom.
 
     ``value`` is a delay in seconds, a direction (0 forward, 1 back, 2 both), or a
     position in a file.
@@ -36,7 +41,57 @@
     value: float = 0.0
 
 
-Scene = Callable[[Random, float], Iterator[Step]]
+class Part(NamedTuple):
+    """A fault of a scene, up to ``later`` seconds after the scene begins.
+
+    It strikes one of ``pool``, or where there is none the last target again; with a
+    ``gap`` it strikes all of them in turn, so far apart.
+    """
+
+    what: str
+    pool: Sequence[str]
+    later: float = 0.0
+    length: Span = (0.5, 0.5)
+    gap: Span | None = None
+
+
+ROLL: Final = (Part("stop", ENTRY, gap=(0.8, 2.0)), Part("cut", WAYS, 5.0, CUT))
+STOP_LATER: Final = Part("stop", ENTRY, 2.0)
+SCENES: Final[tuple[tuple[Part, ...], ...]] = (
+    # A roll over all hosts with a cut in it, and one over the control nodes.
+    ROLL,
+    ROLL,
+    (Part("stop", CONTROL, gap=(1.0, 2.5)),),
+    # A stop during an election.
+    (
+        Part("kill", CONTROL, 0, DOWN),
+        Part("stop", ENTRY, 0.8),
+        Part("stop", CONTROL, 1),
+    ),
+    # A kill while a server drains.
+    (Part("leave", SERVERS), Part("kill", NODES, 2.5, DOWN)),
+    # Changed settings during a restart.
+    (Part("stop", ENTRY), Part("hup", SAME, 2), Part("hup", NODES, 2)),
+    (Part("kill", NODES, 0, DOWN), Part("change", SAME, 2), Part("hup", NODES, 2)),
+    # A stop or kill during a freeze, of the same node or another one.
+    (Part("freeze", NODES, 0, CUT), Part("stop", NODES, 1, DOWN)),
+    (Part("freeze", NODES, 0, CUT), Part("kill", NODES, 1, DOWN)),
+    # Several ways disturbed at once.
+    (
+        *(Part("cut", WAYS, 2, CUT),) * 3,
+        *(Part(what, WAYS, 2, DOWN) for what in ("delay", "reset", "half")),
+    ),
+    # A lost or damaged disk, and a stop.
+    *((Part(what, CONTROL, 0, DOWN), STOP_LATER) for what in DISK_LOSSES),
+    # Servers that end and slow down, and a stop.
+    (
+        *(Part(what, SERVERS, 2, DOWN) for what in ("crash", "slow", "leave")),
+        STOP_LATER,
+    ),
+    # All control nodes, or all nodes, killed at the same moment.
+    (Part("kill", CONTROL, 0, HERD, AT_ONCE),),
+    (Part("kill", NODES, 0, HERD, AT_ONCE),),
+)
 
 
 def make_script(seed: int, seconds: float) -> tuple[Step, ...]:
@@ -46,122 +101,37 @@
     at, scenes = 0.5, list(SCENES)
     while at < seconds:
         scene = random.choice(scenes)
-        if scene is _lose_disk:
+        steps += _draw_scene(random, at, scene)
+        if scene[0].what in DISK_LOSSES:
             # No more disks are lost than may be lost.
-            scenes.remove(scene)
-        steps += scene(random, at)
+            scenes = [one for one in scenes if one[0].what not in DISK_LOSSES]
         at += random.uniform(*SCENE_SECONDS)
     return tuple(sorted(step for step in steps if step.at < seconds))
 
 
-def _make_cut(random: Random, at: float) -> Step:
-    """Return a cut between two nodes, or a node and a server or its callers."""
-    ways = [*NODE_NAMES, *SERVER_NAMES, *(f"{name}/link" for name in NODE_NAMES)]
-    target, source = random.choice(ways), ""
-    if random.random() < 0.6:
+def _draw_scene(random: Random, at: float, scene: tuple[Part, ...]) -> Iterator[Step]:
+    """Return the steps of a scene that begins at a time."""
+    last = ""
+    for what, pool, later, length, gap in scene:
+        targets = [random.choice(pool)] if pool else [last]
+        if gap is not None:
+            targets = random.sample(pool, len(pool))
+        begin, apart = at + random.uniform(0, later), random.uniform(*gap or AT_ONCE)
+        for number, last in enumerate(targets):
+            when, lasts = begin + number * apart, random.uniform(*length)
+            source, value = _draw_source(random, last), random.random()
+            if what == "cut":
+                value = random.randint(0, 2)
+            elif what == "delay":
+                value = random.uniform(*DELAY)
+            yield Step(when, what, last, lasts, source if what == "cut" else "", value)
+
+
+def _draw_source(random: Random, target: str) -> str:
+    """Return from whom a way is cut, or nobody where it is from all."""
+    if random.random() < SOURCE_SHARE:
         if target.endswith("/link"):
-            source = random.choice(NODE_NAMES)
-        elif target in SERVER_NAMES:
-            source = random.choice(["control", "entry"])
-    length = random.uniform(*CUT_SECONDS)
-    return Step(at, "cut", target, length, source, random.randint(0, 2))
-
-
-def _roll(random: Random, at: float) -> Iterator[Step]:
-    """Stop and start all entry nodes in turn, with a cut in it."""
-    gap = random.uniform(0.8, 2.0)
-    names = random.sample(ENTRY_NAMES, len(ENTRY_NAMES))
-    for number, name in enumerate(names):
-        yield Step(at + number * gap, "stop", name, STOP_DOWN_SECONDS)
-    yield _make_cut(random, at + random.uniform(0, 3 * gap))
-
-
-def _roll_control(random: Random, at: float) -> Iterator[Step]:
-    """Stop and start all control nodes in turn."""
-    gap = random.uniform(1.0, 2.5)
-    for number, name in enumerate(CONTROL_NAMES):
-        yield Step(at + number * gap, "stop", name, STOP_DOWN_SECONDS)
-
-
-def _stop_in_election(random: Random, at: float) -> Iterator[Step]:
-    """Kill a control node, and stop an entry and a control node meanwhile."""
-    down = random.uniform(*DOWN_SECONDS)
-    yield Step(at, "kill", random.choice(CONTROL_NAMES), down)
-    for names in (ENTRY_NAMES, CONTROL_NAMES):
-        later = at + random.uniform(0, 0.8)
-        yield Step(later, "stop", random.choice(names), STOP_DOWN_SECONDS)
-
-
-def _kill_in_drain(random: Random, at: float) -> Iterator[Step]:
-    """Let a server leave, and kill a node while it drains."""
-    yield Step(at, "leave", random.choice(SERVER_NAMES))
-    down = random.uniform(*DOWN_SECONDS)
-    later = at + random.uniform(0, 2.5)
-    yield Step(later, "kill", random.choice(NODE_NAMES), down)
-
-
-def _change_in_restart(random: Random, at: float) -> Iterator[Step]:
-    """Change settings of nodes while one restarts."""
-    name = random.choice(ENTRY_NAMES)
-    yield Step(at, "stop", name, 2 * STOP_DOWN_SECONDS)
-    for what in ("hup", "hup", "change"):
-        target = random.choice([name, *NODE_NAMES])
-        yield Step(at + random.uniform(0, 2), what, target)
-
-
-def _freeze(random: Random, at: float) -> Iterator[Step]:
-    """Freeze a node, and stop or kill another one meanwhile."""
-    name, other = random.choice(NODE_NAMES), random.choice(NODE_NAMES)
-    yield Step(at, "freeze", name, random.uniform(*FREEZE_SECONDS))
-    what, down = random.choice(["stop", "kill"]), random.uniform(*DOWN_SECONDS)
-    yield Step(at + random.uniform(0, 1), what, other, down)
-
-
-def _disturb_ways(random: Random, at: float) -> Iterator[Step]:
-    """Cut, delay, reset and half-send on several ways."""
-    for _ in range(random.randint(2, 4)):
-        yield _make_cut(random, at + random.uniform(0, 2))
-    for what in ("delay", "reset", "half"):
-        link = f"{random.choice(NODE_NAMES)}/link"
-        target = random.choice([*NODE_NAMES, *SERVER_NAMES, link])
-        delay = random.uniform(*DELAY_SECONDS)
-        yield Step(at + random.uniform(0, 2), what, target, 1.0, "", delay)
-
-
-def _lose_disk(random: Random, at: float) -> Iterator[Step]:
-    """Kill a control node and empty its folder, or flip a bit in its log."""
-    what, down = random.choice(["wipe", "flip"]), random.uniform(*DOWN_SECONDS)
-    name = random.choice(CONTROL_NAMES)
-    yield Step(at, what, name, down, "", random.random())
-    later = at + random.uniform(0, 2)
-    yield Step(later, "stop", random.choice(ENTRY_NAMES), STOP_DOWN_SECONDS)
-
-
-def _end_servers(random: Random, at: float) -> Iterator[Step]:
-    """Let servers crash, turn slow and leave, and stop a node."""
-    for what in ("crash", "slow", "leave"):
-        length = random.uniform(*DOWN_SECONDS)
-        later = at + random.uniform(0, 2)
-        yield Step(later, what, random.choice(SERVER_NAMES), length)
-    yield Step(at + 1, "stop", random.choice(ENTRY_NAMES), STOP_DOWN_SECONDS)
-
-
-def _kill_all(random: Random, at: float) -> Iterator[Step]:
-    """Kill all control nodes, or all nodes, at the same moment."""
-    for name in random.choice([CONTROL_NAMES, NODE_NAMES]):
-        yield Step(at, "kill", name, random.uniform(*HERD_DOWN_SECONDS))
-
-
-SCENES: Final[tuple[Scene, ...]] = (
-    _roll,
-    _roll,
-    _roll_control,
-    _stop_in_election,
-    _kill_in_drain,
-    _change_in_restart,
-    _freeze,
-    _disturb_ways,
-    _lose_disk,
-    _end_servers,
-    _kill_all,
-)
+            return random.choice(NODES)
+        if target in SERVERS:
+            return random.choice(["control", "entry"])
+    return ""
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from random import Random
 from typing import Final, NamedTuple
 
 from dragonflyrock.http import (
@@ -16,9 +15,8 @@
 )
 
 from . import const, wire
-from .history import History
-from .layout import Layout
 from .models import Beaten, Began, Finished
+from .world import World
 
 LINGER_SECONDS: Final = 1.5
 BODY_REPEATS: Final = 40
@@ -41,25 +39,18 @@
 class StandIn:
     """A server over its lives; each life has its own name."""
 
-    def __init__(
-        self,
-        layout: Layout,
-        number: int,
-        service: str,
-        history: History,
-        random: Random,
-    ) -> None:
+    def __init__(self, world: World, number: int) -> None:
         """Prepare the server with a number, which gives its address."""
         self.label = f"server-{number}"
         self.name = ""
         self.is_slow = False
-        self.addresses = layout.find_server(number)
-        self._service = service
+        self.addresses = world.layout.find_server(number)
         self._sharded = number <= const.SHARDED_SERVERS
+        self._service = wire.KEYS_SERVICE if self._sharded else wire.PLAIN_SERVICE
         self._zone = const.ZONES[number % len(const.ZONES)]
-        self._nodes = layout.list_role("control")
-        self._history = history
-        self._random = random
+        self._nodes = world.layout.list_role("control")
+        self._history = world.history
+        self._random = world.draw(self.label)
         self._lives = 0
 
     async def start(self) -> None:
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -29,6 +29,13 @@
 HOST: Final = "soak.example"
 # The soak's own: how long a stand-in server works on a request.
 WORK_MS: Final = b"x-soak-work-ms"
+KEYS_SERVICE: Final = "svc-keys"
+PLAIN_SERVICE: Final = "svc-plain"
+SERVICES: Final = {KEYS_SERVICE: True, PLAIN_SERVICE: False}
+LIMITS: Final = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20} | {
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
 
 
 class RouteSpec(NamedTuple):
@@ -117,44 +124,27 @@
     return GrantCall(data["from"], data["to"], data["fence"], hold)
 
 
-def _make_rule(route: RouteSpec) -> dict[str, Any]:
-    """Return a route as the configuration has it."""
-    action = {"service": route.service, "timeoutMs": const.ROUTE_TIMEOUT_MS}
-    return {
-        "name": route.name,
-        "kind": "safe" if route.safe else "unsafe",
-        "targetLatencyMs": const.ROUTE_TIMEOUT_MS // 2,
-        "priority": 1,
-        "match": {"pathPrefix": route.prefix},
-        "action": action | {"maxAttempts": const.MAX_ATTEMPTS},
-    }
-
-
-def _make_cluster(name: str, sharded: bool) -> dict[str, Any]:
-    """Return a service as the configuration has it."""
-    fixed = {"maxConnections": 130, "protocol": "h1", "tls": False, "warmS": 0.0}
-    own = {"name": name, "healthCheckPath": HEALTH_PATH.decode(), "sharded": sharded}
-    return own | fixed | {"grants": "call"}
-
-
 def _make_listeners(routes: tuple[RouteSpec, ...]) -> list[dict[str, Any]]:
-    """Return the routes under their host."""
-    return [{"host": HOST, "rules": [_make_rule(route) for route in routes]}]
-
-
-def encode_config(
-    version: int, routes: tuple[RouteSpec, ...], services: dict[str, bool]
-) -> bytes:
-    """Return a whole configuration; ``services`` tells which ones have keys."""
-    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20}
-    times = {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
-    config = {
-        "version": f"r{version}",
-        "limits": limits | times,
-        "listeners": _make_listeners(routes),
-        "clusters": [_make_cluster(*service) for service in services.items()],
-    }
-    return json.dumps(config).encode()
+    """Return the routes under their host, as the configuration has them."""
+    rules = []
+    for name, prefix, safe, service in routes:
+        rule = {"name": name, "kind": "safe" if safe else "unsafe", "priority": 1}
+        action = {"service": service, "maxAttempts": const.MAX_ATTEMPTS}
+        times = {"targetLatencyMs": const.ROUTE_TIMEOUT_MS // 2}
+        action |= {"timeoutMs": const.ROUTE_TIMEOUT_MS}
+        rules.append(rule | times | {"match": {"pathPrefix": prefix}, "action": action})
+    return [{"host": HOST, "rules": rules}]
+
+
+def encode_config(version: int, routes: tuple[RouteSpec, ...]) -> bytes:
+    """Return a whole configuration."""
+    clusters = [
+        {"name": name, "sharded": sharded, "healthCheckPath": HEALTH_PATH.decode()}
+        | {"maxConnections": 130, "protocol": "h1", "tls": False, "grants": "call"}
+        for name, sharded in SERVICES.items()
+    ]
+    config = {"version": f"r{version}", "limits": LIMITS, "clusters": clusters}
+    return json.dumps(config | {"listeners": _make_listeners(routes)}).encode()
 
 
 def encode_patch(version: int, added: tuple[RouteSpec, ...], removed: str) -> bytes:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -141,6 +141,14 @@
         [(9.0, Readied(NODE, 200)), (9.5, Unreached(NODE))],
         "READY",
     ),
+    "a ready node that closes new connections unread": (
+        [
+            (9.8, Readied(NODE, 200)),
+            (10.0, Sent("c-1", NODE, "book", False, 11.5, fresh=True)),
+            *make_break(10.01),
+        ],
+        "READY",
+    ),
     "a process of no use after its start": ([(9.0, Started(NODE))], "RECOVER"),
     "an older version read": (
         PUT + make_put(2.0, 2, 1, "two") + [(5.0, Read(4.9, "control-2", 1, "one"))],
@@ -187,6 +195,12 @@
         *CUT_RUN,
         *make_break(10.4),
     ],
+    "a new connection to a node that stops": [
+        (9.8, Readied(NODE, 200)),
+        *make_stop(9.9),
+        (10.0, Sent("c-1", NODE, "book", False, 11.5, fresh=True)),
+        *make_break(10.01),
+    ],
     "a caller that leaves early": SENT + make_break(10.1, how="left"),
     "early work in the last sixth of the grace time": make_stop(8.0)
     + [
