--- a/soak/callers.py
+++ b/soak/callers.py
@@ -155,6 +155,8 @@
                 self._history.add(Unreached(node.name))
                 return 0, 0.0
             self._connection = found
+        if self._history.now() >= want.until:
+            return 0, 0.0
         self._count += 1
         name = f"{self._name}-{self._count}"
         sent = Sent(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -142,9 +142,7 @@
         asked = end.asked_at if end.asked_at >= 0 else at
         if facts.is_struck(end.node, asked, at):
             continue
-        starts = [start for start, one in facts.started if one.node == end.node]
-        age = asked - max((s for s in starts if s <= asked), default=0.0)
-        if end.code == SIGTERM_CODE and age < const.STARTING_SECONDS:
+        if end.code == SIGTERM_CODE and not _has_spoken(facts, end.node, asked):
             continue
         if end.asked_at < 0 and not end.killed:
             detail = f"ended by itself with status {end.code}"
@@ -154,6 +152,23 @@
             yield Violation("GRACE", at, detail, (end.node,))
 
 
+def _has_spoken(facts: Facts, node: str, until: float) -> bool:
+    """Return whether a process has answered anything between its start and a time.
+
+    One that is still starting has no handler for SIGTERM, and has taken nothing.
+    """
+    starts = [at for at, one in facts.started if one.node == node and at <= until]
+    since = max(starts, default=0.0)
+    for at, record in facts.events:
+        if since < at <= until and getattr(record, "node", "") == node:
+            match record:
+                case Readied(status=status) | Outcome(status=status) if status:
+                    return True
+                case Beaten() | Read():
+                    return True
+    return False
+
+
 def check_drain(facts: Facts) -> Iterator[Violation]:
     """Find new work at a server well after its leaving was acknowledged."""
     draining: dict[str, float] = {}
--- a/soak/const.py
+++ b/soak/const.py
@@ -20,8 +20,6 @@
 EARLY_SEND_SECONDS: Final = 3.0
 # An answer is due this long after the deadline at the latest.
 PATIENCE_SECONDS: Final = 0.5
-# A process that is still starting has no handler for SIGTERM and has taken nothing.
-STARTING_SECONDS: Final = 1.5
 
 # What is started
 
@@ -49,6 +47,7 @@
 DEFAULT_SECONDS: Final = 12.0
 START_SECONDS: Final = 15.0
 CALL_SECONDS: Final = 1.0
+RESTART_SECONDS: Final = 0.5
 HEARTBEAT_SECONDS: Final = 1.0
 READY_CHECK_SECONDS: Final = 1.0
 OPERATOR_PAUSE_SECONDS: Final = 1.5
--- a/soak/player.py
+++ b/soak/player.py
@@ -16,7 +16,6 @@
 
 FORWARD: Final = 0
 BACK: Final = 1
-REFUSED_START_SECONDS: Final = 2.0
 
 
 class Player:
@@ -84,18 +83,9 @@
                 node.flip(step.value)
         await asyncio.sleep(step.length)
         if node.is_damaged:
+            # It refuses to start, and is given an empty folder then.
             self._note(step._replace(what="flip"), 0.0)
         await node.start()
-        if node.is_damaged:
-            await self._replace_refused(step, node)
-
-    async def _replace_refused(self, step: Step, node: NodeProcess) -> None:
-        """Empty the folder of a node that refuses to start with it."""
-        await asyncio.sleep(REFUSED_START_SECONDS)
-        if not node.is_running and not node.is_down:
-            self._note(step._replace(what="flip"), 0.0)
-            node.empty()
-            await node.start()
 
     async def _freeze(self, step: Step, node: NodeProcess) -> None:
         """Stop a process for a while with SIGSTOP."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -78,10 +78,16 @@
         self._watch = asyncio.create_task(self._note_end(self._process))
 
     async def _note_end(self, process: asyncio.subprocess.Process) -> None:
-        """Record how the process ends."""
+        """Record how the process ends; start one again that ended by itself."""
         code = await process.wait()
         name = self.place.name
         self._history.add(Ended(name, code, self._asked_at, self._killed))
+        if self._asked_at < 0 and not self._killed:
+            await asyncio.sleep(const.RESTART_SECONDS)
+            if self.is_damaged:
+                self.empty()
+            if not self.is_down and not self.is_running:
+                await self.start()
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -103,8 +109,9 @@
 
     async def kill(self) -> None:
         """Send SIGKILL, and wait for the end."""
-        self.send_signal(signal.SIGKILL)
-        if self._watch is not None:
+        self.is_down = True
+        while self._watch is not None and not self._watch.done():
+            self.send_signal(signal.SIGKILL)
             await self._watch
 
     def empty(self) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -129,6 +129,14 @@
         make_stop(5.0) + [(11.0, Ended(NODE, -9, 5.0, True))],
         "GRACE",
     ),
+    "a SIGTERM that ends a process without its handler": (
+        [
+            (3.0, Readied(NODE, 200)),
+            *make_stop(5.0),
+            (5.1, Ended(NODE, -15, 5.0, False)),
+        ],
+        "GRACE",
+    ),
     "a stop with an error": (
         make_stop(5.0) + [(6.0, Ended(NODE, 1, 5.0, False))],
         "GRACE",
