--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,13 +10,14 @@
 from soak.__main__ import Regression, list_regressions
 from soak.history import History, merge_time_line
 from soak.layout import reserve_network
+from soak.models import Ended
 from soak.processes import NodeProcess
 from soak.run import Result, play
 from soak.script import make_script
 from soak.world import World
 
-SEEDS = (3, 12)
-SECONDS = 8.0
+SEEDS = (101, 126)
+SECONDS = 12.0
 IMPORT_SECONDS = 0.1
 END_SECONDS = 1.0
 
@@ -48,18 +49,19 @@
 
 def test_a_node_that_starts_is_not_ended_by_sighup(tmp_path: Path) -> None:
     """Guard against a settings change that ends a process while it starts."""
+    history = History()
 
-    async def run() -> bool:
+    async def run() -> None:
         layout, holder = reserve_network()
         place = layout.list_role("entry")[0]
-        node = NodeProcess(World(layout, History(), tmp_path, 1), place)
+        node = NodeProcess(World(layout, history, tmp_path, 1), place)
         await node.start()
         await asyncio.sleep(IMPORT_SECONDS)
         node.send_signal(signal.SIGHUP)
         await asyncio.sleep(END_SECONDS)
-        is_running = node.is_running
         await node.kill()
         holder.close()
-        return is_running
 
-    assert asyncio.run(run())
+    asyncio.run(run())
+    ends = [one.record for one in history.events if isinstance(one.record, Ended)]
+    assert [end.killed for end in ends] == [True]
