--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -182,11 +182,6 @@
         gate.on_drained = agent.hurry
         self.hosts[name] = Host(gate, agent)
 
-    def _send_renewal(self, renew: HostRenew | NearRenew) -> None:
-        """Send a renewal to the leader, the only member here."""
-        assert isinstance(renew, HostRenew)
-        self.post("leader", lambda: self._renew(renew))
-
     def start_server(self, name: str) -> None:
         """Start, or restart, a server under a new incarnation."""
         self._incarnations += 1
@@ -263,8 +258,9 @@
             else:
                 item.action()
 
-    def _send_renewal(self, name: str, renew: HostRenew) -> None:
-        """Send a host's renewal to the leader."""
+    def _send_renewal(self, name: str, renew: HostRenew | NearRenew) -> None:
+        """Send a host's renewal to the leader, the only member here."""
+        assert isinstance(renew, HostRenew)
         if name not in self.muted:
             self.post("leader", lambda: self._renew(renew))
 
