--- a/src/dragonflyrock/trial/relays.py
+++ b/src/dragonflyrock/trial/relays.py
@@ -1,10 +1,12 @@
-"""Relays between daemons that can be cut silently, in either direction."""
+"""Relays between daemons that can be cut silently or slowed, in either direction."""
 
 from __future__ import annotations
 
 import selectors
 import socket
 import threading
+import time
+from collections import deque
 from typing import Final, NamedTuple
 
 from .plans import LINK_OFFSET, FleetPlan
@@ -14,6 +16,7 @@
 RELAY_OFFSET: Final = 500
 CHUNK_BYTES: Final = 65536
 POLL_SECONDS: Final = 0.05
+SLOW_POLL_SECONDS: Final = 0.005
 
 
 class Direction(NamedTuple):
@@ -23,6 +26,14 @@
     target: int
 
 
+class Delayed(NamedTuple):
+    """Bytes that are to be passed on at a monotonic time."""
+
+    at: float
+    end: socket.socket
+    data: bytes
+
+
 class Relays:
     """A thread that passes bytes on, except over directions that are cut.
 
@@ -34,6 +45,8 @@
         """Listen for each direction."""
         self._plan = plan
         self._cut: set[Direction] = set()
+        self._slow: dict[Direction, float] = {}
+        self._delayed: dict[Direction, deque[Delayed]] = {}
         self._selector = selectors.DefaultSelector()
         self._peers: dict[socket.socket, tuple[socket.socket, Direction]] = {}
         self._holed: set[socket.socket] = set()
@@ -58,9 +71,14 @@
         """Cut one direction."""
         self._cut.add(Direction(source, target))
 
+    def slow(self, source: int, target: int, seconds: float) -> None:
+        """Pass on what one direction carries so much later."""
+        self._slow[Direction(source, target)] = seconds
+
     def heal(self) -> None:
-        """End all cuts."""
+        """End all cuts and delays."""
         self._cut.clear()
+        self._slow.clear()
 
     def close(self) -> None:
         """End the thread and all connections."""
@@ -84,7 +102,9 @@
     def _run(self) -> None:
         """Pass bytes on until ended."""
         while not self._ended.is_set():
-            for key, _ in self._selector.select(POLL_SECONDS):
+            self._pass_on_delayed()
+            poll = SLOW_POLL_SECONDS if self._delayed else POLL_SECONDS
+            for key, _ in self._selector.select(poll):
                 assert isinstance(key.fileobj, socket.socket)
                 if key.data is None:
                     self._pass_on(key.fileobj)
@@ -117,6 +137,8 @@
             data = one.recv(CHUNK_BYTES)
             if data and direction in self._cut:
                 self._holed.add(one)
+            elif data and (direction in self._slow or direction in self._delayed):
+                self._delay(direction, other, data)
             elif data:
                 other.sendall(data)
         except OSError:
@@ -124,6 +146,25 @@
         if not data:
             self._end(one)
 
+    def _delay(self, direction: Direction, end: socket.socket, data: bytes) -> None:
+        """Keep bytes for later; what follows others that are kept waits for them."""
+        at = time.monotonic() + self._slow.get(direction, 0.0)
+        self._delayed.setdefault(direction, deque()).append(Delayed(at, end, data))
+
+    def _pass_on_delayed(self) -> None:
+        """Pass on the bytes whose time has come, unless their connection ended."""
+        now = time.monotonic()
+        for direction, waiting in list(self._delayed.items()):
+            while waiting and waiting[0].at <= now:
+                _, end, data = waiting.popleft()
+                try:
+                    if end in self._peers:
+                        end.sendall(data)
+                except OSError:
+                    self._end(end)
+            if not waiting:
+                del self._delayed[direction]
+
     def _end(self, one: socket.socket) -> None:
         """Close both ends of a connection, unless that was done from the other."""
         if one not in self._peers:
--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -47,6 +47,7 @@
     | "stop" NAME                                 _NL -> stop
     | "cut" NAME "from" NAME                      _NL -> cut
     | "isolate" NAME                              _NL -> isolate
+    | "slow" NAME "by" NUMBER "s"                 _NL -> slow
     | "heal"                                      _NL -> heal
     | "plan" "stop" NAME                          _NL -> plan_stop
     | "put" "contract" INT "times"                _NL -> put
@@ -238,6 +239,8 @@
                 self._relays.cut(self._number(source), self._number(target))
             case "isolate", [name]:
                 self._isolate(self._number(name))
+            case "slow", [name, seconds]:
+                self._slow(self._number(name), float(seconds))
             case "heal", []:
                 self._relays.heal()
             case "plan_stop", [name]:
@@ -315,6 +318,12 @@
             self._relays.cut(number, other)
             self._relays.cut(other, number)
 
+    def _slow(self, number: int, seconds: float) -> None:
+        """Slow the links of a host down, in each direction."""
+        for other in range(self._fleet.plan.hosts):
+            self._relays.slow(number, other, seconds)
+            self._relays.slow(other, number, seconds)
+
     def _repair(self, name: str) -> None:
         """Replace a wiped voter that runs again, until it votes."""
         for method in ("DELETE", "PUT"):
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -46,7 +46,7 @@
         members.settle()
         terms = members.term(), members.term(LEDGER_GROUP)
         leaders = members.leader(), members.leader(LEDGER_GROUP)
-        for name in set(members.names) - set(leaders):
+        for name in sorted(set(members.names) - set(leaders)):
             members.stall(name, seconds)
             members.run(seconds + 1.0)
             members.lapses = [e for e in members.lapses if e.host != name]
