--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -39,6 +39,7 @@
     estimate_unit,
     estimate_wait,
     is_silent,
+    measure_work,
     note_answer,
     note_end,
     note_failure,
@@ -474,9 +475,9 @@
             note_report(stat, service, report, now)
         else:
             note_answer(stat, service, elapsed, backlog, report, now)
-        idle = report is not None and not report.waiting and backlog < stat.slots
-        if passage.key_hash is not None and idle and not failed:
-            self._state.note_speed(stat.row.name, elapsed)
+        work = measure_work(elapsed, backlog, report)
+        if passage.key_hash is not None and work is not None and not failed:
+            self._state.note_speed(stat.row.name, work)
         fault = find_answer_fault(response, dialect, passage.request_id)
         if fault:
             passage.detail = fault
--- a/src/dragonflyrock/router/servers.py
+++ b/src/dragonflyrock/router/servers.py
@@ -16,6 +16,7 @@
     "estimate_unit",
     "estimate_wait",
     "is_silent",
+    "measure_work",
     "note_answer",
     "note_end",
     "note_failure",
@@ -171,6 +172,28 @@
     note_report(stat, service, report, now)
 
 
+def measure_work(
+    elapsed: float, backlog_at_send: float, report: LoadReport | None
+) -> float | None:
+    """Return the time that a request was at work, as far as a server tells its load.
+
+    Where requests wait, the queue that it left tells how long it waited itself: a
+    server that is never idle would never be measured, and be taken for a mean one.
+
+    >>> measure_work(0.1, 0.0, LoadReport(1, 0, 2))
+    0.1
+    >>> round(measure_work(0.3, 4.0, LoadReport(1, 4, 2)), 6)
+    0.1
+    """
+    if report is None:
+        return None
+    slots = max(1, report.slots)
+    if not report.waiting and backlog_at_send < slots:
+        return elapsed
+    present = report.running + report.waiting + 1
+    return elapsed / (1 + max(0, present - slots) / slots)
+
+
 def note_end(stat: ServerStat, now: float, *, failed: bool) -> None:
     """Note whether a server failed a request that it took."""
     share = estimate_faults(stat, now)
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -122,7 +122,7 @@
         return tuple(sorted(ended))
 
     def note_speed(self, name: str, elapsed: float) -> None:
-        """Count a request that a server ran while nothing waited there."""
+        """Count a request that a server ran, and how long it was at work."""
         count, busy = self._speeds.get(name, (0, 0.0))
         self._speeds[name] = (count + 1, busy + elapsed)
 
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -58,7 +58,7 @@
 
 
 class ServerSpeed(NamedTuple):
-    """Requests that a server ran while nothing waited there, and their time."""
+    """Requests that a server ran, and how long they were at work."""
 
     name: str
     requests: int
--- a/tests/load/model.py
+++ b/tests/load/model.py
@@ -23,6 +23,7 @@
     estimate_backlog,
     estimate_unit,
     estimate_wait,
+    measure_work,
     note_answer,
     note_full,
     note_sent,
@@ -244,9 +245,10 @@
         note_answer(
             stat, self.services[sent.host], elapsed, sent.backlog, report, self.now
         )
-        if not report.waiting and sent.backlog < 2:
-            count, busy = self.speeds[server.name]
-            self.speeds[server.name] = (count + 1, busy + elapsed)
+        measured = measure_work(elapsed, sent.backlog, report)
+        assert measured is not None
+        count, busy = self.speeds[server.name]
+        self.speeds[server.name] = (count + 1, busy + measured)
 
     def _balance(self) -> None:
         """Move keys as the leader does once a second."""
