--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -391,8 +391,9 @@
                 check = asyncio.create_task(self._check_crash(passage, stat))
                 self._checks.add(check)
                 check.add_done_callback(self._checks.discard)
-            if lost and kept and ended - now < FULL_RESET_SECONDS:
-                # The server had dropped it while it was idle, and others with it.
+            at_once = lost and ended - now < FULL_RESET_SECONDS
+            if at_once and kept and backlog < stat.slots:
+                # It is not full: it had dropped what was idle, and more than this.
                 self._connections.drop(address)
                 return self._take_dropped(passage, stat, result)
             return self._take_fault(passage, stat, result, ended - now)
