--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -41,6 +41,7 @@
     estimate_unit,
     estimate_wait,
     is_silent,
+    measure_work,
     note_answer,
     note_end,
     note_failure,
@@ -409,8 +410,9 @@
                 check = asyncio.create_task(self._check_crash(passage, stat))
                 self._checks.add(check)
                 check.add_done_callback(self._checks.discard)
-            if lost and kept and ended - now < FULL_RESET_SECONDS:
-                # The server had dropped it while it was idle, and others with it.
+            at_once = lost and ended - now < FULL_RESET_SECONDS
+            if at_once and kept and backlog < stat.slots:
+                # It is not full: it had dropped what was idle, and more than this.
                 self._connections.drop(address)
                 return self._take_dropped(passage, stat, result)
             return self._take_fault(passage, stat, result, ended - now)
@@ -493,9 +495,9 @@
             note_report(stat, service, report, now)
         else:
             note_answer(stat, service, elapsed, backlog, report, now)
-        idle = report is not None and not report.waiting and backlog < stat.slots
-        if passage.key_hash is not None and idle and not failed:
-            self._state.note_speed(stat.row.name, elapsed)
+        work = measure_work(elapsed, backlog, report)
+        if passage.key_hash is not None and work is not None and not failed:
+            self._state.note_speed(stat.row.name, work)
         fault = find_answer_fault(response, dialect, passage.request_id)
         if fault:
             passage.detail = fault
