--- a/soak/wire.py
+++ b/soak/wire.py
@@ -17,12 +17,23 @@
     make_response,
 )
 from dragonflyrock.platform import names
+from dragonflyrock.router import Dialect
 
 from . import const
 
 __all__ = ["names"]
 
-DIALECT: Final = names.DIALECT
+# Written down from the platform's pages, so that a wrong name in the product shows.
+DIALECT: Final = Dialect(
+    request_id=b"x-dragonflyrock-request-id",
+    time_left_ms=b"x-dragonflyrock-deadline-ms",
+    expected_server=b"x-dragonflyrock-expected-instance",
+    server_name=b"x-dragonflyrock-instance-id",
+    signature=b"x-dragonflyrock-server-stamp",
+    not_run=b"x-dragonflyrock-not-executed",
+    load=b"x-dragonflyrock-server-load",
+    key=b"x-dragonflyrock-shard-key",
+)
 HEALTH_PATH: Final = b"/health"
 READY_PATH: Final = "/-/ready"
 RETRY_AFTER: Final = b"retry-after"
