--- a/soak/const.py
+++ b/soak/const.py
@@ -6,6 +6,7 @@
 
 # What is promised
 
+# The default of a node, which its settings leave alone.
 GRACE_SECONDS: Final = 6.0
 LOSS_SLACK_SECONDS: Final = 0.2
 # A kill, freeze or cut excuses what happens within this time after its end.
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -87,7 +87,7 @@
     else:
         listen["callers"] = f"{node.home}:{node.port}"
         listen["ready"] = f"{node.home}:{const.READY_PORT}"
-    bounds = {"stop_grace_ms": int(const.GRACE_SECONDS * 1000), "retry_slack": slack}
+    bounds = {"retry_slack": slack}
     seeds = [seed.address for seed in layout.list_role("control")]
     lines = [f"seeds = {json.dumps(seeds)}"]
     for title, table in (("node", identity), ("listen", listen), ("bounds", bounds)):
