Let nodes of two versions speak to each other, with a rule and kept bytes

Seen: no test had two versions speak. Tried: a message with one more field at its end was refused by every decoder ('Expected array of length 1 to 2, got 3'), so no field could ever be added in a rolling upgrade; a command of an unknown type raised CodecError out of the apply and ended the node, again at each start. Cause: NamedTuples are decoded strictly, and nothing stood between decode and apply. Change: a codec says what it does with newer fields. Messages between daemons and their rows ignore them; messages of the log and calls ignore them outside, and refuse them inside of entries, images and members; commands and images refuse them. A member that comes to a command or image that it does not know stops applying there: it goes on saving, acknowledging and voting, but does not lead, until a newer version starts from its disk. Line apply-stopped, metric dragonflyrock_apply_stopped. Unknown message types were dropped with a line and counted before; now a test holds it. The wire is unchanged. Tests: tests/transport/wire.json keeps the bytes of each record, and they must decode and encode to the same fields; one more field in each type; bytes of the first, shorter forms; members with an older state machine in a group. Open: nodes of the version before this one still refuse messages with newer fields.

--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Final, NamedTuple, Protocol
 
+from ..codec import CodecError
 from .files import Files
 from .log import Log
 from .membership import give_up_leadership
@@ -18,6 +19,7 @@
     Message,
     Role,
     SnapshotImage,
+    TakeOver,
     Timing,
     VoteAnswer,
     VoteRequest,
@@ -51,13 +53,19 @@
     """What a group replicates; it must be deterministic."""
 
     def apply(self, index: int, payload: bytes) -> object:
-        """Carry out the command of the entry at ``index`` and return its result."""
+        """Carry out the command of the entry at ``index`` and return its result.
+
+        Raise ``CodecError``, with nothing changed, where it is of a newer form.
+        """
 
     def dump(self) -> bytes:
         """Return an image of the state."""
 
     def load(self, payload: bytes) -> None:
-        """Replace the state by an image; empty bytes stand for the first state."""
+        """Replace the state by an image; empty bytes stand for the first state.
+
+        Raise ``CodecError``, with nothing changed, where it is of a newer form.
+        """
 
 
 class Outgoing(NamedTuple):
@@ -80,6 +88,10 @@
 
     While its disk refuses writes, a member gives up the lead, observes who leads and
     promises nothing: it neither acknowledges nor votes nor stands for election.
+
+    A member that comes to a command of a newer form stops there: skipping it would make
+    its state another one than the others'. It goes on saving, acknowledging and voting,
+    but it does not lead, until a newer version starts from its disk.
     """
 
     def __init__(
@@ -97,12 +109,18 @@
         self.applied = replica.log.snapshot.log_index
         self.disk_error = ""
         self.disk_failures = 0
+        self.newer_form = ""
         self._retry_disk_at = NEVER
         self._snapshot_at = NEVER
         self._storage = storage
         self._snapshot_entries = snapshot_entries
         self._waiters: dict[int, Waiter] = {}
-        machine.load(replica.log.snapshot.payload)
+        self._load(replica.log.snapshot)
+
+    @property
+    def is_behind(self) -> bool:
+        """Return whether what is committed does not reach the state machine here."""
+        return bool(self.disk_error or self.newer_form)
 
     @property
     def sync_count(self) -> int:
@@ -123,7 +141,7 @@
             return
         if self.disk_error:
             observe(self.replica, sender, message, now)
-        else:
+        elif not (self.newer_form and isinstance(message, TakeOver)):
             receive(self.replica, sender, message, now)
 
     def propose(self, payload: bytes, notify: Callable[[object], None]) -> bool:
@@ -136,7 +154,7 @@
 
     def tick(self, now: float) -> None:
         """Let time pass."""
-        if not self.disk_error:
+        if not self.is_behind:
             tick(self.replica, now)
 
     def flush(self, now: float) -> list[Outgoing]:
@@ -150,7 +168,7 @@
             return self._address(take_output(self.replica))
         if output.snapshot is not None:
             self._install(output.snapshot)
-        self._apply()
+        self._apply(now)
         self._drop_lost_waiters()
         self._compact(now)
         return self._address(output)
@@ -220,17 +238,36 @@
     def _install(self, snapshot: SnapshotImage) -> None:
         """Replace the state by a leader's snapshot."""
         _LOGGER.info("%s: installed snapshot %d", self.name, snapshot.log_index)
-        self.machine.load(snapshot.payload)
+        self._load(snapshot)
+
+    def _load(self, snapshot: SnapshotImage) -> None:
+        """Set the state machine to an image, or stop where it is of a newer form."""
         self.applied = snapshot.log_index
+        self.newer_form = ""
+        try:
+            self.machine.load(snapshot.payload)
+        except CodecError as error:
+            self._stop_applying(error)
+
+    def _stop_applying(self, error: CodecError) -> None:
+        """Note that only a newer version can go on from here."""
+        self.newer_form = str(error)
+        at = self.applied
+        _LOGGER.error("%s: stopped after index %d: %s", self.name, at, error)
 
-    def _apply(self) -> None:
+    def _apply(self, now: float) -> None:
         """Apply what is committed and tell whoever waits for it."""
         log = self.replica.log
-        while self.applied < self.replica.commit:
+        while self.applied < self.replica.commit and not self.newer_form:
             entry = log.entries_from(self.applied + 1, 1)[0]
             result: object = None
             if entry.kind == EntryKind.COMMAND:
-                result = self.machine.apply(entry.log_index, entry.payload)
+                try:
+                    result = self.machine.apply(entry.log_index, entry.payload)
+                except CodecError as error:
+                    self._stop_applying(error)
+                    give_up_leadership(self.replica, now)
+                    return
             self.applied = entry.log_index
             waiter = self._waiters.pop(entry.log_index, None)
             if waiter is not None:
@@ -253,7 +290,7 @@
         log = self.replica.log
         if self.applied - log.snapshot.log_index < self._snapshot_entries:
             return
-        if self.disk_error or now < self._snapshot_at:
+        if self.is_behind or now < self._snapshot_at:
             return
         term = log.term_at(self.applied)
         assert term is not None
--- a/src/dragonflyrock/control/calls.py
+++ b/src/dragonflyrock/control/calls.py
@@ -4,7 +4,7 @@
 
 from typing import Final, NamedTuple
 
-from ..codec import Codec
+from ..codec import Codec, Newer
 from ..errors import Refusal
 from ..models import ContractRow, QuarantineRow, RangeRow
 from ..routes.models import RouteDocument
@@ -241,5 +241,6 @@
         RangeList,
         QuarantineList,
         Refusal,
-    ]
+    ],
+    Newer.IGNORED_OUTSIDE,
 )
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -292,6 +292,8 @@
             leading = group.replica.role == Role.LEADER
             self._metrics.leading.labels(group.name).set(leading)
             self._metrics.disk_lost.labels(group.name).set(bool(group.disk_error))
+            stopped = bool(group.newer_form)
+            self._metrics.apply_stopped.labels(group.name).set(stopped)
             self._metrics.disk_refusals.labels(group.name).set(group.disk_failures)
         leader = self._settled_leader(now)
         if leader is not None:
--- a/src/dragonflyrock/control/state.py
+++ b/src/dragonflyrock/control/state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..codec import CodecError
 from ..errors import Reason, Refusal, Step
 from ..hashing import KEY_SPACE
 from ..models import (
@@ -83,8 +84,8 @@
 
     def apply(self, index: int, payload: bytes) -> c.Result:
         """Carry out the command of the entry at ``index``."""
-        self.revision = index
         command: c.Command = c.COMMANDS.decode(payload)
+        self.revision = index
         match command:
             case c.PutContract() | c.PlanStop() | c.CancelStop() | c.LiftQuarantine():
                 return self._apply_change(command, payload)
@@ -106,7 +107,10 @@
 
     def load(self, payload: bytes) -> None:
         """Replace the state by an image."""
-        image = _IMAGE_DECODER.decode(payload) if payload else Image()
+        try:
+            image = _IMAGE_DECODER.decode(payload) if payload else Image()
+        except msgspec.MsgspecError as error:
+            raise CodecError(f"image of the control state: {error}") from error
         self.revision = image.revision
         self.ranges.clear()
         for row in image.ranges:
--- a/src/dragonflyrock/ledger/state.py
+++ b/src/dragonflyrock/ledger/state.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..codec import CodecError
 from ..errors import Reason, Refusal, Step
 from .commands import (
     LEDGER_COMMANDS,
@@ -74,7 +75,10 @@
 
     def load(self, payload: bytes) -> None:
         """Replace the ledger by an image."""
-        image = _IMAGE_DECODER.decode(payload) if payload else Image()
+        try:
+            image = _IMAGE_DECODER.decode(payload) if payload else Image()
+        except msgspec.MsgspecError as error:
+            raise CodecError(f"image of the ledger: {error}") from error
         self._latest_ms = image.latest_ms
         self._rows = OrderedDict((row.key, row) for row in image.rows)
 
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -98,6 +98,7 @@
         self._metrics = make_metrics_server(settings, self._loop.metrics)
         self._role = ""
         self._disk_error = ""
+        self._newer_form = ""
 
     # Life
 
@@ -175,7 +176,7 @@
         """
         replica = self._group.replica
         now = self._loop.clock()
-        if self._group.disk_error:
+        if self._group.is_behind:
             # What is committed meanwhile is not known here.
             return False
         if replica.role == Role.LEADER or now - replica.heard_at > LEADER_HEARD_SECONDS:
@@ -304,6 +305,7 @@
         self._tell_heard(now)
         self._member.tick(now)
         self._tell_disk()
+        self._tell_newer_form()
         if replica.role != self._role:
             self._role = replica.role
             self._loop.lines.add(
@@ -322,6 +324,14 @@
             )
         self._disk_error = error
 
+    def _tell_newer_form(self) -> None:
+        """Write a line when only a newer version can go on applying the log."""
+        error = self._group.newer_form
+        if error and error != self._newer_form:
+            applied = self._group.applied
+            self._loop.lines.add("apply-stopped", error=error, log_index=applied)
+        self._newer_form = error
+
 
 def _no_leader(step: Step) -> Refusal:
     """Return that no leader answered in time; what became of it is not known."""
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -82,6 +82,12 @@
             ["group"],
             registry=self.registry,
         )
+        self.apply_stopped = Gauge(
+            "dragonflyrock_apply_stopped",
+            "1 since a group's log holds what only a newer version can apply",
+            ["group"],
+            registry=self.registry,
+        )
         self.loop_seconds = Histogram(
             "dragonflyrock_loop_seconds",
             "Time of one pass of the runtime's loop",
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -1,10 +1,14 @@
-"""Messages between daemons."""
+"""Messages between daemons.
+
+A field may only be added at the end of a message, with a default: an earlier version
+ignores it, and its own messages lack it. See ``docs/design/evolution.md``.
+"""
 
 from __future__ import annotations
 
 from typing import Final, NamedTuple
 
-from ..codec import Codec
+from ..codec import Codec, Newer
 from ..consensus import models as consensus
 from ..models import Delta, HostRecord, RangeRef
 from ..observe.stamps import Stamp
@@ -192,9 +196,11 @@
         RateDemand,
         RateGrant,
         ServersHeard,
-    ]
+    ],
+    Newer.IGNORED,
 )
 
+# Entries, images and members must reach the log as they were sent.
 CONSENSUS: Final = Codec(
     [
         consensus.VoteRequest,
@@ -204,5 +210,6 @@
         consensus.SnapshotRequest,
         consensus.JoinRequest,
         consensus.TakeOver,
-    ]
+    ],
+    Newer.IGNORED_OUTSIDE,
 )
--- /dev/null
+++ b/tests/transport/examples.py
@@ -0,0 +1,87 @@
+"""One example of each record that travels or is kept, made from its fields' types.
+
+``python -m tests.transport.examples`` writes the bytes of those types that
+``wire.json`` lacks. What stands there is what released versions send: it is only added
+to.
+"""
+
+from __future__ import annotations
+
+import json
+import types
+from enum import Enum
+from pathlib import Path
+from typing import Any, Final, Union, get_args, get_origin, get_type_hints
+
+from dragonflyrock.codec import Codec
+from dragonflyrock.consensus import frames
+from dragonflyrock.control.calls import CALLS
+from dragonflyrock.control.commands import COMMANDS, RESULTS
+from dragonflyrock.ledger.commands import LEDGER_COMMANDS, LEDGER_RESULTS
+from dragonflyrock.transport import packing
+from dragonflyrock.transport.messages import CONSENSUS, MESSAGES
+
+CODECS: Final[dict[str, Codec]] = {
+    "messages": MESSAGES,
+    "consensus": CONSENSUS,
+    "calls": CALLS,
+    "deltas": packing._DELTAS,
+    "commands": COMMANDS,
+    "results": RESULTS,
+    "ledger-commands": LEDGER_COMMANDS,
+    "ledger-results": LEDGER_RESULTS,
+    "frames": frames._CODEC,
+}
+WIRE: Final = Path(__file__).with_name("wire.json")
+
+_PLAIN: Final[dict[object, object]] = {
+    int: 7,
+    float: 1.5,
+    str: "text",
+    bytes: b"bytes",
+    bool: True,
+    type(None): None,
+}
+
+
+def make_example(kind: Any) -> Any:
+    """Return a value of a type in which every part is set."""
+    if kind in _PLAIN:
+        return _PLAIN[kind]
+    origin = get_origin(kind)
+    args = get_args(kind)
+    if origin in (Union, types.UnionType):
+        return make_example(args[0])
+    if origin is tuple:
+        items = args[:1] if args[-1] is Ellipsis else args
+        return tuple(make_example(item) for item in items)
+    if origin is dict:
+        return {make_example(args[0]): make_example(args[1])}
+    if issubclass(kind, Enum):
+        return next(iter(kind))
+    fields = get_type_hints(kind)
+    return kind(*(make_example(fields[name]) for name in kind._fields))
+
+
+def load_wire() -> dict[str, dict[str, bytes]]:
+    """Return the kept bytes, by codec and type."""
+    kept = json.loads(WIRE.read_text())
+    return {
+        codec: {name: bytes.fromhex(data) for name, data in records.items()}
+        for codec, records in kept.items()
+    }
+
+
+def main() -> None:
+    """Add the types that are not there."""
+    kept = json.loads(WIRE.read_text()) if WIRE.exists() else {}
+    for name, codec in CODECS.items():
+        records = kept.setdefault(name, {})
+        for kind in codec.types:
+            data = codec.encode(make_example(kind))
+            records.setdefault(kind.__name__, data.hex())
+    WIRE.write_text(json.dumps(kept, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
