--- /dev/null
+++ b/src/dragonflyrock/control/deltas.py
@@ -0,0 +1,93 @@
+"""What changed in the control state after a revision, for entry hosts."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from ..models import Delta, DocumentHead, RangeRef
+from ..routes import ClientLimits, Route, RoutedService
+from .rows import Rows
+
+__all__ = ["delta_after"]
+
+_Item = TypeVar("_Item", Route, RoutedService, ClientLimits)
+
+
+def delta_after(rows: Rows, revision: int, up_to: int) -> Delta:
+    """Return what changed after a revision; ``up_to`` is what was applied.
+
+    ``up_to`` is at least the state's own revision, since some entries of the
+    log change no row.
+    """
+    changes = rows.journal.changes_after(revision)
+    if changes is None or revision > up_to:
+        return _full_delta(rows, up_to)
+    ranges = [rows.ranges.get(r.key) for r in changes if isinstance(r.key, RangeRef)]
+    named = [(r.table, r.key) for r in changes if isinstance(r.key, str)]
+    servers = [key for table, key in named if table == "servers"]
+    customers = [key for table, key in named if table == "contracts"]
+    fingerprints = [key for table, key in named if table == "quarantines"]
+    held = rows.quarantines
+    return Delta(
+        revision,
+        up_to,
+        False,
+        tuple(row for row in ranges if row is not None),
+        tuple(rows.servers[key] for key in servers if key in rows.servers),
+        tuple(key for key in servers if key not in rows.servers),
+        tuple(rows.contracts[key] for key in customers),
+        tuple(held[key] for key in fingerprints if key in held),
+        tuple(key for key in fingerprints if key not in held),
+        *_document_delta(rows, named),
+    )
+
+
+def _document_delta(
+    rows: Rows, named: list[tuple[str, str]]
+) -> tuple[
+    tuple[Route, ...],
+    tuple[str, ...],
+    tuple[RoutedService, ...],
+    tuple[str, ...],
+    DocumentHead | None,
+]:
+    """Return the changed parts of the route document, without their sources."""
+    names = [key for table, key in named if table == "routes"]
+    services = [key for table, key in named if table == "routed-services"]
+    if not any(table == "document" for table, _ in named):
+        return (), (), (), (), None
+    document = rows.book.document
+    routes = {route.name: route for route in document.routes}
+    routed = {service.name: service for service in document.services}
+    return (
+        tuple(_slim(routes[name]) for name in names if name in routes),
+        tuple(name for name in names if name not in routes),
+        tuple(_slim(routed[name]) for name in services if name in routed),
+        tuple(name for name in services if name not in routed),
+        DocumentHead(document.version, _slim(document.limits)),
+    )
+
+
+def _full_delta(rows: Rows, up_to: int) -> Delta:
+    """Return all rows."""
+    return Delta(
+        0,
+        up_to,
+        True,
+        tuple(rows.ranges),
+        tuple(rows.servers.values()),
+        (),
+        tuple(rows.contracts.values()),
+        tuple(rows.quarantines.values()),
+        (),
+        tuple(_slim(route) for route in rows.book.document.routes),
+        (),
+        tuple(_slim(service) for service in rows.book.document.services),
+        (),
+        DocumentHead(rows.book.document.version, _slim(rows.book.document.limits)),
+    )
+
+
+def _slim(item: _Item) -> _Item:
+    """Return an item without its source, which entry hosts have no use for."""
+    return item._replace(source=b"")
--- /dev/null
+++ b/src/dragonflyrock/control/server_changes.py
@@ -0,0 +1,53 @@
+"""Changes of server rows: registration, stops, and their end."""
+
+from __future__ import annotations
+
+from ..errors import Reason, Refusal, Step
+from ..models import ServerRow
+from ..tables import ChangedRow
+from . import commands as c
+from .rows import Rows
+
+__all__ = ["drop_server", "forget_server", "register_server", "set_stopping"]
+
+
+def register_server(rows: Rows, server: ServerRow) -> c.Result:
+    """Store a server, unless a later incarnation of it is known."""
+    current = rows.servers.get(server.name)
+    if current is not None:
+        if server.incarnation < current.incarnation:
+            detail = f"incarnation {current.incarnation} is known"
+            return Refusal(Reason.OLD_INCARNATION, Step.ANNOUNCE, server.name, detail)
+        same_run = server.incarnation == current.incarnation
+        if same_run and server.address != current.address:
+            detail = f"this incarnation is at {current.address}"
+            return Refusal(Reason.OLD_INCARNATION, Step.ANNOUNCE, server.name, detail)
+        server = server._replace(stopping=same_run and current.stopping)
+    rows.put_server(server)
+    return c.Done(rows.revision)
+
+
+def forget_server(rows: Rows, holder: str) -> c.Result:
+    """Drop a server that owns nothing."""
+    server = rows.find_holder(holder)
+    if server is None or rows.ranges.owns_any(holder):
+        return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, holder, "still in use")
+    del rows.servers[server.name]
+    rows.record(ChangedRow("servers", server.name))
+    return c.Done(rows.revision)
+
+
+def drop_server(rows: Rows, name: str) -> c.Result:
+    """Drop a server that has ended."""
+    if rows.servers.pop(name, None) is not None:
+        rows.record(ChangedRow("servers", name))
+    return c.Done(rows.revision)
+
+
+def set_stopping(rows: Rows, name: str, *, stopping: bool) -> c.Result:
+    """Mark whether a server is going to stop."""
+    server = rows.servers.get(name)
+    if server is None:
+        return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, "no such server")
+    rows.put_server(server._replace(stopping=stopping))
+    return c.Done(rows.revision)
