--- /dev/null
+++ b/src/dragonflyrock/control/answers.py
@@ -0,0 +1,82 @@
+"""What the leader of a group answers to calls, and which commands it may be given."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..codec import Codec, CodecError
+from ..consensus import Group, membership
+from ..errors import Reason, Refusal, Step
+from ..ledger.commands import LEDGER_COMMANDS, LEDGER_RESULTS
+from . import calls
+from . import commands as c
+from .const import CONTROL_GROUP
+from .leader import ControlLeader
+from .reports import list_contracts, read_status
+from .state import ControlState
+
+__all__ = ["answer_call", "check_command", "find_result_codec"]
+
+RESULT_CODECS: Final[dict[str, Codec]] = {CONTROL_GROUP: c.RESULTS}
+
+
+def find_result_codec(group: str) -> Codec:
+    """Return the codec of the results of a group's commands."""
+    return RESULT_CODECS.get(group, LEDGER_RESULTS)
+
+
+def answer_call(
+    group: Group,
+    state: ControlState,
+    leader: ControlLeader | None,
+    body: object,
+    now: float,
+) -> object:
+    """Answer a call that changes no state machine; ``leader`` are the duties if any."""
+    replica = group.replica
+    match body:
+        case calls.ReadStatus() if leader is not None:
+            return read_status(group, state, leader, now)
+        case calls.ListContracts(customer) if leader is not None:
+            hosts = leader.live_hosts(now)
+            return list_contracts(state, customer, hosts)
+        case calls.ReadRevisions() if leader is not None:
+            hosts = leader.live_hosts(now)
+            return calls.RevisionList(tuple(host.revision for host in hosts))
+        case calls.ReadRoutes():
+            return state.book.document
+        case calls.ListRanges(service):
+            return calls.RangeList(tuple(state.ranges.of_service(service)))
+        case calls.ListQuarantines():
+            return calls.QuarantineList(tuple(state.quarantines.values()))
+        case calls.AddMember(name):
+            return _tell_change(membership.add_learner(replica, name))
+        case calls.RemoveMember(name):
+            return _tell_change(membership.remove_member(replica, name))
+        case calls.HandOverLeadership():
+            asked = membership.hand_over_leadership(replica, now)
+            if asked:
+                return calls.MemberChanged(replica.log.last_index)
+            detail = "no other voter has caught up"
+            return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, detail=detail)
+    return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail="not a call")
+
+
+def check_command(group: str, payload: bytes) -> None:
+    """Refuse what the state machine could not decode or a caller may not send."""
+    if group != CONTROL_GROUP:
+        LEDGER_COMMANDS.decode(payload)
+        return
+    match c.COMMANDS.decode(payload):
+        case c.PutContract() | c.PlanStop() | c.CancelStop() | c.LiftQuarantine():
+            return
+        case c.StrikeRequest() | c.AbsolveRequest():
+            return
+        case c.PutRoutes() | c.ChangeRoutes():
+            return
+    raise CodecError("only the leader may propose this command")
+
+
+def _tell_change(result: int | Refusal) -> calls.MemberChanged | Refusal:
+    """Return the answer to a change of members."""
+    return calls.MemberChanged(result) if isinstance(result, int) else result
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -5,13 +5,11 @@
 import logging
 from collections.abc import Callable, Mapping
 from functools import partial
-from typing import Final, NamedTuple, Protocol
+from typing import NamedTuple
 
-from ..codec import Codec, CodecError
+from ..codec import CodecError
 from ..consensus import Group, Member, Role, membership
 from ..errors import Reason, Refusal, Step
-from ..ledger.commands import LEDGER_COMMANDS, LEDGER_RESULTS
-from ..models import ServerRow
 from ..observe import EventRing
 from ..observe.metrics import Metrics
 from ..transport.messages import (
@@ -26,6 +24,7 @@
 from ..transport.packing import UpdatePacker
 from . import calls
 from . import commands as c
+from .answers import answer_call, check_command, find_result_codec
 from .const import CONTROL_GROUP
 from .directed_models import DirectedTiming, Order, OrderResult, ServerBeat
 from .effects import SendOrder
@@ -37,7 +36,8 @@
     PushUpdate,
     ServicePolicy,
 )
-from .reports import list_contracts, read_status
+from .move_events import note_moves
+from .pushers import NoPusher, Pusher
 from .state import ControlState
 from .tables import LeaderTiming
 
@@ -58,26 +58,6 @@
     directed: DirectedTiming | None = None
 
 
-class Pusher(Protocol):
-    """What sends grants to servers that announce themselves."""
-
-    def push(self, server: ServerRow, grants: calls.GrantSet) -> None:
-        """Send a server its grants."""
-
-    def close(self) -> None:
-        """End."""
-
-
-class NoPusher:
-    """Be the pusher of a member whose servers are granted ranges by orders."""
-
-    def push(self, server: ServerRow, grants: calls.GrantSet) -> None:
-        """Send nothing: such servers hold no sets."""
-
-    def close(self) -> None:
-        """End."""
-
-
 class ControlMember:
     """Groups on this host, and the leader's duties while it leads control."""
 
@@ -175,7 +155,8 @@
         elif isinstance(body, ServerBeat):
             self._hear(body, sender, request.call_id, now)
         else:
-            answer(calls.CALLS.encode(self._carry_out(group, body, now)))
+            result = answer_call(group, self._state, self._leader, body, now)
+            answer(calls.CALLS.encode(result))
 
     def _answer(self, sender: str, call_id: int, body: bytes) -> None:
         """Send an answer."""
@@ -183,9 +164,9 @@
 
     def _propose(self, group: Group, command: bytes, sender: str, call_id: int) -> None:
         """Commit a command and answer with its result."""
-        codec = RESULT_CODECS.get(group.name, LEDGER_RESULTS)
+        codec = find_result_codec(group.name)
         try:
-            _check_command(group.name, command)
+            check_command(group.name, command)
         except CodecError as error:
             refusal = Refusal(Reason.BAD_REQUEST, Step.COMMIT, sender, str(error))
             self._answer(sender, call_id, codec.encode(refusal))
@@ -248,36 +229,6 @@
         if self._leader is not None and self._control.replica.role == Role.LEADER:
             self._run(self._leader.complete_order(result, now))
 
-    def _carry_out(self, group: Group, body: object, now: float) -> object:
-        """Answer the calls that change no state machine."""
-        replica = group.replica
-        match body:
-            case calls.ReadStatus() if self._leader is not None:
-                return read_status(group, self._state, self._leader, now)
-            case calls.ListContracts(customer) if self._leader is not None:
-                hosts = self._leader.live_hosts(now)
-                return list_contracts(self._state, customer, hosts)
-            case calls.ReadRevisions() if self._leader is not None:
-                hosts = self._leader.live_hosts(now)
-                return calls.RevisionList(tuple(host.revision for host in hosts))
-            case calls.ReadRoutes():
-                return self._state.book.document
-            case calls.ListRanges(service):
-                return calls.RangeList(tuple(self._state.ranges.of_service(service)))
-            case calls.ListQuarantines():
-                return calls.QuarantineList(tuple(self._state.quarantines.values()))
-            case calls.AddMember(name):
-                return _member_changed(membership.add_learner(replica, name))
-            case calls.RemoveMember(name):
-                return _member_changed(membership.remove_member(replica, name))
-            case calls.HandOverLeadership():
-                asked = membership.hand_over_leadership(replica, now)
-                if asked:
-                    return calls.MemberChanged(replica.log.last_index)
-                detail = "no other voter has caught up"
-                return Refusal(Reason.NOT_ALLOWED, Step.COMMIT, detail=detail)
-        return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail="not a call")
-
     def _acknowledge(self, holder: str, revision: int) -> None:
         """Note that a pushed grant arrived."""
         if self._leader is not None:
@@ -373,7 +324,7 @@
         """Commit a command of the leader's own."""
         leader = self._leader
         assert leader is not None
-        self._note_moves(command)
+        note_moves(self._events, self._metrics, command)
 
         def notify(result: object) -> None:
             leader.settle(command)
@@ -382,46 +333,3 @@
 
         if not self._control.propose(c.COMMANDS.encode(command), notify):
             leader.settle(command)
-
-    def _note_moves(self, command: c.Command) -> None:
-        """Show moves in the time line and the metrics."""
-        match command:
-            case c.BeginMoves(moves):
-                for move in moves:
-                    cause = "lost" if move.lost else "planned"
-                    self._metrics.moves.labels(move.service, cause).inc()
-                    self._events.add(
-                        "move-begun",
-                        service=move.service,
-                        range_low=move.low,
-                        server=move.target,
-                        detail=cause,
-                    )
-            case c.FinishMoves(moves) | c.CancelMoves(moves):
-                finished = isinstance(command, c.FinishMoves)
-                kind = "move-finished" if finished else "move-cancelled"
-                for ref in moves:
-                    self._events.add(kind, service=ref.service, range_low=ref.low)
-
-
-RESULT_CODECS: Final[dict[str, Codec]] = {CONTROL_GROUP: c.RESULTS}
-
-
-def _check_command(group: str, payload: bytes) -> None:
-    """Refuse what the state machine could not decode or a caller may not send."""
-    if group != CONTROL_GROUP:
-        LEDGER_COMMANDS.decode(payload)
-        return
-    match c.COMMANDS.decode(payload):
-        case c.PutContract() | c.PlanStop() | c.CancelStop() | c.LiftQuarantine():
-            return
-        case c.StrikeRequest() | c.AbsolveRequest():
-            return
-        case c.PutRoutes() | c.ChangeRoutes():
-            return
-    raise CodecError("only the leader may propose this command")
-
-
-def _member_changed(result: int | Refusal) -> calls.MemberChanged | Refusal:
-    """Return the answer to a change of members."""
-    return calls.MemberChanged(result) if isinstance(result, int) else result
