--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -11,7 +11,7 @@
 from . import commands as c
 from .effects import Effect, PushUpdate
 from .proposals import Proposals
-from .rows import RowSender
+from .sent_rows import RowSender
 from .state import ControlState
 from .tables import (
     NEVER,
--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -11,7 +11,7 @@
     HostUpdate,
     ServerSpeed,
 )
-from .rows import RowSender
+from .sent_rows import RowSender
 from .state import ControlState
 
 __all__ = ["NearHosts"]
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -168,6 +168,12 @@
             "Writes of a group's log that the disk refused since the start",
             "group",
         )
+        self.apply_stopped = Family(
+            Count,
+            "dragonflyrock_apply_stopped",
+            "1 since a group's log holds what only a newer version can apply",
+            "group",
+        )
         self._dropped_frames = Family(
             Count,
             "dragonflyrock_dropped_frames",
@@ -207,6 +213,7 @@
             self.log_syncs,
             self.disk_lost,
             self.disk_refusals,
+            self.apply_stopped,
             self._dropped_frames,
             self._revision,
             self._lease_seconds,
--- a/src/dragonflyrock/transport/consensus.py
+++ b/src/dragonflyrock/transport/consensus.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from ..codec import Codec
+from ..codec import Codec, Newer
 from ..consensus.models import (
     AppendAnswer,
     AppendRequest,
@@ -17,6 +17,7 @@
 
 __all__ = ["CONSENSUS"]
 
+# Entries, images and members must reach the log as they were sent.
 CONSENSUS: Final = Codec(
     [
         VoteRequest,
@@ -26,5 +27,6 @@
         SnapshotRequest,
         JoinRequest,
         TakeOver,
-    ]
+    ],
+    Newer.IGNORED_OUTSIDE,
 )
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -1,10 +1,14 @@
-"""Messages between daemons."""
+"""Messages between daemons.
+
+A field may only be added at the end of a message, with a default: an earlier version
+ignores it, and its own messages lack it. See ``docs/design/evolution.md``.
+"""
 
 from __future__ import annotations
 
 from typing import Final, NamedTuple
 
-from ..codec import Codec
+from ..codec import Codec, Newer
 from ..models import Delta, HostRecord, RangeRef
 from ..observe.stamps import Stamp
 
@@ -228,5 +232,6 @@
         ServeNear,
         NearRenew,
         HostsNear,
-    ]
+    ],
+    Newer.IGNORED,
 )
