Serve hosts only while a leader with a quorum confirms the reports of them

Such a leader sends heartbeats for up to 1.25 s, and the follower counted as fresh for 1 s more, 2.25 s in which its hosts kept old rows. The test fails without the confirmation.

--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -114,6 +114,7 @@
         self._near = NearHosts(config.zone, state, lease_ms)
         self._near_revision = 0
         self._leaving = False
+        self._confirmed_at = float("-inf")
         self._pusher = self._make_pusher(post)
 
     def _make_pusher(self, post: Post) -> Pusher:
@@ -176,9 +177,23 @@
         leader = self._settled_leader(now)
         if leader is not None:
             self._run(leader.hear_near(sender, report, now))
+            if report.zone:
+                self._send(sender, ServeNear(sender))
+
+    def confirm_near(self, now: float) -> None:
+        """Note that a leader that still has its quorum took this member's report."""
+        self._confirmed_at = now
 
     def _is_fresh(self, now: float) -> bool:
-        """Return whether this is a follower that is told what is committed."""
+        """Return whether this is a follower that is told what is committed.
+
+        Heartbeats do not show it: a leader that was cut off with this member sends
+        them on for a while, and another one commits meanwhile.
+        """
+        return self._is_following(now) and now - self._confirmed_at < FRESH_SECONDS
+
+    def _is_following(self, now: float) -> bool:
+        """Return whether this is a follower that has heard its leader just now."""
         replica = self._control.replica
         if self._leaving or replica.role != Role.FOLLOWER or not replica.leader:
             return False
@@ -187,11 +202,11 @@
     def _tick_near(self, now: float) -> None:
         """Tell the leader of the hosts served here, or let them go."""
         replica = self._control.replica
-        if self._is_fresh(now):
+        if self._is_following(now):
             report = self._near.take_report(now)
             if report is not None:
                 self._send(replica.leader, report)
-        elif replica.role == Role.LEADER or now - replica.heard_at > FRESH_SECONDS:
+        if not self._is_fresh(now):
             self._release_near()
 
     def _release_near(self) -> None:
--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -17,9 +17,9 @@
 __all__ = ["NearHosts"]
 
 REPORT_SECONDS: Final = 0.3
-# A member that has not heard the leader for so long may be cut off from changes.
+# A member whose reports were not confirmed for so long may be cut off from changes.
 # Shorter than an election, all hosts would ask elsewhere at each one.
-FRESH_SECONDS: Final = 1.0
+FRESH_SECONDS: Final = 0.9
 # A host that has not renewed for so long gets its rows elsewhere.
 HOST_MEMORY_SECONDS: Final = 3.0
 # The list of hosts only divides shared limits; see ``hosts.LIST_SECONDS``.
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -32,6 +32,7 @@
     HostRenew,
     HostsNear,
     NearRenew,
+    ServeNear,
     ServersHeard,
 )
 from .loop import NodeLoop
@@ -302,6 +303,8 @@
                 self._member.receive_renew(sender, message, now)
             case NearRenew(renew):
                 self._member.receive_near_renew(sender, renew, now)
+            case ServeNear():
+                self._member.confirm_near(now)
             case HostsNear():
                 self._member.receive_report(sender, message, now)
             case CallRequest():
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -71,8 +71,16 @@
         body = CONSENSUS.encode(request)
         message = ConsensusMessage(CONTROL_GROUP, "id", "", body)
         self.member.receive_consensus("leader", message, self.now)
+        self.member.confirm_near(self.now)
         self.member.flush(self.now)
 
+    def beat(self) -> None:
+        """Have the leader send a heartbeat, but take no report."""
+        confirmed = self.member.confirm_near
+        self.member.confirm_near = lambda now: None  # type: ignore[method-assign]
+        self.hear()
+        self.member.confirm_near = confirmed  # type: ignore[method-assign]
+
     def pass_time(self, seconds: float) -> None:
         """Let time pass in small steps."""
         for _ in range(round(seconds / 0.05)):
@@ -177,6 +185,19 @@
     assert isinstance(follower.sent[0][1], HostRenew)
 
 
+def test_a_leader_without_its_quorum_keeps_no_hosts_at_a_follower(
+    tmp_path: Path,
+) -> None:
+    """Cut off together they kept a host from a change for 2.3 s; the bound is 2 s."""
+    follower = Follower(tmp_path)
+    follower.hear(c.RegisterHost(HOST), change(1))
+    follower.renew()
+    for _ in range(10):
+        follower.pass_time(0.1)
+        follower.beat()
+    assert ("host", ServeNear("")) in follower.sent
+
+
 def test_a_follower_that_stops_hands_its_hosts_over_first(tmp_path: Path) -> None:
     """They would find out after a renewal without an answer, and be sent back here."""
     follower = Follower(tmp_path)
