--- a/soak/processes.py
+++ b/soak/processes.py
@@ -65,9 +65,11 @@
         self._settings.write_text(text, encoding="utf-8")
 
     async def start(self, forming: bool = False) -> None:
-        """Start the program."""
+        """Start the program, unless it runs."""
+        if self.is_running:
+            return
         self.write_settings(forming)
-        self._asked_at, self._killed, self.is_down = -1.0, False, False
+        self._asked_at, self._killed = -1.0, False
         environment = {wire.names.SETTINGS_VARIABLE: str(self._settings)}
         environment["PATH"] = os.environ.get("PATH", "")
         with self._log.open("ab") as log:
@@ -76,6 +78,7 @@
             )
         self._history.add(Started(self.place.name))
         self._watch = asyncio.create_task(self._note_end(self._process))
+        self.is_down = False
 
     async def _note_end(self, process: asyncio.subprocess.Process) -> None:
         """Record how the process ends; start one again that ended by itself."""
