Run no tick of a node after its links are closed

Found by the soak: after "stopped" a tick ran into closed links (ZMQError in the event loop; the exit status stayed 0).

--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -59,6 +59,7 @@
         self._local: deque[Received] = deque()
         self._tick_seconds = tick_seconds
         self._scheduled = False
+        self._next_tick: asyncio.TimerHandle | None = None
         self._ticked_at = self.clock()
         self._flushed_lines_at = 0.0
         self._handle: Handle = _ignore
@@ -113,7 +114,8 @@
         if now - self._flushed_lines_at > FLUSH_LINES_SECONDS:
             self._flushed_lines_at = now
             self.lines.flush()
-        asyncio.get_running_loop().call_later(self._tick_seconds, self._on_tick)
+        loop = asyncio.get_running_loop()
+        self._next_tick = loop.call_later(self._tick_seconds, self._on_tick)
 
     def _receive(self) -> None:
         """Take the messages that are there now."""
@@ -189,6 +191,10 @@
 
     def close(self) -> None:
         """Close the links and write the last lines."""
+        if self._next_tick is not None:
+            self._next_tick.cancel()
+            self._handle, self._tick, self._flush = _ignore, _ignore_time, _ignore_time
+            asyncio.get_running_loop().remove_reader(self._links.receiver.fileno())
         self._links.close()
         self.lines.flush()
 
