--- a/tests/consensus/groups.py
+++ b/tests/consensus/groups.py
@@ -5,11 +5,13 @@
 import errno
 from pathlib import Path
 from random import Random
-from typing import BinaryIO, Final, NamedTuple
+from typing import BinaryIO, Final
 
-from dragonflyrock.consensus import Group, Member, Message, Role, Timing, open_group
+from dragonflyrock.consensus import Group, Role, Timing, open_group
 from dragonflyrock.consensus.files import Files
 
+from .common import Letter
+
 TICK: Final = 0.02
 DELAY: Final = 0.005
 
@@ -88,17 +90,6 @@
         self.commands = payload.split(b"\n") if payload else []
 
 
-class Letter(NamedTuple):
-    """A message under way."""
-
-    at: float
-    order: int
-    sender: Member
-    peer: str
-    identity: str
-    message: Message
-
-
 class Fleet:
     """Groups by name; time passes only by ``run``."""
 
--- a/tests/control/test_leaving_hosts.py
+++ b/tests/control/test_leaving_hosts.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from .test_ownership import start
+from .test_ownership import (
+    return_with_requests,
+    start,
+    start_with_requests_in_flight,
+)
 from .world import LONGEST_DEADLINE, World
 
 LEAVE_SECONDS = 0.2
@@ -20,20 +24,13 @@
 # and the key had a second server while the first could still run the request.
 def test_a_request_in_flight_of_a_stopped_host_is_waited_out() -> None:
     for number in range(10):
-        world = start(number, checks=False)
-        world.shortest_deadline = LONGEST_DEADLINE
-        world.calling = {"host-0"}
-        world.run(0.5, calls_per_tick=8)
-        world.calling = {"host-1"}
+        world = start_with_requests_in_flight(number)
         world.frozen.add("server-2")
         world.run(0.1, calls_per_tick=0)
         assert not world.hosts["host-0"].gate.is_idle()
         leave(world, "host-0")
         world.run(1.6, calls_per_tick=0)
-        world.run(0.8, calls_per_tick=8)
-        world.frozen.discard("server-2")
-        world.run(4.0, calls_per_tick=8)
-        world.check_sole_ownership()
+        return_with_requests(world)
 
 
 # Guards against: a host gave its lease back, renewed it 50 ms later while it closed its
--- a/tests/control/test_ownership.py
+++ b/tests/control/test_ownership.py
@@ -119,15 +119,32 @@
         world.check_sole_ownership()
 
 
+def start_with_requests_in_flight(seed: int) -> World:
+    """Return a world whose servers, which do not check, have requests of host-0.
+
+    From then on only host-1 is called.
+    """
+    world = start(seed, checks=False)
+    world.shortest_deadline = LONGEST_DEADLINE
+    world.calling = {"host-0"}
+    world.run(0.5, calls_per_tick=8)
+    world.calling = {"host-1"}
+    return world
+
+
+def return_with_requests(world: World) -> None:
+    """Have server-2 return with its requests while host-1 is called."""
+    world.run(0.8, calls_per_tick=8)
+    world.frozen.discard("server-2")
+    world.run(4.0, calls_per_tick=8)
+    world.check_sole_ownership()
+
+
 @pytest.mark.parametrize("leader_lost", [False, True])
 def test_a_request_left_by_a_silent_host_is_waited_out(leader_lost: bool) -> None:
     # The server does not check, and both it and the host freeze with a request.
     for number in range(10):
-        world = start(number, checks=False)
-        world.shortest_deadline = LONGEST_DEADLINE
-        world.calling = {"host-0"}
-        world.run(0.5, calls_per_tick=8)
-        world.calling = {"host-1"}
+        world = start_with_requests_in_flight(number)
         world.frozen |= {"host-0", "server-2"}
         if leader_lost:
             world.leader = None
@@ -135,26 +152,16 @@
             world.elect()
         # Nobody else calls the server, or that call would be waited out too.
         world.run(1.7, calls_per_tick=0)
-        world.run(0.8, calls_per_tick=8)
-        world.frozen.discard("server-2")
-        world.run(4.0, calls_per_tick=8)
-        world.check_sole_ownership()
+        return_with_requests(world)
 
 
 def test_a_request_left_by_a_killed_host_is_waited_out_after_its_restart() -> None:
     for number in range(10):
-        world = start(number, checks=False)
-        world.shortest_deadline = LONGEST_DEADLINE
-        world.calling = {"host-0"}
-        world.run(0.5, calls_per_tick=8)
-        world.calling = {"host-1"}
+        world = start_with_requests_in_flight(number)
         world.frozen.add("server-2")
         world.start_host("host-0")
         world.run(1.7, calls_per_tick=0)
-        world.run(0.8, calls_per_tick=8)
-        world.frozen.discard("server-2")
-        world.run(4.0, calls_per_tick=8)
-        world.check_sole_ownership()
+        return_with_requests(world)
 
 
 def test_a_planned_stop_moves_all_away_and_delays_no_call_for_long() -> None:
