--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -29,6 +29,7 @@
     reset_election_timer,
     set_hard_state,
 )
+from .voting import VoteRefusal, find_vote_refusal
 
 __all__ = ["on_take_over", "on_vote_answer", "on_vote_request", "tick_election"]
 
@@ -38,6 +39,7 @@
 # votes. They are random since all members may have started at the same time.
 STARTUP_RETRY_SECONDS: Final = (0.05, 0.15)
 VOTE_RETRY_SECONDS: Final = (0.15, 0.4)
+MAX_RECORDED_CANDIDATES: Final = 32
 
 
 def tick_election(replica: Replica, now: float) -> None:
@@ -195,22 +197,18 @@
         # The sender was removed while it was offline and still considers itself a
         # voter, so its request counts as a request to join.
         on_join_request(replica, sender, JoinRequest(sender.identity))
-    granted = _can_grant_vote(replica, sender, request, now)
-    if not request.pre_vote and request.term > replica.hard_state.term:
-        if not granted:
-            _send_vote_answer(replica, sender, request, granted=False)
-            return
+    refusal = find_vote_refusal(replica, sender, request, now)
+    if not request.pre_vote and request.term > replica.hard_state.term and not refusal:
         become_follower(replica, request.term, "", now)
-    if request.term == replica.hard_state.term:
-        # Only one vote is granted per term, and no pre-vote for a vote that would
-        # then be refused.
-        granted = granted and replica.hard_state.voted_for in ("", sender.name)
-    if granted and _is_competing_pre_vote(replica, request):
-        granted = _resolve_tie(replica, sender, request, now)
-    if granted and not request.pre_vote:
+    if not refusal and _is_competing_pre_vote(replica, request):
+        refusal = _resolve_tie(replica, sender, request, now)
+    if not refusal and not request.pre_vote:
         set_hard_state(replica, request.term, sender.name, replica.hard_state.leader)
         reset_election_timer(replica, now)
-    _send_vote_answer(replica, sender, request, granted=granted)
+    if len(replica.vote_refusals) >= MAX_RECORDED_CANDIDATES:
+        replica.vote_refusals.clear()
+    replica.vote_refusals[sender.name] = refusal
+    _send_vote_answer(replica, sender, request, granted=not refusal)
 
 
 def _is_competing_pre_vote(replica: Replica, request: VoteRequest) -> bool:
@@ -221,8 +219,8 @@
 
 def _resolve_tie(
     replica: Replica, sender: Member, request: VoteRequest, now: float
-) -> bool:
-    """Return whether to yield to the sender; if not, request its pre-vote again.
+) -> VoteRefusal:
+    """Yield to the sender, or refuse and request its pre-vote again.
 
     Two members that grant each other a pre-vote both ask for votes and split them,
     which costs another election timeout. With equal logs the member with the lower
@@ -232,10 +230,10 @@
     is_equal = own_position == (request.last_term, request.last_index)
     if is_equal and replica.me.name < sender.name:
         queue_message(replica, sender.name, _make_vote_request(replica))
-        return False
+        return VoteRefusal.TIE
     become_follower(replica, replica.hard_state.term, "", now)
     _schedule_election(replica, now, VOTE_RETRY_SECONDS)
-    return True
+    return VoteRefusal.NONE
 
 
 def _send_vote_answer(
@@ -247,38 +245,6 @@
     queue_message(replica, sender.name, answer)
 
 
-def _can_grant_vote(
-    replica: Replica, sender: Member, request: VoteRequest, now: float
-) -> bool:
-    """Return whether this member may vote for the candidate.
-
-    The candidate must be a known member, its log at least as up to date as this one,
-    and this member not bound by a promise to another leader.
-    """
-    if request.term < replica.hard_state.term:
-        return False
-    if request.forming:
-        return replica.is_new and sender.name in replica.initial_voters
-    # A voter without a configuration cannot check the candidate's identity, but the
-    # candidate checks the voter's identity against its own configuration.
-    if not replica.is_new and replica.configuration.find(sender.name) != sender:
-        return False
-    promise_ends_at = replica.last_contact_at + replica.timing.election_min
-    if now < promise_ends_at and not request.transfer:
-        # A leader that stands for a later term no longer leads. So the promise to it
-        # is void, and no promise was made to another leader since.
-        is_promised_leader = (
-            sender.name == replica.hard_state.leader
-            and request.term > replica.hard_state.term
-        )
-        if not is_promised_leader:
-            return False
-    if replica.role == Role.LEADER and request.pre_vote:
-        return False
-    own_position = (replica.log.last_term, replica.log.last_index)
-    return (request.last_term, request.last_index) >= own_position
-
-
 def on_vote_answer(
     replica: Replica, sender: Member, answer: VoteAnswer, now: float
 ) -> None:
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -100,6 +100,7 @@
 
     ``term_start_index`` is the index of the first entry that this leader appended in
     its term. ``join_peers`` are members to ask to join besides the configured ones.
+    ``vote_refusals`` are the answers to the latest vote request of each candidate.
     """
 
     me: Member
@@ -120,6 +121,7 @@
     votes: dict[str, Member] = field(default_factory=dict)
     peers: dict[str, PeerProgress] = field(default_factory=dict)
     waiting_members: dict[str, Member] = field(default_factory=dict)
+    vote_refusals: dict[str, str] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
     has_seen_leader: bool = False
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -38,6 +38,7 @@
     ServeNear,
     ServersHeard,
 )
+from .group_lines import GroupLines
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings
@@ -124,7 +125,9 @@
         self._stop_requested_at = 0.0
         self._http_server: HttpServer | None = None
         self._metrics_server = make_metrics_server(settings, self._loop.metrics)
-        self._role = ""
+        self._group_lines = GroupLines(
+            CONTROL_GROUP, self._group.replica, self._loop.lines, self._loop.metrics
+        )
         self._disk_error = ""
         self._apply_error = ""
 
@@ -350,14 +353,7 @@
         self._waiting_hosts.tick(replica.leader, self._settings.node.name)
         self._log_disk_change()
         self._log_apply_error()
-        if replica.role != self._role:
-            self._role = replica.role
-            self._loop.lines.add(
-                "role",
-                role=replica.role,
-                term=replica.hard_state.term,
-                leader=replica.leader,
-            )
+        self._group_lines.tick(now)
 
     def _log_disk_change(self) -> None:
         """Log when the disk starts to refuse writes and when it accepts them again."""
--- /dev/null
+++ b/src/dragonflyrock/node/group_lines.py
@@ -0,0 +1,137 @@
+"""Structured lines about the group of control nodes: members, votes, no leader."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..consensus import Replica, Role
+from ..observe.lines import LineLog
+from ..observe.metrics import Metrics
+
+__all__ = ["GroupLines"]
+
+NO_LEADER_INTERVAL_SECONDS: Final = 2.0
+# Shortest interval between two lines about the same candidate.
+REFUSAL_INTERVAL_SECONDS: Final = 0.2
+NEVER: Final = float("-inf")
+
+
+class GroupLines:
+    """Log each change of what a member believes about its group.
+
+    While no leader is known, a line is logged each ``NO_LEADER_INTERVAL_SECONDS``.
+    """
+
+    def __init__(
+        self, name: str, replica: Replica, lines: LineLog, metrics: Metrics
+    ) -> None:
+        """Initialize for the replica of the group ``name``."""
+        self._name = name
+        self._replica = replica
+        self._lines = lines
+        self._metrics = metrics
+        self._role = ""
+        self._leader_seen_at = NEVER
+        self._no_leader_logged_at = NEVER
+        self._members_index = -1
+        self._are_members_committed = False
+        self._waiting: dict[str, str] = {}
+        self._refusals: dict[str, tuple[str, float]] = {}
+
+    def tick(self, now: float) -> None:
+        """Log what has changed since the last tick; ``now`` is in seconds."""
+        self._log_members()
+        self._log_waiting_members()
+        self._log_vote_refusals(now)
+        self._log_role()
+        self._log_missing_leader(now)
+
+    def _log_members(self) -> None:
+        """Log a new configuration, and that it is committed."""
+        log = self._replica.log
+        is_committed = log.configuration_index <= self._replica.commit_index
+        state = (log.configuration_index, is_committed)
+        if state == (self._members_index, self._are_members_committed):
+            return
+        self._members_index, self._are_members_committed = state
+        members = log.configuration
+        self._lines.add(
+            "members",
+            voters=[member.name for member in members.voters],
+            learners=[member.name for member in members.learners],
+            log_index=log.configuration_index,
+            committed=is_committed,
+            term=self._replica.hard_state.term,
+        )
+        self._metrics.voters.labels(self._name).set(len(members.voters))
+        self._metrics.learners.labels(self._name).set(len(members.learners))
+
+    def _log_waiting_members(self) -> None:
+        """Log a member that asks to join, and one that is no longer waited for."""
+        waiting = self._replica.waiting_members
+        if len(waiting) == len(self._waiting) and all(
+            self._waiting.get(name) == member.identity
+            for name, member in waiting.items()
+        ):
+            return
+        current = {name: member.identity for name, member in waiting.items()}
+        for name, identity in current.items():
+            if self._waiting.get(name) != identity:
+                self._lines.add("join-asked", member=name, identity=identity)
+        for name in self._waiting.keys() - current.keys():
+            self._lines.add("join-ended", member=name)
+        self._waiting = current
+
+    def _log_vote_refusals(self, now: float) -> None:
+        """Log the answer to a candidate's latest request, if it has changed."""
+        refusals = self._replica.vote_refusals
+        if self._refusals.keys() - refusals.keys():
+            self._refusals.clear()
+        for name, refusal in refusals.items():
+            logged, logged_at = self._refusals.get(name, ("unknown", NEVER))
+            if refusal == logged or now - logged_at < REFUSAL_INTERVAL_SECONDS:
+                continue
+            self._refusals[name] = (refusal, now)
+            self._lines.add(
+                "vote-refused" if refusal else "vote-granted",
+                candidate=name,
+                term=self._replica.hard_state.term,
+                log_index=self._replica.log.last_index,
+                detail=refusal,
+            )
+
+    def _log_role(self) -> None:
+        """Log a change of the role."""
+        replica = self._replica
+        if replica.role == self._role:
+            return
+        self._role = replica.role
+        self._lines.add(
+            "role",
+            role=replica.role,
+            term=replica.hard_state.term,
+            leader=replica.leader,
+        )
+
+    def _log_missing_leader(self, now: float) -> None:
+        """Log repeatedly that no leader is known, and the votes of a candidate."""
+        replica = self._replica
+        if replica.leader:
+            self._leader_seen_at = now
+            return
+        if self._leader_seen_at == NEVER:
+            self._leader_seen_at = now
+        missing = now - self._leader_seen_at
+        is_due = now - self._no_leader_logged_at >= NO_LEADER_INTERVAL_SECONDS
+        if missing < NO_LEADER_INTERVAL_SECONDS or not is_due:
+            return
+        self._no_leader_logged_at = now
+        self._lines.add(
+            "no-leader",
+            seconds=round(missing, 1),
+            role=replica.role,
+            term=replica.hard_state.term,
+            log_index=replica.log.last_index,
+            votes=sorted(replica.votes) if replica.role == Role.CANDIDATE else "",
+            needed=replica.configuration.quorum,
+        )
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -150,6 +150,18 @@
             "1 if this node leads the group",
             "group",
         )
+        self.voters = Family(
+            Value,
+            "dragonflyrock_voters",
+            "Voters of the group, by this node's log",
+            "group",
+        )
+        self.learners = Family(
+            Value,
+            "dragonflyrock_learners",
+            "Members of the group that do not vote, by this node's log",
+            "group",
+        )
         self.moves = Family(
             Value,
             "dragonflyrock_moves",
@@ -217,6 +229,8 @@
             self.link_bytes,
             self.server_bytes,
             self.leading,
+            self.voters,
+            self.learners,
             self.moves,
             self.log_syncs,
             self.disk_lost,
--- /dev/null
+++ b/tests/node/test_group_lines.py
@@ -0,0 +1,136 @@
+"""Tests of the lines about the group of control nodes."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from dragonflyrock.consensus import (
+    HardState,
+    Log,
+    Member,
+    Replica,
+    Timing,
+    make_replica,
+)
+from dragonflyrock.consensus.log import encode_configuration
+from dragonflyrock.consensus.models import (
+    Configuration,
+    Entry,
+    EntryKind,
+    SnapshotImage,
+    VoteRequest,
+)
+from dragonflyrock.consensus.step import receive
+from dragonflyrock.node.group_lines import GroupLines
+from dragonflyrock.observe.metrics import Metrics
+
+from .test_control_disk import LineRecorder
+
+VOTERS = (Member("a", "1"), Member("b", "2"), Member("c", "3"))
+
+
+@pytest.fixture
+def replica() -> Replica:
+    """Return a follower "a" of the voters "a", "b" and "c"."""
+    log = Log(SnapshotImage())
+    payload = encode_configuration(Configuration(VOTERS))
+    log.append([Entry(1, 1, EntryKind.CONFIGURATION, payload)])
+    timing = Timing()
+    return make_replica(
+        VOTERS[0], (), timing, Random(1), log, HardState(1, "b", "b"), 0.0
+    )
+
+
+@pytest.fixture
+def recorder() -> LineRecorder:
+    """Return a log that records its lines."""
+    return LineRecorder()
+
+
+@pytest.fixture
+def metrics() -> Metrics:
+    """Return metrics without values."""
+    return Metrics()
+
+
+@pytest.fixture
+def group_lines(
+    replica: Replica, recorder: LineRecorder, metrics: Metrics
+) -> GroupLines:
+    """Return the lines of the replica, after the first tick."""
+    lines = GroupLines("control", replica, recorder, metrics)  # type: ignore[arg-type]
+    lines.tick(0.0)
+    return lines
+
+
+# Guards against a group that lost its quorum while no line says who its members are.
+def test_a_change_of_the_members_is_logged_when_appended_and_committed(
+    group_lines: GroupLines,
+    replica: Replica,
+    recorder: LineRecorder,
+    metrics: Metrics,
+) -> None:
+    payload = encode_configuration(Configuration(VOTERS[:2], (Member("d", "4"),)))
+    replica.log.append([Entry(2, 1, EntryKind.CONFIGURATION, payload)])
+    replica.commit_index = 1
+    group_lines.tick(0.1)
+    replica.commit_index = 2
+    for now in (0.2, 0.3):
+        group_lines.tick(now)
+    lines = [line for line in recorder.lines if line["event"] == "members"]
+    assert [(line["log_index"], line["committed"]) for line in lines] == [
+        (1, False),
+        (2, False),
+        (2, True),
+    ]
+    assert (lines[2]["voters"], lines[2]["learners"]) == (["a", "b"], ["d"])
+    assert metrics.voters.labels("control").value == 2
+    assert metrics.learners.labels("control").value == 1
+
+
+# Guards against an election that fails again and again for a reason that is not logged,
+# and against a line for each of its requests.
+def test_the_reason_of_a_refused_vote_is_logged_once(
+    group_lines: GroupLines, replica: Replica, recorder: LineRecorder
+) -> None:
+    request = VoteRequest(2, 0, 0, pre_vote=True, forming=False)
+    for number in range(20):
+        now = 1.0 + number / 10
+        receive(replica, VOTERS[2], request, now)
+        group_lines.tick(now)
+    receive(replica, Member("c", "9"), request, 5.0)
+    group_lines.tick(5.0)
+    lines = [line for line in recorder.lines if line["event"] == "vote-refused"]
+    assert [(line["candidate"], line["detail"]) for line in lines] == [
+        ("c", "the candidate's log is older"),
+        ("c", "the member of this name has another identity"),
+    ]
+
+
+# Guards against a member that is admitted or removed because of a request that no line
+# shows.
+def test_a_request_to_join_is_logged_once_and_when_it_ends(
+    group_lines: GroupLines, replica: Replica, recorder: LineRecorder
+) -> None:
+    replica.waiting_members["d"] = Member("d", "4")
+    group_lines.tick(0.1)
+    group_lines.tick(0.2)
+    replica.waiting_members.clear()
+    group_lines.tick(0.3)
+    lines = [line for line in recorder.lines if "join" in str(line["event"])]
+    assert lines == [
+        {"event": "join-asked", "member": "d", "identity": "4"},
+        {"event": "join-ended", "member": "d"},
+    ]
+
+
+# Guards against a group without a leader that logs nothing, or a line each tick.
+def test_a_missing_leader_is_logged_at_intervals(
+    group_lines: GroupLines, recorder: LineRecorder
+) -> None:
+    for number in range(101):
+        group_lines.tick(number / 10)
+    lines = [line for line in recorder.lines if line["event"] == "no-leader"]
+    assert [line["seconds"] for line in lines] == [2.0, 4.0, 6.0, 8.0, 10.0]
