--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -19,6 +19,7 @@
     SnapshotImage,
     Timing,
     make_replica,
+    membership,
     propose,
     receive,
     replicate,
@@ -266,6 +267,16 @@
         assert len(lease_holders) <= 1, f"two leaders hold leases: {lease_holders}"
 
 
+def admit(cluster: Cluster, seconds: float) -> None:
+    """Let the leader change the members at each tick, as a control node does."""
+    for _ in range(int(seconds / 0.1)):
+        leader = cluster.leader()
+        if leader is not None:
+            membership.admit_waiting_member(leader)
+            membership.remove_unresponsive_voter(leader, cluster.clocks[leader.me.name])
+        cluster.run(0.1)
+
+
 def _read_image(snapshot: SnapshotImage) -> list[Entry]:
     """Return the commands in a snapshot as applied entries."""
     lines = snapshot.payload.split(b"\n") if snapshot.payload else []
--- /dev/null
+++ b/tests/consensus/test_membership.py
@@ -0,0 +1,45 @@
+"""Tests of members that join, are replaced and return, with a manual clock."""
+
+from __future__ import annotations
+
+from dragonflyrock.consensus import Replica
+
+from .common import Cluster, admit
+
+
+def wipe_voter_twice(cluster: Cluster) -> tuple[Replica, Replica, str]:
+    """Wipe a voter twice; the other follower hears only its first request to join.
+
+    Return the leader, the other follower, and the name of the wiped voter.
+    """
+    leader = cluster.wait_for_leader()
+    cluster.propose(b"before")
+    wiped, other = (name for name in "abc" if name != leader.me.name)
+    cluster.wipe(wiped)
+    admit(cluster, 4.0)
+    cluster.cut_links.add((wiped, other))
+    cluster.wipe(wiped)
+    admit(cluster, 4.0)
+    cluster.cut_links.clear()
+    admit(cluster, 1.0)
+    assert cluster.wait_for_leader() is leader
+    assert leader.configuration.has_voter(wiped)
+    return leader, cluster.replicas[other], wiped
+
+
+# Guards against a new leader that removes a voter because of a request to join which it
+# recorded as a follower, and so needs the lost leader for each later decision.
+def test_a_new_leader_keeps_a_voter_that_joined_anew_meanwhile() -> None:
+    cluster = Cluster("abc", seed=31)
+    old_leader, other, wiped = wipe_voter_twice(cluster)
+    identity = cluster.replicas[wiped].me
+    cluster.isolate(wiped)
+    cluster.propose(b"seen by the others")
+    cluster.run(0.1)
+    cluster.cut_links.clear()
+    cluster.stop(old_leader.me.name)
+    admit(cluster, 6.0)
+    leader = cluster.wait_for_leader()
+    assert leader is other
+    assert leader.configuration.find(wiped) == identity
+    assert leader.configuration.has_voter(wiped)
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -22,7 +22,7 @@
 )
 from dragonflyrock.errors import Reason, Refusal
 
-from .common import TICK_SECONDS, Cluster, Disk
+from .common import TICK_SECONDS, Cluster, Disk, admit
 
 
 # Guards against a new group, of one voter or of several, that commits nothing.
@@ -291,16 +291,6 @@
     assert follower.commit_index == before
 
 
-def admit(cluster: Cluster, seconds: float) -> None:
-    """Let the leader change the members at each tick, as a control node does."""
-    for _ in range(int(seconds / 0.1)):
-        leader = cluster.leader()
-        if leader is not None:
-            membership.admit_waiting_member(leader)
-            membership.remove_unresponsive_voter(leader, cluster.clocks[leader.me.name])
-        cluster.run(0.1)
-
-
 # Guards against a voter that lost its disk and stays out of the group until an operator
 # acts.
 def test_a_wiped_voter_is_readmitted_without_an_operator() -> None:
