--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -196,7 +196,7 @@
     if is_unknown and not replica.is_new and not request.forming:
         # The sender was removed while it was offline and still considers itself a
         # voter, so its request counts as a request to join.
-        on_join_request(replica, sender, JoinRequest(sender.identity))
+        on_join_request(replica, sender, JoinRequest(sender.identity), now)
     refusal = find_vote_refusal(replica, sender, request, now)
     if not request.pre_vote and request.term > replica.hard_state.term and not refusal:
         become_follower(replica, request.term, "", now)
--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -10,7 +10,13 @@
 from ..errors import Reason, Refusal, Step
 from .log import encode_configuration
 from .models import Configuration, EntryKind, JoinRequest, Member, Role, TakeOver
-from .replica import Replica, append_as_leader, become_follower, queue_message
+from .replica import (
+    Replica,
+    WaitingMember,
+    append_as_leader,
+    become_follower,
+    queue_message,
+)
 
 __all__ = [
     "add_learner",
@@ -24,6 +30,8 @@
 ]
 
 PROMOTION_GAP_ENTRIES: Final = 64
+# A member that wants to join repeats its request within each longest election timeout.
+JOIN_REQUEST_VALID_TIMEOUTS: Final = 4
 # A voter that acknowledged nothing for this long counts as lost. A restart takes about
 # one second, and a replacement must become a voter within four seconds.
 UNRESPONSIVE_VOTER_SECONDS: Final = 2.0
@@ -31,15 +39,19 @@
 MIN_VOTERS_FOR_REMOVAL: Final = 4
 
 
-def on_join_request(replica: Replica, sender: Member, request: JoinRequest) -> None:
-    """Record a member that is not in the configuration.
+def on_join_request(
+    replica: Replica, sender: Member, request: JoinRequest, now: float
+) -> None:
+    """Record a member that is not in the configuration, as the leader.
 
-    A follower forwards the request to the leader, unless it was forwarded already.
+    A follower forwards the request, unless it was forwarded already, and does not
+    record it: by the time at which it leads itself, the request may be outdated.
     """
-    member = Member(request.name or sender.name, request.identity)
-    if replica.configuration.find(member.name) != member:
-        replica.waiting_members[member.name] = member
-    if replica.role == Role.FOLLOWER and replica.leader and not request.name:
+    if replica.role == Role.LEADER:
+        member = Member(request.name or sender.name, request.identity)
+        if replica.configuration.find(member.name) != member:
+            replica.waiting_members[member.name] = WaitingMember(member, now)
+    elif replica.role == Role.FOLLOWER and replica.leader and not request.name:
         forwarded = JoinRequest(request.identity, sender.name)
         queue_message(replica, replica.leader, forwarded)
 
@@ -50,7 +62,7 @@
     A member whose data folder was wiped returns under its name with a new identity. Its
     old entry is removed first; a later call adds the new one.
     """
-    for name, member in list(replica.waiting_members.items()):
+    for name, (member, _) in list(replica.waiting_members.items()):
         known = replica.configuration.find(name)
         if known == member:
             del replica.waiting_members[name]
@@ -119,7 +131,7 @@
         detail = f"{name} has not asked to join"
         return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, detail)
     voters, learners = replica.configuration
-    changed = Configuration(voters, (*learners, replica.waiting_members[name]))
+    changed = Configuration(voters, (*learners, replica.waiting_members[name].member))
     return _append_configuration(replica, changed)
 
 
@@ -139,10 +151,19 @@
     return _append_configuration(replica, Configuration(voters, learners))
 
 
-def tick_membership(replica: Replica) -> None:
-    """Promote the first learner that has caught up to voter."""
+def _drop_outdated_requests(replica: Replica, now: float) -> None:
+    """Forget members that have not repeated their request to join."""
+    valid = JOIN_REQUEST_VALID_TIMEOUTS * replica.timing.election_max
+    for name, waiting in list(replica.waiting_members.items()):
+        if now - waiting.asked_at > valid:
+            del replica.waiting_members[name]
+
+
+def tick_membership(replica: Replica, now: float) -> None:
+    """Forget outdated requests, and promote the first learner that has caught up."""
     if replica.role != Role.LEADER:
         return
+    _drop_outdated_requests(replica, now)
     for learner in replica.configuration.learners:
         progress = replica.peers.get(learner.name)
         if progress is None or not progress.match_index:
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -27,6 +27,7 @@
     "Output",
     "PeerProgress",
     "Replica",
+    "WaitingMember",
     "append_as_leader",
     "become_follower",
     "get_durable_log",
@@ -79,6 +80,13 @@
         )
 
 
+class WaitingMember(NamedTuple):
+    """A member that asks to join, and when its latest request came in seconds."""
+
+    member: Member
+    asked_at: float
+
+
 @dataclass(slots=True)
 class PeerProgress:
     """The replication progress of a peer; times in seconds of the leader's clock.
@@ -100,6 +108,7 @@
 
     ``term_start_index`` is the index of the first entry that this leader appended in
     its term. ``join_peers`` are members to ask to join besides the configured ones.
+    ``waiting_members`` are known only to a leader, by their names.
     ``vote_refusals`` are the answers to the latest vote request of each candidate.
     """
 
@@ -120,7 +129,7 @@
     forming: bool = False
     votes: dict[str, Member] = field(default_factory=dict)
     peers: dict[str, PeerProgress] = field(default_factory=dict)
-    waiting_members: dict[str, Member] = field(default_factory=dict)
+    waiting_members: dict[str, WaitingMember] = field(default_factory=dict)
     vote_refusals: dict[str, str] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
@@ -268,6 +277,7 @@
     replica.role = Role.FOLLOWER
     replica.leader = leader
     replica.votes.clear()
+    replica.waiting_members.clear()
 
 
 def append_as_leader(replica: Replica, kind: EntryKind, payload: bytes) -> int:
--- a/src/dragonflyrock/consensus/step.py
+++ b/src/dragonflyrock/consensus/step.py
@@ -22,7 +22,7 @@
 def tick(replica: Replica, now: float) -> None:
     """Run the elections, membership changes and replication that are due."""
     election.tick_election(replica, now)
-    membership.tick_membership(replica)
+    membership.tick_membership(replica, now)
     replication.tick_replication(replica, now)
 
 
@@ -40,7 +40,7 @@
         case SnapshotRequest():
             replication.on_snapshot_request(replica, sender, message, now)
         case JoinRequest():
-            membership.on_join_request(replica, sender, message)
+            membership.on_join_request(replica, sender, message, now)
         case TakeOver():
             election.on_take_over(replica, message, now)
 
@@ -57,4 +57,4 @@
                 replica.leader = sender.name
                 replica.last_contact_at = now
         case JoinRequest():
-            membership.on_join_request(replica, sender, message)
+            membership.on_join_request(replica, sender, message, now)
--- a/src/dragonflyrock/control/reports.py
+++ b/src/dragonflyrock/control/reports.py
@@ -102,7 +102,7 @@
         index = progress.match_index if progress else replica.log.last_index
         statuses.append(calls.MemberStatus(member.name, member.identity, role, index))
     known = {(status.name, status.identity) for status in statuses}
-    for member in replica.waiting_members.values():
+    for member, _ in replica.waiting_members.values():
         if (member.name, member.identity) not in known:
             statuses.append(
                 calls.MemberStatus(member.name, member.identity, "waiting", 0)
--- a/src/dragonflyrock/node/group_lines.py
+++ b/src/dragonflyrock/node/group_lines.py
@@ -70,11 +70,11 @@
         """Log a member that asks to join, and one that is no longer waited for."""
         waiting = self._replica.waiting_members
         if len(waiting) == len(self._waiting) and all(
-            self._waiting.get(name) == member.identity
-            for name, member in waiting.items()
+            self._waiting.get(name) == asked.member.identity
+            for name, asked in waiting.items()
         ):
             return
-        current = {name: member.identity for name, member in waiting.items()}
+        current = {name: asked.member.identity for name, asked in waiting.items()}
         for name, identity in current.items():
             if self._waiting.get(name) != identity:
                 self._lines.add("join-asked", member=name, identity=identity)
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dragonflyrock.consensus import Replica
+from dragonflyrock.consensus import Member, Replica, receive
+from dragonflyrock.consensus.models import JoinRequest
 
 from .common import Cluster, admit
 
@@ -43,3 +44,20 @@
     assert leader is other
     assert leader.configuration.find(wiped) == identity
     assert leader.configuration.has_voter(wiped)
+
+
+# Guards against requests to join that a follower or an earlier leader keeps for ever.
+def test_only_a_leader_records_requests_to_join_and_for_a_short_time() -> None:
+    cluster = Cluster("abc", seed=32)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    follower = next(r for n, r in cluster.replicas.items() if n != leader.me.name)
+    for number in range(1_000):
+        name = f"new-{number}"
+        for replica in (leader, follower):
+            clock = cluster.clocks[replica.me.name]
+            receive(replica, Member(name, "1"), JoinRequest("1"), clock)
+    assert len(leader.waiting_members) == 1_000
+    assert not follower.waiting_members
+    cluster.run(4.0)
+    assert not leader.waiting_members
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -325,7 +325,7 @@
         (leader.me.name, JoinRequest("new", "d"))
     ]
     receive(leader, follower.me, JoinRequest("new", "d"), cluster.now)
-    assert leader.waiting_members["d"] == joiner
+    assert leader.waiting_members["d"].member == joiner
     assert take_output(leader).messages == []
 
 
@@ -383,7 +383,7 @@
     cluster.disks["d"] = Disk("d-9", SnapshotImage(1, 1, learner, b""))
     cluster.start("d")
     cluster.run(2.0)
-    assert leader.waiting_members["d"] == Member("d", "d-9")
+    assert leader.waiting_members["d"].member == Member("d", "d-9")
 
 
 # Guards against the removal of a lost voter without a replacement.
--- a/tests/node/test_group_lines.py
+++ b/tests/node/test_group_lines.py
@@ -22,6 +22,7 @@
     SnapshotImage,
     VoteRequest,
 )
+from dragonflyrock.consensus.replica import WaitingMember
 from dragonflyrock.consensus.step import receive
 from dragonflyrock.node.group_lines import GroupLines
 from dragonflyrock.observe.metrics import Metrics
@@ -114,7 +115,7 @@
 def test_a_request_to_join_is_logged_once_and_when_it_ends(
     group_lines: GroupLines, replica: Replica, recorder: LineRecorder
 ) -> None:
-    replica.waiting_members["d"] = Member("d", "4")
+    replica.waiting_members["d"] = WaitingMember(Member("d", "4"), 0.1)
     group_lines.tick(0.1)
     group_lines.tick(0.2)
     replica.waiting_members.clear()
