--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -32,9 +32,9 @@
 PROMOTION_GAP_ENTRIES: Final = 64
 # A member that wants to join repeats its request within each longest election timeout.
 JOIN_REQUEST_VALID_TIMEOUTS: Final = 4
-# A voter that acknowledged nothing for this long counts as lost. A restart takes about
+# A member that acknowledged nothing for this long counts as lost. A restart takes about
 # one second, and a replacement must become a voter within four seconds.
-UNRESPONSIVE_VOTER_SECONDS: Final = 2.0
+UNRESPONSIVE_SECONDS: Final = 2.0
 # A group of two keeps both voters: a group of one tolerates no loss at all.
 MIN_VOTERS_FOR_REMOVAL: Final = 4
 
@@ -56,22 +56,32 @@
         queue_message(replica, replica.leader, forwarded)
 
 
-def admit_waiting_member(replica: Replica) -> None:
+def admit_waiting_member(replica: Replica, now: float) -> None:
     """Add the first waiting member that is not in the configuration.
 
     A member whose data folder was wiped returns under its name with a new identity. Its
-    old entry is removed first; a later call adds the new one.
+    old entry is removed first; a later call adds the new one. An old entry that still
+    responds is kept, since the request is an outdated one that was held up.
     """
     for name, (member, _) in list(replica.waiting_members.items()):
         known = replica.configuration.find(name)
         if known == member:
             del replica.waiting_members[name]
-            continue
-        if known is None:
+        elif known is None:
             add_learner(replica, name)
-        elif name != replica.me.name:
+            return
+        elif _is_unresponsive(replica, name, now):
             remove_member(replica, name)
-        return
+            return
+
+
+def _is_unresponsive(replica: Replica, name: str, now: float) -> bool:
+    """Return whether another member has acknowledged nothing to this leader lately."""
+    progress = replica.peers.get(name)
+    if progress is None:
+        return False
+    last_ack_at = max(progress.acked_sent_at, replica.became_leader_at)
+    return now - last_ack_at > UNRESPONSIVE_SECONDS
 
 
 def remove_unresponsive_voter(replica: Replica, now: float) -> None:
@@ -89,11 +99,7 @@
     ):
         return
     for voter in voters:
-        progress = replica.peers.get(voter.name)
-        if voter == replica.me or progress is None:
-            continue
-        last_ack_at = max(progress.acked_sent_at, replica.became_leader_at)
-        if now - last_ack_at > UNRESPONSIVE_VOTER_SECONDS:
+        if voter != replica.me and _is_unresponsive(replica, voter.name, now):
             remove_member(replica, voter.name)
             return
 
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -375,7 +375,7 @@
         if leader is not None:
             self._run_effects(leader.tick(now))
             if self._config.directed is not None:
-                membership.admit_waiting_member(self._control.replica)
+                membership.admit_waiting_member(self._control.replica, now)
                 membership.remove_unresponsive_voter(self._control.replica, now)
 
     def flush(self, now: float) -> None:
--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -272,7 +272,7 @@
     for _ in range(int(seconds / 0.1)):
         leader = cluster.leader()
         if leader is not None:
-            membership.admit_waiting_member(leader)
+            membership.admit_waiting_member(leader, cluster.clocks[leader.me.name])
             membership.remove_unresponsive_voter(leader, cluster.clocks[leader.me.name])
         cluster.run(0.1)
 
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -61,3 +61,17 @@
     assert not follower.waiting_members
     cluster.run(4.0)
     assert not leader.waiting_members
+
+
+# Guards against a request to join that was held up at a frozen host and removes the
+# member that has joined under the same name since.
+def test_a_late_request_to_join_does_not_remove_a_voter_that_responds() -> None:
+    cluster = Cluster("abc", seed=33)
+    leader, other, wiped = wipe_voter_twice(cluster)
+    member = cluster.replicas[wiped].me
+    for _ in range(3):
+        late = JoinRequest("an earlier identity", wiped)
+        receive(leader, other.me, late, cluster.clocks[leader.me.name])
+        admit(cluster, 1.0)
+    assert leader.configuration.find(wiped) == member
+    assert leader.configuration.has_voter(wiped)
