--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -192,8 +192,8 @@
     replica: Replica, sender: Member, request: VoteRequest, now: float
 ) -> None:
     """Answer a vote request, and follow a newer term when the vote is granted."""
-    is_unknown = replica.configuration.find(sender.name) is None
-    if is_unknown and not replica.is_new and not request.forming:
+    is_member = replica.configuration.find(sender.name) == sender
+    if not is_member and not replica.is_new and not request.forming:
         # The sender was removed while it was offline and still considers itself a
         # voter, so its request counts as a request to join.
         on_join_request(replica, sender, JoinRequest(sender.identity), now)
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -75,3 +75,23 @@
         admit(cluster, 1.0)
     assert leader.configuration.find(wiped) == member
     assert leader.configuration.has_voter(wiped)
+
+
+# Guards against a voter that stays out of the group for ever since an entry of its name
+# with an earlier identity is in the configuration.
+def test_a_member_whose_name_has_another_identity_can_join() -> None:
+    cluster = Cluster("abc", seed=34)
+    leader = cluster.wait_for_leader()
+    admit(cluster, 1.0)
+    name = next(name for name in "abc" if name != leader.me.name)
+    member = cluster.replicas[name].me
+    cluster.stop(name)
+    admit(cluster, 3.0)
+    late = JoinRequest("an earlier identity")
+    receive(leader, Member(name, late.identity), late, cluster.clocks[leader.me.name])
+    admit(cluster, 1.0)
+    assert leader.configuration.find(name) == Member(name, late.identity)
+    cluster.start(name)
+    admit(cluster, 5.0)
+    assert leader.configuration.find(name) == member
+    assert leader.configuration.has_voter(name)
