--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -24,6 +24,7 @@
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
+    "remove_unresponsive_learner",
     "remove_unresponsive_voter",
     "step_down",
     "tick_membership",
@@ -35,6 +36,8 @@
 # A member that acknowledged nothing for this long counts as lost. A restart takes about
 # one second, and a replacement must become a voter within four seconds.
 UNRESPONSIVE_SECONDS: Final = 2.0
+# Longer than the transfer of a large snapshot, during which a learner is silent.
+LEARNER_TIMEOUT_SECONDS: Final = 10.0
 # A group of two keeps both voters: a group of one tolerates no loss at all.
 MIN_VOTERS_FOR_REMOVAL: Final = 4
 
@@ -75,13 +78,15 @@
             return
 
 
-def _is_unresponsive(replica: Replica, name: str, now: float) -> bool:
-    """Return whether another member has acknowledged nothing to this leader lately."""
+def _is_unresponsive(
+    replica: Replica, name: str, now: float, timeout: float = UNRESPONSIVE_SECONDS
+) -> bool:
+    """Return whether another member acknowledged nothing to this leader for so long."""
     progress = replica.peers.get(name)
     if progress is None:
         return False
     last_ack_at = max(progress.acked_sent_at, replica.became_leader_at)
-    return now - last_ack_at > UNRESPONSIVE_SECONDS
+    return now - last_ack_at > timeout
 
 
 def remove_unresponsive_voter(replica: Replica, now: float) -> None:
@@ -104,6 +109,14 @@
             return
 
 
+def remove_unresponsive_learner(replica: Replica, now: float) -> None:
+    """Remove a learner that is gone; one that returns asks to join again."""
+    for learner in replica.configuration.learners:
+        if _is_unresponsive(replica, learner.name, now, LEARNER_TIMEOUT_SECONDS):
+            remove_member(replica, learner.name)
+            return
+
+
 def _append_configuration(
     replica: Replica, configuration: Configuration
 ) -> int | Refusal:
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -377,6 +377,7 @@
             if self._config.directed is not None:
                 membership.admit_waiting_member(self._control.replica, now)
                 membership.remove_unresponsive_voter(self._control.replica, now)
+                membership.remove_unresponsive_learner(self._control.replica, now)
 
     def flush(self, now: float) -> None:
         """Persist, send and apply entries; then send the entry hosts changed rows."""
--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -272,8 +272,10 @@
     for _ in range(int(seconds / 0.1)):
         leader = cluster.leader()
         if leader is not None:
-            membership.admit_waiting_member(leader, cluster.clocks[leader.me.name])
-            membership.remove_unresponsive_voter(leader, cluster.clocks[leader.me.name])
+            clock = cluster.clocks[leader.me.name]
+            membership.admit_waiting_member(leader, clock)
+            membership.remove_unresponsive_voter(leader, clock)
+            membership.remove_unresponsive_learner(leader, clock)
         cluster.run(0.1)
 
 
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -95,3 +95,17 @@
     admit(cluster, 5.0)
     assert leader.configuration.find(name) == member
     assert leader.configuration.has_voter(name)
+
+
+# Guards against a learner that is gone and stays in the configuration: each new leader
+# sends it the log, and its name is taken.
+def test_a_learner_that_is_gone_is_removed() -> None:
+    cluster = Cluster("abc", seed=35)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    clock = cluster.clocks[leader.me.name]
+    receive(leader, Member("d", "d-1"), JoinRequest("d-1"), clock)
+    admit(cluster, 1.0)
+    assert leader.configuration.find("d") == Member("d", "d-1")
+    admit(cluster, 11.0)
+    assert leader.configuration.find("d") is None
