--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -85,8 +85,7 @@
     progress = replica.peers.get(name)
     if progress is None:
         return False
-    last_ack_at = max(progress.acked_sent_at, replica.became_leader_at)
-    return now - last_ack_at > timeout
+    return now - max(progress.acked_sent_at, progress.first_sent_at) > timeout
 
 
 def remove_unresponsive_voter(replica: Replica, now: float) -> None:
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 from typing import Final, NamedTuple
 
@@ -91,13 +92,15 @@
 class PeerProgress:
     """The replication progress of a peer; times in seconds of the leader's clock.
 
-    ``acked_sent_at`` is when the latest request that the peer answered was sent.
+    ``acked_sent_at`` is when the latest request that the peer answered was sent, and
+    ``first_sent_at`` when the first request was sent to it in this term.
     """
 
     next_index: int
     match_index: int = 0
     acked_sent_at: float = NEVER
     sent_at: float = NEVER
+    first_sent_at: float = inf
     snapshot_sent_at: float = NEVER
     sent_commit_index: int = 0
 
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -87,6 +87,7 @@
     previous_index = progress.next_index - 1
     term = replica.log.term_at(previous_index)
     progress.sent_at = now
+    progress.first_sent_at = min(progress.first_sent_at, now)
     progress.sent_commit_index = replica.commit_index
     if term is None:
         _send_snapshot(replica, name, progress, now)
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -109,3 +109,17 @@
     assert leader.configuration.find("d") == Member("d", "d-1")
     admit(cluster, 11.0)
     assert leader.configuration.find("d") is None
+
+
+# Guards against a new learner that is removed before its first acknowledgement, so that
+# the replacement of a lost voter never votes and the next loss leaves no quorum.
+def test_a_new_learner_has_time_to_respond_to_a_leader_that_has_led_for_long() -> None:
+    cluster = Cluster("abc", seed=36)
+    leader = cluster.wait_for_leader()
+    admit(cluster, 15.0)
+    assert cluster.leader() is leader
+    clock = cluster.clocks[leader.me.name]
+    receive(leader, Member("d", "d-1"), JoinRequest("d-1"), clock)
+    for _ in range(20):
+        admit(cluster, 0.1)
+        assert leader.configuration.find("d") == Member("d", "d-1")
