--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -38,6 +38,7 @@
     PushUpdate,
     ServicePolicy,
 )
+from .member_notices import MemberNotices
 from .move_events import report_moves
 from .near import LEADER_TIMEOUT_SECONDS, NearHosts
 from .pushers import NoPusher, Pusher
@@ -103,6 +104,7 @@
         self._pending_renewals: dict[str, PendingRenewal] = {}
         self._send_order = send_order
         self._packer = UpdatePacker()
+        self._notices = MemberNotices()
         lease_ms = int(config.timing.entry_lease * 1000)
         self._near = NearHosts(config.zone, state, lease_ms)
         self._near_revision = 0
@@ -150,6 +152,7 @@
             return
         update, effects = leader.renew_host(renewal, self._control.applied_index, now)
         self._send_update(renewal.host.name, update)
+        self._send_members(renewal, now)
         self._run_effects(effects)
         near = leader.choose_near_member(renewal.host, now)
         if near:
@@ -169,6 +172,7 @@
             now,
         )
         self._send_update(renewal.host.name, update)
+        self._send_members(renewal, now)
 
     def receive_near_report(self, sender: str, report: HostsNear, now: float) -> None:
         """Handle a follower's report of its hosts, and confirm it, while leading."""
@@ -245,6 +249,14 @@
             if now - pending.received_at < self._config.timing.entry_lease:
                 self.receive_renewal(name, pending.renewal, now)
 
+    def _send_members(self, renewal: HostRenew, now: float) -> None:
+        """Tell a host who the voters are, so that it knows whom else to ask."""
+        voters = self._control.replica.configuration.voters
+        names = tuple(sorted(voter.name for voter in voters))
+        notice = self._notices.make_notice(renewal.host.holder, names, now)
+        if notice is not None:
+            self._send(renewal.host.name, notice)
+
     def _send_update(self, host: str, update: HostUpdate) -> None:
         """Send a host an update, packed unless the host is in this process."""
         same_process = host == self._config.name
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -93,6 +93,7 @@
         self._clock = clock
         self._leader = ""
         self._leaders: dict[str, None] = {}
+        self._voters: tuple[str, ...] = ()
         self._updated_at = NEVER
         self._renewed_at = NEVER
         self._renewal_requested = True
@@ -142,6 +143,16 @@
         if not node:
             self._updated_at = NEVER
 
+    def set_voters(self, names: tuple[str, ...]) -> bool:
+        """Set the present voters, to ask when no leader answers.
+
+        Return whether they are others than before.
+        """
+        changed = names != self._voters
+        self._voters = names
+        self._leaders.clear()
+        return changed
+
     def request_renewal(self) -> None:
         """Renew at the next tick, because a range may have drained."""
         self._renewal_requested = True
@@ -219,5 +230,8 @@
         if self._leader and now - self._updated_at < silence:
             self._send(self._leader, message)
             return
-        for voter in dict.fromkeys((*config.voters, *self._leaders)):
+        # The voters of the settings are asked too: they may have been changed later
+        # than this host was last told of others.
+        names = (*self._voters, *config.voters, *self._leaders)
+        for voter in dict.fromkeys(names):
             self._send(voter, message)
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -342,8 +342,7 @@
         """Run the periodic tasks."""
         replica = self._group.replica
         names = [voter.name for voter in replica.configuration.voters]
-        members = dict.fromkeys((*names, *self._settings.seed_names))
-        self._calls.members = tuple(members)
+        self._calls.set_voters(tuple(names))
         self._calls.set_leader(CONTROL_GROUP, replica.leader)
         self._calls.tick(now)
         if now - self._servers_reported_at >= SERVER_REPORT_INTERVAL_SECONDS:
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -25,7 +25,7 @@
 from ..router.budget import BudgetPolicy
 from ..transport.calls import CallTable
 from ..transport.links import ReceivedMessage
-from ..transport.messages import CallAnswer, HostUpdate, ServeNear
+from ..transport.messages import CallAnswer, ControlMembers, HostUpdate, ServeNear
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings
@@ -156,11 +156,19 @@
                 self._agent.receive(message, now, received.sender)
                 self._calls.set_leader(CONTROL_GROUP, message.leader)
                 self._apply_document()
+            case ControlMembers(voters):
+                self._set_voters(voters)
             case ServeNear(near_member):
                 self._agent.set_near_member(near_member, now, received.sender)
             case CallAnswer():
                 self._calls.answer(received.sender, message, now)
 
+    def _set_voters(self, voters: tuple[str, ...]) -> None:
+        """Ask the present voters from now on, and those of the settings."""
+        self._calls.set_voters(voters)
+        if self._agent.set_voters(voters):
+            self._loop.lines.add("voters", names=voters)
+
     def report_crash(
         self, fingerprint: str, method: str, target: str, server: str
     ) -> None:
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -24,6 +24,7 @@
     CallAnswer,
     CallRequest,
     ConsensusMessage,
+    ControlMembers,
     HostRenew,
     HostUpdate,
     LinkMessage,
@@ -171,6 +172,10 @@
                 self.calls.answer(sender, message, now)
             case HostUpdate() if self.agent is not None:
                 self.agent.receive(message, now)
+            case ControlMembers(voters) if self.agent is not None:
+                self.agent.set_voters(voters)
+                if self.calls is not None:
+                    self.calls.set_voters(voters)
             case RateDemand() if self.limits is not None:
                 self.limits.receive_demand(sender, message)
             case RateGrant() if self.limits is not None:
--- a/src/dragonflyrock/transport/calls.py
+++ b/src/dragonflyrock/transport/calls.py
@@ -45,6 +45,7 @@
         request to a node and returns whether it was sent.
         """
         self.members = members
+        self._configured = members
         self._send = send
         self._leaders: dict[str, str] = {}
         self._calls: dict[int, _Call] = {}
@@ -63,6 +64,10 @@
         self._calls[request.call_id] = call
         self._transmit(call, now)
 
+    def set_voters(self, names: tuple[str, ...]) -> None:
+        """Call these nodes from now on, besides those of the settings."""
+        self.members = tuple(dict.fromkeys((*names, *self._configured)))
+
     def set_leader(self, group: str, leader: str) -> None:
         """Set the leader of a group, unless it is empty."""
         if leader:
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -193,6 +193,12 @@
     node: str
 
 
+class ControlMembers(NamedTuple):
+    """Tell an entry host the names of the control group's present voters."""
+
+    voters: tuple[str, ...]
+
+
 class NearRenew(NamedTuple):
     """A renewal for the control node that sends the entry host its rows."""
 
@@ -229,6 +235,7 @@
     | ServeNear
     | NearRenew
     | HostsNear
+    | ControlMembers
 )
 
 MESSAGES: Final = Codec(
@@ -246,6 +253,7 @@
         ServeNear,
         NearRenew,
         HostsNear,
+        ControlMembers,
     ],
     UnknownFields.IGNORE,
 )
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from dragonflyrock.consensus import Entry, EntryKind, Timing, open_group
-from dragonflyrock.consensus.models import AppendRequest
+from dragonflyrock.consensus.log import encode_configuration
+from dragonflyrock.consensus.models import AppendRequest, Configuration, Member
 from dragonflyrock.control import calls
 from dragonflyrock.control import commands as c
 from dragonflyrock.control.directed_models import DirectedTiming
@@ -23,6 +24,7 @@
     CallAnswer,
     CallRequest,
     ConsensusMessage,
+    ControlMembers,
     HostRenew,
     HostsNear,
     HostUpdate,
@@ -74,6 +76,20 @@
         self.member.confirm_near_report(self.now)
         self.member.flush(self.now)
 
+    def append_members(self, *names: str) -> None:
+        """Deliver a committed configuration of the group."""
+        voters = tuple(Member(name, "id") for name in names)
+        payload = encode_configuration(Configuration(voters))
+        entry = Entry(self.index + 1, 1, EntryKind.CONFIGURATION, payload)
+        request = AppendRequest(
+            1, self.index, 1 if self.index else 0, (entry,), entry.log_index, self.now
+        )
+        self.index += 1
+        body = CONSENSUS.encode(request)
+        message = ConsensusMessage(CONTROL_GROUP, "id", "", body)
+        self.member.receive_consensus("leader", message, self.now)
+        self.member.flush(self.now)
+
     def send_heartbeat(self) -> None:
         """Deliver a heartbeat of the leader without a confirmation of reports."""
         confirmed = self.member.confirm_near_report
@@ -237,3 +253,18 @@
         answer = leader.call(calls.ReadRoutes(version))
         assert isinstance(answer, RouteDocument)
         assert answer.version == 2
+
+
+# Guards against a host that was told of the control nodes once, at its start, and knows
+# none of those that replaced them.
+def test_a_host_is_told_when_the_voters_change(tmp_path: Path) -> None:
+    follower = Follower(tmp_path)
+    follower.append_members("leader", "me")
+    follower.append(c.RegisterHost(HOST), make_change(1))
+    for _ in range(3):
+        follower.renew()
+    follower.append_members("leader", "me", "new")
+    for _ in range(3):
+        follower.renew()
+    told = [m.voters for _, m in follower.sent if isinstance(m, ControlMembers)]
+    assert told == [("leader", "me"), ("leader", "me", "new")]
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -51,3 +51,17 @@
     delta = Delta(0, 7, full=True)
     host.agent.receive(HostUpdate(1, "leader", 0.0, 0, delta, 0, ()), host.now)
     assert 2 <= host.run(2.0) <= 4
+
+
+# Guards against a host that knows only control nodes that were replaced, and does not
+# find the leader after a loss.
+def test_a_host_without_an_answer_asks_the_present_voters() -> None:
+    host = AgentHost()
+    delta = Delta(0, 7, full=True)
+    host.agent.receive(HostUpdate(1, "one", 0.0, 0, delta, 0, ()), host.now)
+    assert host.agent.set_voters(("one", "three", "four"))
+    assert not host.agent.set_voters(("one", "three", "four"))
+    host.run(3.0)
+    host.sent.clear()
+    host.run(1.0)
+    assert {peer for peer, _ in host.sent} == {"one", "two", "three", "four"}
