--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -92,6 +92,7 @@
         self._send = send
         self._clock = clock
         self._leader = ""
+        self._term = 0
         self._leaders: dict[str, None] = {}
         self._voters: tuple[str, ...] = ()
         self._updated_at = NEVER
@@ -113,8 +114,10 @@
         The next tick renews, if new rows have to be acknowledged at once or rows
         between the update and the present revision are missing.
         """
-        self._leader = update.leader
-        self._leaders[update.leader] = None
+        if update.term >= self._term:
+            self._term = update.term
+            self._leader = update.leader
+            self._leaders[update.leader] = None
         self._updated_at = now
         if update.sent_at:
             self._near_member_failed = False
--- a/src/dragonflyrock/entry/tables.py
+++ b/src/dragonflyrock/entry/tables.py
@@ -35,6 +35,7 @@
     revision: int = 0
     lease_until: float = NEVER
     leader: str = ""
+    term: int = 0
     hosts: tuple[str, ...] = ()
     hosts_version: int = 0
     hosts_changed_at: float = NEVER
@@ -69,7 +70,9 @@
             if update.hosts != self.hosts:
                 self.hosts = update.hosts
                 self.hosts_changed_at = now
-        self.leader = update.leader
+        if update.term >= self.term:
+            self.term = update.term
+            self.leader = update.leader
         return changed
 
     def find_lost_ranges(self) -> set[RangeRef]:
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -154,7 +154,7 @@
         match message:
             case HostUpdate():
                 self._agent.receive(message, now, received.sender)
-                self._calls.set_leader(CONTROL_GROUP, message.leader)
+                self._calls.set_leader(CONTROL_GROUP, self.state.tables.leader)
                 self._apply_document()
             case ControlMembers(voters):
                 self._set_voters(voters)
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -21,14 +21,14 @@
         """Start without rows."""
         self.now = 100.0
         self.sent: list[tuple[str, HostRenew | NearRenew]] = []
-        state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
+        self.state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
         record = HostRecord("host", 1, "a", "127.0.0.1:1", "")
         config = AgentConfig(
             record, ("one", "two"), RENEW_SECONDS, acknowledge_at_once=False
         )
         self.agent = EntryAgent(
             config,
-            state,
+            self.state,
             lambda peer, renew: self.sent.append((peer, renew)),
             lambda: self.now,
         )
@@ -65,3 +65,14 @@
     host.sent.clear()
     host.run(1.0)
     assert {peer for peer, _ in host.sent} == {"one", "two", "three", "four"}
+
+
+# Guards against a host that returns to a deposed leader because of its late update.
+def test_an_update_of_an_earlier_term_does_not_change_the_leader() -> None:
+    host = AgentHost()
+    delta = Delta(0, 7, full=True)
+    host.agent.receive(HostUpdate(3, "leader", 0.0, 0, delta, 0, ()), host.now)
+    host.agent.receive(HostUpdate(2, "deposed", 0.0, 0, delta, 0, ()), host.now)
+    assert host.state.tables.leader == "leader"
+    host.run(0.2)
+    assert {peer for peer, _ in host.sent} == {"leader"}
