--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -66,6 +66,7 @@
             self._proposals,
             awaits_renewal=directed is not None,
         )
+        self._events = events
         self._grants = ServerGrants(
             term, state, services, self.tables, timing, events, self._proposals
         )
@@ -141,6 +142,24 @@
             effects += self._proposals.propose(command)
         return effects + self._hosts.receive_near_report(sender, report, now)
 
+    def stop_leaving_servers(self, holders: tuple[str, ...]) -> list[Effect]:
+        """Mark servers as stopping that said in a response that they leave.
+
+        What an earlier incarnation has said does not count.
+        """
+        effects: list[Effect] = []
+        for holder in holders:
+            row = self._state.servers.get(holder.rpartition("@")[0])
+            if row is None or row.holder != holder or row.stopping:
+                continue
+            proposed = self._proposals.propose(c.StopServer(row.name))
+            if proposed:
+                self._events.add(
+                    "server-changed", server=row.name, detail="StopServer: response"
+                )
+            effects += proposed
+        return effects
+
     def list_live_hosts(self, now: float) -> list[HostRow]:
         """Return the entry hosts whose leases are valid."""
         return self._hosts.list_live(now)
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -20,6 +20,7 @@
     HostRenew,
     HostsNear,
     HostUpdate,
+    LeavingServers,
     LinkMessage,
     ServeNear,
 )
@@ -182,6 +183,16 @@
             if report.zone:
                 self._send(sender, ServeNear(sender))
 
+    def receive_leaving_servers(self, message: LeavingServers, now: float) -> None:
+        """Mark reported servers as stopping, or pass the report on to the leader."""
+        leader = self._settled_leader(now)
+        if leader is not None:
+            self._run_effects(leader.stop_leaving_servers(message.holders))
+            return
+        name = self._control.replica.leader
+        if name not in ("", self._config.name) and not message.forwarded:
+            self._send(name, message._replace(forwarded=True))
+
     def confirm_near_report(self, now: float) -> None:
         """Record that a leader with a quorum has confirmed this member's report."""
         self._confirmed_at = now
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -9,6 +9,7 @@
 from ..transport.messages import (
     HostRenew,
     HostUpdate,
+    LeavingServers,
     NearRenew,
     RangeLoad,
     ServerSpeed,
@@ -17,7 +18,7 @@
 
 __all__ = ["AgentConfig", "EntryAgent", "EntryState"]
 
-Send = Callable[[str, HostRenew | NearRenew], object]
+Send = Callable[[str, HostRenew | NearRenew | LeavingServers], object]
 
 NEVER: Final = float("-inf")
 LEADER_SILENCE_INTERVALS: Final = 2
@@ -68,6 +69,9 @@
     def pop_ended_servers(self) -> tuple[str, ...]:
         """Return the servers that were found to have ended since the last call."""
 
+    def list_leaving_servers(self) -> tuple[str, ...]:
+        """Return holders that said that they leave, which the rows do not show yet."""
+
 
 class EntryAgent:
     """Renew the lease of an entry host and report its state to the leader.
@@ -218,9 +222,12 @@
             self._state.pop_speeds(),
             self._state.pop_ended_servers(),
         )
+        leaving_servers = self._state.list_leaving_servers()
         if self._near_member:
             if not near_member_silent:
                 self._send(self._near_member, NearRenew(message))
+                if leaving_servers:
+                    self._send(self._near_member, LeavingServers(leaving_servers))
                 return
             self._failed_member = self._near_member
             self._failed_member_until = (
@@ -232,6 +239,8 @@
         silence = LEADER_SILENCE_INTERVALS * config.renew_interval
         if self._leader and now - self._updated_at < silence:
             self._send(self._leader, message)
+            if leaving_servers:
+                self._send(self._leader, LeavingServers(leaving_servers))
             return
         # The voters of the settings are asked too: they may have been changed later
         # than this host was last told of others.
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -158,6 +158,10 @@
         """Return nothing: these servers announce a restart themselves."""
         return ()
 
+    def list_leaving_servers(self) -> tuple[str, ...]:
+        """Return holders that said that they leave, which the rows do not show yet."""
+        return ()
+
     def pop_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call and reset them."""
         with self._changed:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -34,6 +34,7 @@
     ConsensusMessage,
     HostRenew,
     HostsNear,
+    LeavingServers,
     NearRenew,
     ServeNear,
     ServersHeard,
@@ -329,6 +330,8 @@
                 self._member.receive_near_renewal(sender, renew, now)
             case ServeNear():
                 self._member.confirm_near_report(now)
+            case LeavingServers():
+                self._member.receive_leaving_servers(message, now)
             case HostsNear():
                 self._member.receive_near_report(sender, message, now)
             case CallRequest():
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -23,6 +23,7 @@
 from ..models import HostRecord
 from ..router import HeaderNames, Router, RouterConfig, RouterState
 from ..router.budget import BudgetPolicy
+from ..tables import LeavingRow, LeavingSource
 from ..transport.calls import CallTable
 from ..transport.links import ReceivedMessage
 from ..transport.messages import CallAnswer, ControlMembers, HostUpdate, ServeNear
@@ -89,6 +90,7 @@
             self._loop.send,
             clock,
         )
+        self.state.on_leaving = self._log_leaving
         self._stopping = asyncio.Event()
         self._stop_requested_at = 0.0
         self._cleaned_up_at = 0.0
@@ -169,6 +171,26 @@
         if self._agent.set_voters(voters):
             self._loop.lines.add("voters", names=voters)
 
+    def _log_leaving(self, row: LeavingRow) -> None:
+        """Log that a server leaves, and report it if the rows do not show it yet."""
+        self._loop.lines.add(
+            "server-leaving",
+            server=row.holder,
+            source=row.source,
+            revision=self.state.tables.revision,
+        )
+        if row.source == LeavingSource.RESPONSE:
+            self._agent.request_renewal()
+
+    def _update_server_notices(self, now: float) -> None:
+        """Forget pauses that are over, and update the metrics."""
+        state, metrics = self.state, self._loop.metrics
+        for holder in state.pauses.retain(state.tables.servers, now):
+            self._loop.lines.add("pause-ended", server=holder)
+        metrics.servers_paused.set(state.pauses.count(now))
+        for source in LeavingSource:
+            metrics.servers_leaving.labels(source).set(state.leaving.count(source))
+
     def report_crash(
         self, fingerprint: str, method: str, target: str, server: str
     ) -> None:
@@ -240,6 +262,7 @@
         if now - self._cleaned_up_at > CLEANUP_INTERVAL_SECONDS:
             self._cleaned_up_at = now
             self._connections.close_expired(now)
+            self._update_server_notices(now)
             self._loop.metrics.revision.set(self.state.tables.revision)
 
 
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -128,6 +128,25 @@
             "service",
             is_counter=True,
         )
+        self.turned_away = Family(
+            Value,
+            "dragonflyrock_turned_away",
+            "Requests refused because a server leaves or asked for a pause",
+            "service",
+            "reason",
+            is_counter=True,
+        )
+        self.servers_leaving = Family(
+            Value,
+            "dragonflyrock_servers_leaving",
+            "Servers that leave, by how this host learned it",
+            "source",
+        )
+        self._servers_paused = Family(
+            Value,
+            "dragonflyrock_servers_paused",
+            "Servers that asked this host for a pause which is not over",
+        )
         self.link_bytes = Family(
             Value,
             "dragonflyrock_link_bytes",
@@ -214,6 +233,7 @@
             "Time of one pass of the event loop in seconds, without its waits",
         )
         self.dropped_frames = self._dropped_frames.labels()
+        self.servers_paused = self._servers_paused.labels()
         self.revision = self._revision.labels()
         self.lease_seconds = self._lease_seconds.labels()
         self.loop_seconds = self._loop_seconds.labels()
@@ -226,6 +246,9 @@
         values = (
             self.requests,
             self.retries,
+            self.turned_away,
+            self.servers_leaving,
+            self._servers_paused,
             self.link_bytes,
             self.server_bytes,
             self.leading,
--- a/src/dragonflyrock/platform/header_names.py
+++ b/src/dragonflyrock/platform/header_names.py
@@ -18,6 +18,7 @@
     signature=b"x-dragonflyrock-server-stamp",
     not_run=NOT_RUN,
     load=b"x-dragonflyrock-server-load",
+    leaving=b"server-leaving",
     key=b"x-dragonflyrock-shard-key",
     key_shift=KEY_SHIFT_BITS,
 )
--- a/src/dragonflyrock/router/__init__.py
+++ b/src/dragonflyrock/router/__init__.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from .exchange import Router, RouterConfig
+from .exchange import Router
 from .header_names import HeaderNames
+from .models import RouterConfig
 from .state import RouterState
 
 __all__ = [
--- a/src/dragonflyrock/router/choice.py
+++ b/src/dragonflyrock/router/choice.py
@@ -14,7 +14,7 @@
     is_unresponsive,
 )
 
-__all__ = ["choose_server", "hash_fraction"]
+__all__ = ["choose_fastest", "hash_fraction"]
 
 # A server in this host's availability zone is preferred unless it needs longer than
 # one elsewhere by this share of the target latency: traffic between zones is billed.
@@ -34,7 +34,7 @@
     return hash_score(host, name) / 2**64
 
 
-def choose_server(
+def choose_fastest(
     stats: Iterable[ServerStat],
     service: ServiceStat,
     host: str,
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Final, NamedTuple
+from typing import Final
 
 from ..drain import Drain
 from ..entry.request import make_fingerprint
@@ -23,9 +23,8 @@
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
 from ..routes import Route, WeightedSplitter
-from .admission import compute_wait_limit
-from .choice import choose_server, hash_fraction
-from .header_names import HeaderNames
+from .choice import hash_fraction
+from .decision import OWNER_CAUSES, OWNER_WAIT_SECONDS, choose_server
 from .headers import (
     drop_hop_by_hop_headers,
     estimate_wire_bytes,
@@ -33,14 +32,20 @@
     make_server_request,
     parse_load_report,
 )
-from .models import CrashReporter, Rejection, RequestContext
+from .models import (
+    CrashReporter,
+    Rejection,
+    RejectionCause,
+    RequestContext,
+    RouterConfig,
+)
+from .notices import record_notices
 from .server_stats import (
     LoadReport,
     ServerStat,
     estimate_backlog,
     estimate_processing_time,
     estimate_wait,
-    is_unresponsive,
     measure_processing_time,
     record_full,
     record_load_report,
@@ -51,20 +56,17 @@
 )
 from .state import RouterState
 
-__all__ = ["Router", "RouterConfig"]
+__all__ = ["Router"]
 
 # A server responds at the deadline at the latest; the response takes this long.
 RESPONSE_SLACK_SECONDS: Final = 0.02
 CONNECT_TIMEOUT_SECONDS: Final = 0.3
-# A request whose key has no owner, or whose server is not the owner yet, waits up to
-# this long for newer rows, in steps of the poll time.
-OWNER_WAIT_SECONDS: Final = 0.3
+# Step in which a request waits for newer rows that may name an owner of its key.
 OWNER_POLL_SECONDS: Final = 0.06
 # A server that resets a connection so soon after a request is most likely full.
 OVERLOAD_RESET_SECONDS: Final = 0.012
-# A stopping server must get no requests from 2 s after its stop was acknowledged. A
-# host receives the stop within one renewal, and stops sending this long after that.
-STOPPING_OWNER_GRACE_SECONDS: Final = 0.9
+# Callers that were told to come back after a pause do so over this time.
+PAUSE_SPREAD_SECONDS: Final = 0.5
 MAX_SERVER_REJECTION_COUNT: Final = 2
 # A request waits for the first rows of a new host for this share of its time left.
 DOCUMENT_WAIT_SHARE: Final = 0.25
@@ -75,14 +77,6 @@
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
 
 
-class RouterConfig(NamedTuple):
-    """The name and availability zone of this host, and the header names it uses."""
-
-    host: str
-    zone: str
-    header_names: HeaderNames
-
-
 class Router:
     """Answer callers' requests by the rows and statistics of this host.
 
@@ -321,58 +315,21 @@
         self, context: RequestContext, now: float
     ) -> ServerStat | Rejection:
         """Return the server to send to, or why the request is rejected."""
-        service = self._state.get_service_stat(context.service)
-        if context.key_hash is not None:
-            owner = self._state.find_owner(context.service, context.key_hash)
-            if owner is None:
-                return Rejection("the key has no owner", OWNER_WAIT_SECONDS, True)
-            stat = self._state.stats[owner.name]
-            if stat.ended:
-                return Rejection("the owner has ended", OWNER_WAIT_SECONDS, True)
-            stopping_for = stat.row.stopping and now - stat.stopping_since
-            if stopping_for > STOPPING_OWNER_GRACE_SECONDS:
-                return Rejection("the owner is stopping", OWNER_WAIT_SECONDS, True)
-            if now < stat.down_until:
-                return Rejection("the owner cannot be reached", stat.down_until - now)
-            if is_unresponsive(stat, service, now):
-                return Rejection("the owner does not respond", OWNER_WAIT_SECONDS)
-            expected = estimate_wait(stat, service, now)
-            context.server = stat.row.name
-        else:
-            target = context.route.target_ms / 1000
-            choice = choose_server(
-                self._state.by_service.get(context.service, ()),
-                service,
-                self._config.host,
-                self._config.zone,
-                target,
-                frozenset(context.avoid),
-                now,
-            )
-            if choice is None:
-                return Rejection("the service has no server", OWNER_WAIT_SECONDS)
-            stat, expected = choice
-        if context.sends and context.key_hash is None:
-            return stat
-        processing_time = estimate_processing_time(stat, service, now)
-        limit = compute_wait_limit(
-            context.target_at - now, context.deadline - now, processing_time
-        )
-        if expected > limit:
-            age = min(now - stat.reported_at, 99.0)
-            detail = (
-                f"expected response time {expected:.3f} s is above the limit"
-                f" {limit:.3f} s; processing time {processing_time:.3f} s,"
-                f" reported backlog {stat.reported_backlog:.1f}, {age:.2f} s old"
-            )
-            return Rejection(detail, expected - limit)
-        return stat
+        chosen = choose_server(self._state, self._config, context, now)
+        if isinstance(chosen, Rejection):
+            self._count_turned_away(context, chosen)
+        return chosen
+
+    def _count_turned_away(self, context: RequestContext, rejection: Rejection) -> None:
+        """Count a request that is turned away because of what servers said."""
+        if rejection.cause != RejectionCause.LOAD:
+            self._metrics.turned_away.labels(context.service, rejection.cause).inc()
 
     async def _wait_for_owner(
         self, context: RequestContext, rejection: Rejection
     ) -> bool:
         """Wait for newer rows if they may name an owner; return whether to retry."""
-        if not rejection.may_find_owner:
+        if rejection.cause not in OWNER_CAUSES:
             return False
         until = min(context.started + OWNER_WAIT_SECONDS, context.deadline)
         seconds_left = until - self._clock()
@@ -517,6 +474,7 @@
         names = self._config.header_names
         now = self._clock()
         service = self._state.get_service_stat(context.service)
+        record_notices(self._state, stat, response, self._config, self._lines, now)
         report = parse_load_report(response, names)
         not_run = find_header(response.headers, names.not_run) is not None
         if not_run or response.status == 421:
@@ -576,7 +534,12 @@
             wait = estimate_wait(
                 stat, self._state.get_service_stat(context.service), now
             )
-            return self._refuse(context, Rejection(context.detail, wait))
+            rejection = Rejection(context.detail, wait)
+            pause = self._state.pauses.get_seconds_left(stat.row, now)
+            if owner_full and pause:
+                rejection = Rejection(context.detail, pause, RejectionCause.PAUSED)
+                self._count_turned_away(context, rejection)
+            return self._refuse(context, rejection)
         return None
 
     def _claim_retry(self, context: RequestContext) -> bool:
@@ -601,8 +564,11 @@
         context.detail = context.detail or rejection.detail
         seconds_left = context.deadline - self._clock()
         wait = max(MIN_RETRY_AFTER_SECONDS, rejection.retry_after)
-        wait *= 1 + self._random.random()
-        wait = min(wait, max(seconds_left, 0.0) * MAX_RETRY_AFTER_SHARE)
+        if rejection.cause == RejectionCause.PAUSED:
+            wait += self._random.random() * PAUSE_SPREAD_SECONDS
+        else:
+            wait *= 1 + self._random.random()
+            wait = min(wait, max(seconds_left, 0.0) * MAX_RETRY_AFTER_SHARE)
         headers = ((b"Retry-After", b"%.3f" % wait),)
         return self._make_local_response(
             503, rejection.detail, context.request_id, headers
--- a/src/dragonflyrock/router/header_names.py
+++ b/src/dragonflyrock/router/header_names.py
@@ -21,5 +21,6 @@
     signature: bytes = b""
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-server-load"
+    leaving: bytes = b"x-server-leaving"
     key: bytes = b"x-key"
     key_shift: int = 48
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from ..http import Request
 from ..routes import Route
+from .header_names import HeaderNames
 
-__all__ = ["CrashReporter", "Rejection", "RequestContext"]
+__all__ = [
+    "CrashReporter",
+    "Rejection",
+    "RejectionCause",
+    "RequestContext",
+    "RouterConfig",
+]
 
 
 @dataclass(slots=True)
@@ -52,12 +60,30 @@
         """Report that a request suspected of ending servers was answered."""
 
 
-class Rejection(NamedTuple):
-    """Why a request is refused without running, and the seconds until a retry.
+class RejectionCause(StrEnum):
+    """What a request is refused for.
 
-    With ``may_find_owner``, newer rows may name a server that accepts the request.
+    With ``NO_OWNER``, ``LEAVING`` and ``ENDED``, newer rows may name another owner.
     """
 
+    LOAD = "load"
+    NO_OWNER = "no-owner"
+    ENDED = "ended"
+    LEAVING = "leaving"
+    PAUSED = "paused"
+
+
+class Rejection(NamedTuple):
+    """Why a request is refused without running, and the seconds until a retry."""
+
     detail: str
     retry_after: float
-    may_find_owner: bool = False
+    cause: RejectionCause = RejectionCause.LOAD
+
+
+class RouterConfig(NamedTuple):
+    """The name and availability zone of this host, and the header names it uses."""
+
+    host: str
+    zone: str
+    header_names: HeaderNames
--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -96,7 +96,6 @@
     consecutive_failures: int = 0
     unanswered_since: float = NEVER
     ended: bool = False
-    stopping_since: float = NEVER
     error_rate: float = 0.0
     error_rate_at: float = NEVER
 
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -8,6 +8,7 @@
 
 from ..entry.tables import EntryTables
 from ..models import RangeRef, ServerRow
+from ..tables import LeavingRow, LeavingTable, PauseTable
 from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .budget import BudgetPolicy, ServiceRetryBudget
 from .server_stats import ServerStat, ServiceStat
@@ -26,8 +27,9 @@
 class RouterState:
     """Tables from the leader, and statistics; used by the event loop's thread only.
 
-    ``by_service`` lists the servers of a service that are not stopping. ``changed``
-    is set, and replaced by a new event, whenever rows change.
+    ``by_service`` lists the servers of a service that do not leave. ``changed`` is
+    set, and replaced by a new event, whenever rows change. ``on_leaving`` is called
+    when this host learns that a server leaves.
     """
 
     def __init__(self, policy: BudgetPolicy, clock: Callable[[], float]) -> None:
@@ -43,6 +45,9 @@
         self._key_loads: dict[tuple[str, int], int] = {}
         self._speeds: dict[str, tuple[int, float]] = {}
         self._ended: set[str] = set()
+        self.leaving = LeavingTable()
+        self.pauses = PauseTable()
+        self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
 
     def apply(self, update: HostUpdate) -> bool:
         """Apply an update from the leader; return whether rows changed."""
@@ -58,19 +63,34 @@
         rows = self.tables.servers
         for name in [name for name in self.stats if name not in rows]:
             del self.stats[name]
+        self.leaving.retain(rows)
         self.by_service = {}
         for name, row in rows.items():
             stat = self.stats.get(name)
             if stat is None:
                 stat = ServerStat(row, slots=max(1, row.slots))
-                stat.stopping_since = self._clock()
                 self.stats[name] = stat
-            if row.stopping and not stat.row.stopping:
-                stat.stopping_since = self._clock()
             stat.row = row
-            if not row.stopping:
+            leaving = self.leaving.apply_row(row, self._clock())
+            if leaving is not None:
+                self.on_leaving(leaving)
+            if self.leaving.find(row) is None:
                 self.by_service.setdefault(row.service, []).append(stat)
 
+    def mark_leaving(self, stat: ServerStat) -> None:
+        """Send a server no more new work, since it said that it leaves."""
+        row = self.leaving.record_response(stat.row, self._clock())
+        if row is None:
+            return
+        others = self.by_service.get(stat.row.service, [])
+        if stat in others:
+            others.remove(stat)
+        self.on_leaving(row)
+
+    def list_leaving_servers(self) -> tuple[str, ...]:
+        """Return holders that said that they leave, which the rows do not show yet."""
+        return self.leaving.list_unconfirmed(self.tables.servers)
+
     def find_draining_ranges(self) -> tuple[RangeRef, ...]:
         """Return no ranges: here the servers themselves check who owns a key."""
         return ()
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -27,6 +27,7 @@
     ControlMembers,
     HostRenew,
     HostUpdate,
+    LeavingServers,
     LinkMessage,
     RateDemand,
     RateGrant,
@@ -166,6 +167,8 @@
                 self.member.receive_consensus(sender, message, now)
             case HostRenew() if self.member is not None:
                 self.member.receive_renewal(sender, message, now)
+            case LeavingServers() if self.member is not None:
+                self.member.receive_leaving_servers(message, now)
             case CallRequest() if self.member is not None:
                 self.member.receive_call(sender, message, now)
             case CallAnswer() if self.calls is not None:
--- a/src/dragonflyrock/tables/__init__.py
+++ b/src/dragonflyrock/tables/__init__.py
@@ -1,8 +1,19 @@
-"""In-memory tables of ranges and of changed rows, without I/O."""
+"""In-memory tables of ranges, of changed rows and of servers, without I/O."""
 
 from __future__ import annotations
 
 from .journal import ChangedRow, ChangeJournal
+from .leaving import LeavingRow, LeavingSource, LeavingTable
+from .pauses import PauseRow, PauseTable
 from .ranges import RangeTable
 
-__all__ = ["ChangeJournal", "ChangedRow", "RangeTable"]
+__all__ = [
+    "ChangeJournal",
+    "ChangedRow",
+    "LeavingRow",
+    "LeavingSource",
+    "LeavingTable",
+    "PauseRow",
+    "PauseTable",
+    "RangeTable",
+]
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -199,6 +199,16 @@
     voters: tuple[str, ...]
 
 
+class LeavingServers(NamedTuple):
+    """Holders that said in a response to an entry host that they leave.
+
+    A control node that does not lead passes it on to the leader once, as ``forwarded``.
+    """
+
+    holders: tuple[str, ...]
+    forwarded: bool = False
+
+
 class NearRenew(NamedTuple):
     """A renewal for the control node that sends the entry host its rows."""
 
@@ -236,6 +246,7 @@
     | NearRenew
     | HostsNear
     | ControlMembers
+    | LeavingServers
 )
 
 MESSAGES: Final = Codec(
@@ -254,6 +265,7 @@
         NearRenew,
         HostsNear,
         ControlMembers,
+        LeavingServers,
     ],
     UnknownFields.IGNORE,
 )
--- a/tests/control/test_near.py
+++ b/tests/control/test_near.py
@@ -53,6 +53,10 @@
         """Return no servers."""
         return ()
 
+    def list_leaving_servers(self) -> tuple[str, ...]:
+        """Return no servers."""
+        return ()
+
 
 class World:
     """A leader, a follower in the hosts' zone, and hosts, without delays."""
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -15,7 +15,7 @@
 from dragonflyrock.control.near import LEADER_TIMEOUT_SECONDS
 from dragonflyrock.control.state import ControlState
 from dragonflyrock.control.tables import LeaderTiming
-from dragonflyrock.models import HostRecord
+from dragonflyrock.models import HostRecord, ServerRow
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.observe.metrics import Metrics
 from dragonflyrock.routes import RouteDocument, RoutedService
@@ -28,6 +28,7 @@
     HostRenew,
     HostsNear,
     HostUpdate,
+    LeavingServers,
     LinkMessage,
     ServeNear,
 )
@@ -124,7 +125,7 @@
         """Start, and wait until it leads."""
         self.now = 10.0
         self.sent: list[LinkMessage] = []
-        state = ControlState()
+        self.state = state = ControlState()
         group = open_group(
             CONTROL_GROUP, "me", folder, ("me",), Timing(), Random(1), state, self.now
         )
@@ -268,3 +269,33 @@
         follower.renew()
     told = [m.voters for _, m in follower.sent if isinstance(m, ControlMembers)]
     assert told == [("leader", "me"), ("leader", "me", "new")]
+
+
+# Guards against a server that leaves and is known to one host only until its next
+# heartbeat, and against the word of an earlier incarnation.
+def test_a_leader_stops_a_server_that_a_host_reports_as_leaving(
+    tmp_path: Path,
+) -> None:
+    leader = Leader(tmp_path)
+    row = ServerRow("one", "s", "127.0.0.1:9", "a", 2, 2, 0, True)
+    leader.state.put_server(row)
+    leader.member.receive_leaving_servers(LeavingServers(("one@1",)), leader.now)
+    leader.pass_time()
+    assert not leader.state.servers["one"].stopping
+    leader.member.receive_leaving_servers(LeavingServers(("one@2",)), leader.now)
+    leader.pass_time()
+    assert leader.state.servers["one"].stopping
+
+
+# Guards against a report that a follower keeps to itself, or that two members which
+# take each other for the leader send to and fro.
+def test_a_follower_passes_a_report_of_leaving_servers_on_once(tmp_path: Path) -> None:
+    follower = Follower(tmp_path)
+    follower.append(c.RegisterHost(HOST))
+    follower.sent.clear()
+    report = LeavingServers(("one@2",))
+    follower.member.receive_leaving_servers(report, follower.now)
+    follower.member.receive_leaving_servers(
+        report._replace(forwarded=True), follower.now
+    )
+    assert follower.sent == [("leader", report._replace(forwarded=True))]
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -32,7 +32,12 @@
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.standin.grants import GrantBody, Grants, HeldRangeBody
 from dragonflyrock.systems.placement import PlacementPolicy
-from dragonflyrock.transport.messages import HostRenew, HostUpdate, NearRenew
+from dragonflyrock.transport.messages import (
+    HostRenew,
+    HostUpdate,
+    LeavingServers,
+    NearRenew,
+)
 
 SERVICE: Final = "finder"
 START_SECONDS: Final = 100.0
@@ -263,7 +268,9 @@
             else:
                 scheduled.action()
 
-    def _send_renewal(self, name: str, renewal: HostRenew | NearRenew) -> None:
+    def _send_renewal(
+        self, name: str, renewal: HostRenew | NearRenew | LeavingServers
+    ) -> None:
         """Send a host's renewal to the leader, the only member here."""
         assert isinstance(renewal, HostRenew)
         if name not in self.muted:
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -8,7 +8,12 @@
 from dragonflyrock.models import Delta, HostRecord
 from dragonflyrock.router import RouterState
 from dragonflyrock.router.budget import BudgetPolicy
-from dragonflyrock.transport.messages import HostRenew, HostUpdate, NearRenew
+from dragonflyrock.transport.messages import (
+    HostRenew,
+    HostUpdate,
+    LeavingServers,
+    NearRenew,
+)
 
 RENEW_SECONDS: Final = 0.7
 TICK_SECONDS: Final = 0.1
@@ -20,7 +25,7 @@
     def __init__(self) -> None:
         """Start without rows."""
         self.now = 100.0
-        self.sent: list[tuple[str, HostRenew | NearRenew]] = []
+        self.sent: list[tuple[str, HostRenew | NearRenew | LeavingServers]] = []
         self.state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
         record = HostRecord("host", 1, "a", "127.0.0.1:1", "")
         config = AgentConfig(
--- /dev/null
+++ b/tests/load/notices_model.py
@@ -0,0 +1,187 @@
+"""Simulate hosts and servers that leave or ask for pauses, without a network.
+
+Hosts decide with the router's functions and tables. Callers that are refused come back
+when they are told to, once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from random import Random
+from typing import Final, NamedTuple
+
+from dragonflyrock.http import Headers, Request, make_response
+from dragonflyrock.models import Delta, DocumentHead, ServerRow
+from dragonflyrock.observe.lines import LineLog
+from dragonflyrock.router import HeaderNames, RouterConfig, RouterState
+from dragonflyrock.router.budget import BudgetPolicy
+from dragonflyrock.router.decision import choose_server
+from dragonflyrock.router.models import Rejection, RejectionCause, RequestContext
+from dragonflyrock.router.notices import record_notices
+from dragonflyrock.router.server_stats import ServerStat, record_sent
+from dragonflyrock.routes import (
+    ClientLimits,
+    Route,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+)
+from dragonflyrock.transport.messages import HostUpdate
+
+WORK_SECONDS: Final = 0.05
+NAMES: Final = HeaderNames()
+ROUTE: Final = Route(
+    "r", "h", "/p/", RouteKind.IDEMPOTENT, (ServiceShare("s", 1.0),), 900.0, 2, 500.0, 1
+)
+
+
+class Arrival(NamedTuple):
+    """A request at a server, from a host, and the status of the response."""
+
+    at: float
+    host: int
+    server: str
+    status: int
+
+
+@dataclass(slots=True)
+class NoticesPlan:
+    """What servers do at a time; the functions get the time and a server's name.
+
+    ``get_pause`` returns the seconds for which a server turns requests away, or 0.
+    """
+
+    hosts: int = 20
+    servers: int = 6
+    rate: float = 600.0
+    seconds: float = 10.0
+    listens: bool = True
+    is_leaving: Callable[[float, str], bool] = lambda now, name: False
+    get_pause: Callable[[float, str], float] = lambda now, name: 0.0
+    rows_at: list[tuple[float, tuple[ServerRow, ...]]] = field(default_factory=list)
+
+
+class NoticesModel:
+    """One simulation of a plan."""
+
+    def __init__(self, plan: NoticesPlan, seed: int = 1) -> None:
+        """Start hosts that know all servers."""
+        self.plan = plan
+        self.random = Random(seed)
+        self.now = 0.0
+        self.arrivals: list[Arrival] = []
+        self.served = 0
+        self.refused = 0
+        self.returns: list[float] = []
+        self.hosts = [
+            RouterState(BudgetPolicy(), lambda: self.now) for _ in range(plan.hosts)
+        ]
+        self._lines = LineLog("test", 1, lambda: self.now)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._revision = 0
+        self.apply_rows(make_rows(plan.servers))
+
+    def run(self) -> NoticesModel:
+        """Run the simulation, and return the model."""
+        for at, rows in self.plan.rows_at:
+            self._schedule(at, partial(self.apply_rows, rows))
+        self._schedule(0.0, self._ask)
+        while self._events and self.now < self.plan.seconds:
+            self.now, _, event = heappop(self._events)
+            event()
+        return self
+
+    def apply_rows(self, rows: tuple[ServerRow, ...]) -> None:
+        """Send all hosts the rows of the servers."""
+        self._revision += 1
+        delta = Delta(
+            0,
+            self._revision,
+            True,
+            (),
+            rows,
+            routes=(ROUTE,),
+            services=(RoutedService("s", "/health", 100, False, 0.0),),
+            document=DocumentHead(1, ClientLimits()),
+        )
+        for state in self.hosts:
+            state.apply(HostUpdate(1, "leader", 0.0, 0, delta, 0, None))
+
+    def _schedule(self, at: float, event: Callable[[], None]) -> None:
+        """Schedule an event."""
+        self._count += 1
+        heappush(self._events, (at, self._count, event))
+
+    def _ask(self) -> None:
+        """Start a caller's request, and schedule the next one."""
+        pause = self.random.expovariate(self.plan.rate)
+        self._schedule(self.now + pause, self._ask)
+        self._handle(is_return=False)
+
+    def _handle(self, *, is_return: bool) -> None:
+        """Have a host send a request, or refuse it."""
+        number = self.random.randrange(self.plan.hosts)
+        state = self.hosts[number]
+        request = Request(b"GET", b"/p/x", (), b"")
+        context = RequestContext(
+            request, b"id", ROUTE, "s", None, self.now, self.now + 0.9, self.now + 0.5
+        )
+        config = RouterConfig(f"host-{number}", "a", NAMES)
+        while True:
+            chosen = choose_server(state, config, context, self.now)
+            if isinstance(chosen, Rejection):
+                self._refuse(chosen, is_return=is_return)
+                return
+            status, headers = self._serve(number, chosen.row.name)
+            record_sent(chosen, self.now)
+            context.sends += 1
+            response = make_response(status, b"", headers)
+            if self.plan.listens:
+                record_notices(state, chosen, response, config, self._lines, self.now)
+            if status == 200:
+                self._schedule(self.now + WORK_SECONDS, partial(_end, chosen))
+                self.served += 1
+                return
+            _end(chosen)
+            context.avoid.add(chosen.row.name)
+            if context.sends > 2:
+                self._refuse(Rejection("full", 0.1), is_return=is_return)
+                return
+
+    def _refuse(self, rejection: Rejection, *, is_return: bool) -> None:
+        """Count a refusal, and have the caller come back once when it is told to."""
+        self.refused += 1
+        if is_return or rejection.cause != RejectionCause.PAUSED:
+            return
+        at = self.now + rejection.retry_after + self.random.random() * 0.5
+        self.returns.append(at)
+        self._schedule(at, lambda: self._handle(is_return=True))
+
+    def _serve(self, host: int, server: str) -> tuple[int, Headers]:
+        """Return how a server answers now, and record the arrival."""
+        headers: tuple[tuple[bytes, bytes], ...] = ()
+        if self.plan.is_leaving(self.now, server):
+            headers = ((NAMES.leaving, b"1"),)
+        pause = self.plan.get_pause(self.now, server)
+        status = 503 if pause else 200
+        if pause:
+            headers = (*headers, (b"retry-after", b"%.3f" % pause))
+        self.arrivals.append(Arrival(self.now, host, server, status))
+        return status, headers
+
+
+def _end(stat: ServerStat) -> None:
+    """End a request on a server."""
+    stat.in_flight -= 1
+
+
+def make_rows(count: int, incarnation: int = 1) -> tuple[ServerRow, ...]:
+    """Return the rows of servers that stay."""
+    return tuple(
+        ServerRow(f"s{n}", "s", f"127.0.0.1:{n + 1}", "a", incarnation, 4, 0, True)
+        for n in range(count)
+    )
--- a/tests/load/test_failing_server.py
+++ b/tests/load/test_failing_server.py
@@ -7,7 +7,7 @@
 from typing import Final, NamedTuple
 
 from dragonflyrock.models import ServerRow
-from dragonflyrock.router.choice import choose_server
+from dragonflyrock.router.choice import choose_fastest
 from dragonflyrock.router.server_stats import (
     LoadReport,
     ServerStat,
@@ -73,7 +73,7 @@
                     stat, service, PROCESSING_SECONDS, 0.0, report, sent.until
                 )
         host = random.randrange(HOST_COUNT)
-        chosen = choose_server(
+        chosen = choose_fastest(
             stats[host],
             services[host],
             f"h{host}",
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -6,7 +6,7 @@
 
 from dragonflyrock.models import ServerRow
 from dragonflyrock.router.budget import BudgetPolicy, ServiceRetryBudget
-from dragonflyrock.router.choice import choose_server
+from dragonflyrock.router.choice import choose_fastest
 from dragonflyrock.router.server_stats import (
     LoadReport,
     ServerStat,
@@ -48,11 +48,11 @@
 def test_a_server_in_the_own_zone_is_preferred_until_it_is_slow() -> None:
     near, far = make_server_stat("near", "a"), make_server_stat("far", "b")
     service = ServiceStat(0.1)
-    chosen = choose_server([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
+    chosen = choose_fastest([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
     assert chosen is not None
     assert chosen[0] is near
     near.in_flight = 8
-    chosen = choose_server([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
+    chosen = choose_fastest([far, near], service, "h", "a", 0.4, frozenset(), 0.0)
     assert chosen is not None
     assert chosen[0] is far
 
@@ -63,7 +63,7 @@
     service = ServiceStat(0.1)
     first = set()
     for number in range(11):
-        chosen = choose_server(
+        chosen = choose_fastest(
             stats, service, f"host-{number}", "a", 0.4, frozenset(), 0.0
         )
         assert chosen is not None
@@ -76,7 +76,7 @@
     stats = [make_server_stat("one"), make_server_stat("two")]
     service = ServiceStat(0.1)
     record_unreachable(stats[0], 10.0)
-    chosen = choose_server(stats, service, "h", "a", 0.4, frozenset(), 10.1)
+    chosen = choose_fastest(stats, service, "h", "a", 0.4, frozenset(), 10.1)
     assert chosen is not None
     assert chosen[0] is stats[1]
 
@@ -90,7 +90,7 @@
     assert not is_unresponsive(silent, service, 0.5)
     assert is_unresponsive(silent, service, 0.7)
     other.in_flight, other.unanswered_since = 20, 0.7
-    chosen = choose_server([silent, other], service, "h", "a", 9.0, frozenset(), 0.7)
+    chosen = choose_fastest([silent, other], service, "h", "a", 9.0, frozenset(), 0.7)
     assert chosen is not None
     assert chosen[0] is other
     silent.unanswered_since = 0.65
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -9,10 +9,7 @@
 
 from dragonflyrock.http import Request, Response, find_header, make_response
 from dragonflyrock.models import QuarantineRow, ServerRow
-from dragonflyrock.router.exchange import (
-    OWNER_WAIT_SECONDS,
-    STOPPING_OWNER_GRACE_SECONDS,
-)
+from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS, OWNER_WAIT_SECONDS
 from dragonflyrock.router.server_stats import estimate_error_rate
 from dragonflyrock.routes import RouteKind
 from tests.common import free_port
@@ -135,7 +132,7 @@
         harness.rows["one"] = row._replace(stopping=True)
         harness.apply_update(owner="one")
         assert (await harness.send_request()).status == 200
-        await asyncio.sleep(STOPPING_OWNER_GRACE_SECONDS + 0.05)
+        await asyncio.sleep(LEAVING_GRACE_SECONDS + 0.05)
         response = await harness.send_request()
         assert response.status == 503
         assert len(harness.received) == 1
--- /dev/null
+++ b/tests/router/test_notices.py
@@ -0,0 +1,145 @@
+"""Tests of servers that say in a response that they leave, or want a pause."""
+
+from __future__ import annotations
+
+import asyncio
+
+from dragonflyrock.http import Request, Response, find_header, make_response
+from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS
+
+from .harness import RouterHarness, answer_ok, run_scenario
+
+
+async def answer_leaving(request: Request) -> Response:
+    """Answer, and say that the server leaves."""
+    response = await answer_ok(request)
+    return response._replace(headers=(*response.headers, (b"X-Server-Leaving", b"1")))
+
+
+def make_pausing_handler(value: bytes) -> tuple[list[bytes], object]:
+    """Return the Retry-After values still to be sent, and a handler that sends them."""
+    values = [value]
+
+    async def handle(request: Request) -> Response:
+        if not values:
+            return await answer_ok(request)
+        headers = ((b"X-Not-Run", b"1"), (b"Retry-After", values.pop()))
+        return make_response(503, b"", headers)
+
+    return values, handle
+
+
+def read_retry_after(response: Response) -> float:
+    """Return the seconds after which a caller is asked to come back."""
+    value = find_header(response.headers, b"retry-after")
+    assert value is not None
+    return float(value)
+
+
+# Guards against new work for a server that said it leaves, until a row says so too, and
+# against an older row that undoes it.
+def test_a_server_that_leaves_gets_nothing_from_the_next_decision_on() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one", answer_leaving)
+        harness.apply_update()
+        response = await harness.send_request()
+        assert response.status == 200
+        assert find_header(response.headers, b"x-server-leaving") == b"1"
+        await harness.add_server("two")
+        harness.apply_update()
+        for _ in range(20):
+            assert (await harness.send_request()).status == 200
+        assert [name for name, _ in harness.received].count("one") == 1
+        assert harness.state.list_leaving_servers() == ("one@0",)
+
+    run_scenario(scenario)
+
+
+# Guards against keys without service while they move from a server that leaves, and
+# against requests to it after the grace period.
+def test_an_owner_that_leaves_gets_requests_for_a_short_time() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one", answer_leaving)
+        harness.apply_update(owner="one")
+        assert (await harness.send_request()).status == 200
+        assert (await harness.send_request()).status == 200
+        await asyncio.sleep(LEAVING_GRACE_SECONDS + 0.05)
+        assert (await harness.send_request()).status == 503
+        assert len(harness.received) == 2
+        counted = harness.metrics.turned_away.labels("s", "leaving").value
+        assert counted >= 1
+
+    run_scenario(scenario)
+
+
+# Guards against requests to a server during the pause that it asked for.
+def test_a_server_that_asks_for_a_pause_gets_nothing_until_it_is_over() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        _, handle = make_pausing_handler(b"3")
+        await harness.add_server("one", handle)  # type: ignore[arg-type]
+        harness.apply_update()
+        harness.frozen_at = 100.0
+        first = await harness.send_request()
+        assert first.status == 503
+        harness.frozen_at = 101.0
+        refused = await harness.send_request()
+        assert refused.status == 503
+        assert 2.0 <= read_retry_after(refused) <= 3.5
+        assert len(harness.received) == 1
+        harness.frozen_at = 104.01
+        assert (await harness.send_request()).status == 200
+        assert harness.metrics.turned_away.labels("s", "paused").value == 2
+
+    run_scenario(scenario)
+
+
+# Guards against a request that is refused although another server could run it.
+def test_a_request_that_is_turned_away_goes_to_another_server() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        _, handle = make_pausing_handler(b"3")
+        await harness.add_server("one", handle)  # type: ignore[arg-type]
+        harness.apply_update()
+        harness.state.get_budget("s").count_request(harness.clock())
+        await harness.add_server("two", answer_ok)
+        harness.apply_update()
+        for _ in range(10):
+            assert (await harness.send_request()).status == 200
+        assert [name for name, _ in harness.received].count("one") <= 1
+
+    run_scenario(scenario)
+
+
+# Guards against a value that cannot be read and is ignored, or closes the server for
+# much longer than a second.
+def test_an_unreadable_pause_is_a_short_one() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        _, handle = make_pausing_handler(b"soon")
+        await harness.add_server("one", handle)  # type: ignore[arg-type]
+        harness.apply_update()
+        harness.frozen_at = 100.0
+        assert (await harness.send_request()).status == 503
+        harness.frozen_at = 100.9
+        assert (await harness.send_request()).status == 503
+        harness.frozen_at = 101.6
+        assert (await harness.send_request()).status == 200
+        assert len(harness.received) == 2
+
+    run_scenario(scenario)
+
+
+# Guards against the owner of a key that gets requests during its pause, and callers
+# that are told to come back before it is over.
+def test_an_owner_that_asks_for_a_pause_gets_nothing() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        _, handle = make_pausing_handler(b"5")
+        await harness.add_server("one", handle)  # type: ignore[arg-type]
+        harness.apply_update(owner="one")
+        harness.frozen_at = 100.0
+        first = await harness.send_request()
+        assert first.status == 503
+        assert 5.0 <= read_retry_after(first) <= 6.5
+        harness.frozen_at = 104.0
+        assert 1.0 <= read_retry_after(await harness.send_request()) <= 2.5
+        assert len(harness.received) == 1
+
+    run_scenario(scenario)
