--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 from types import FrameType
@@ -36,11 +37,13 @@
 from .entry.forward import Forwarder
 from .entry.gate import Gate
 from .entry.limits import LimitAgent
+from .entry.notices import ServerNotices
 from .entry.operators import OperatorsApp
 from .entry.request import CallerRequest
 from .entry.reservation import Reservations
 from .entry.web import WebServer
 from .errors import DragonflyrockError
+from .hashing import hash_score
 from .ledger import Ledger
 from .models import HostRecord
 from .observe import EventRing, HybridClock
@@ -53,6 +56,7 @@
     make_service_policies,
     make_timing,
 )
+from .tables import LeavingRow, LeavingSource
 from .transport.calls import BlockingCaller, CallTable
 from .transport.keys import load_keys
 from .transport.links import Links
@@ -108,6 +112,7 @@
             settings.timeouts.entry_lease_ms / 1000,
             settings.limits.waiting_requests,
             settings.timeouts.drift_percent / 100,
+            hash_score(settings.host.name, "pause") / 2**64,
         )
         self._callers: CallersApp | None = None
         self._servers = self._bind_servers()
@@ -194,14 +199,25 @@
         )
         agent = EntryAgent(config, self._gate, self._runtime.send, self._clock)
         self._gate.on_drained = lambda: self._runtime.post(agent.request_renewal)
+        self._gate.on_leaving = partial(self._handle_leaving_server, agent)
         return agent
 
+    def _handle_leaving_server(self, agent: EntryAgent, row: LeavingRow) -> None:
+        """Record that a server leaves, and report it if it said so in a response."""
+        self._events.add("server-leaving", server=row.holder, detail=row.source)
+        if row.source == LeavingSource.RESPONSE:
+            self._runtime.post(agent.request_renewal)
+
     def _make_callers_app(self) -> CallersApp:
         """Return the application of the callers' port."""
         settings = self._settings
         dispatcher = Dispatcher(
             self._gate,
-            Forwarder(self._clock, settings.limits.answer_bytes),
+            Forwarder(
+                self._clock,
+                settings.limits.answer_bytes,
+                ServerNotices(self._gate, self._events).receive,
+            ),
             self._events,
             self._metrics,
             self._clock,
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -19,6 +19,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from ..errors import Outcome, Reason, Refusal, Step
+from ..models import ServerRow
 from .gate import InFlightRequest
 
 __all__ = ["Forwarder", "ServerRequest", "ServerResponse"]
@@ -71,17 +72,28 @@
     detail: str
 
 
+def _ignore_response(server: ServerRow, response: ServerResponse) -> None:
+    """Ignore what a response says about its server."""
+
+
 class Forwarder:
     """Send requests to backend servers over pooled connections.
 
     A connection returns to the pool only after its response was read completely.
     """
 
-    def __init__(self, clock: Callable[[], float], max_answer_bytes: int) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        max_answer_bytes: int,
+        on_response: Callable[[ServerRow, ServerResponse], None] = _ignore_response,
+    ) -> None:
         """Start without connections.
 
         Responses with a body of more than ``max_answer_bytes`` are refused.
+        ``on_response`` receives each complete response, and its server.
         """
+        self._on_response = on_response
         self._clock = clock
         self._max_answer_bytes = max_answer_bytes
         self._idle_connections: defaultdict[str, list[HTTPConnection]] = defaultdict(
@@ -136,6 +148,7 @@
             connection.close()
             return self._convert_error(in_flight, error)
         self._release_connection(in_flight.server.address, connection, response)
+        self._on_response(in_flight.server, server_response)
         return _convert_refusal(server_response, peer)
 
     def _send_request(
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -15,8 +15,10 @@
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
+from ..http.retry_after import RequestedPause
 from ..models import QuarantineRow, RangeRef, RangeState, ServerRow
 from ..systems.leases import has_lapsed
+from ..tables import LeavingRow, LeavingTable, PauseTable
 from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .tables import EntryTables
 
@@ -25,6 +27,8 @@
 LEASE_RETRY_MS: Final = 500
 OWNER_RETRY_MS: Final = 1000
 SLOT_RETRY_MS: Final = 200
+# The owner of a key gets its requests until the range moves, at most this long.
+LEAVING_GRACE_SECONDS: Final = 0.9
 
 
 @dataclass(slots=True, eq=False)
@@ -73,7 +77,8 @@
 class Gate:
     """The tables of an entry host and its requests in flight.
 
-    ``on_drained`` is called when a request to a moving range has ended.
+    ``on_drained`` is called when a request to a moving range has ended, and
+    ``on_leaving`` when this host learns that a server leaves.
     """
 
     def __init__(
@@ -82,11 +87,13 @@
         lease: float,
         max_waiting: int,
         drift: float = 0.02,
+        host_fraction: float = 0.0,
     ) -> None:
         """Start without a lease.
 
         ``lease`` is in seconds, ``drift`` the largest difference in speed between
         two hosts' clocks, as a fraction. At most ``max_waiting`` requests wait.
+        ``host_fraction`` differs by host; see ``PauseTable.record``.
         """
         self.tables = EntryTables()
         self._clock = clock
@@ -97,6 +104,10 @@
         self._changed = threading.Condition()
         self._requests = _RequestsInFlight()
         self._loads: defaultdict[RangeRef, _Load] = defaultdict(_Load)
+        self._leaving = LeavingTable()
+        self._pauses = PauseTable()
+        self._host_fraction = host_fraction
+        self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
         self.on_drained: Callable[[], None] = lambda: None
 
     def apply(self, update: HostUpdate) -> bool:
@@ -107,13 +118,40 @@
         now = self._clock()
         with self._changed:
             changed = self.tables.apply(update, self._lease, now)
+            leaving = self._apply_server_rows(now) if changed else []
             self._changed.notify_all()
             cancelled_requests = self._cancel_lost() if changed else []
         for in_flight in cancelled_requests:
             if in_flight.close is not None:
                 in_flight.close()
+        for row in leaving:
+            self.on_leaving(row)
         return changed
 
+    def _apply_server_rows(self, now: float) -> list[LeavingRow]:
+        """Take over which servers leave; return those that were not known to."""
+        servers = self.tables.servers
+        self._leaving.retain(servers)
+        self._pauses.retain(servers, now)
+        rows = [self._leaving.apply_row(server, now) for server in servers.values()]
+        return [row for row in rows if row is not None]
+
+    def record_notices(
+        self, server: ServerRow, *, leaves: bool, pause: RequestedPause | None
+    ) -> None:
+        """Record what a server has said in a response.
+
+        A server that leaves gets no new work after the grace period, one that asks for
+        a pause none until it is over.
+        """
+        now = self._clock()
+        with self._changed:
+            row = self._leaving.record_response(server, now) if leaves else None
+            if pause is not None:
+                self._pauses.record(server, pause.seconds, now, self._host_fraction)
+        if row is not None:
+            self.on_leaving(row)
+
     def _cancel_lost(self) -> list[InFlightRequest]:
         """Mark the requests in flight to lost owners as cancelled and return them."""
         cancelled_requests = [
@@ -160,7 +198,8 @@
 
     def list_leaving_servers(self) -> tuple[str, ...]:
         """Return holders that said that they leave, which the rows do not show yet."""
-        return ()
+        with self._changed:
+            return self._leaving.list_unconfirmed(self.tables.servers)
 
     def pop_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call and reset them."""
@@ -244,7 +283,21 @@
         server = self.tables.holders.get(row.owner)
         if server is None:
             return _refuse(Reason.NO_OWNER, OWNER_RETRY_MS)
-        if self._requests.by_holder[row.owner] >= self._count_connections(server):
+        leaving = self._leaving.find(server)
+        if leaving is not None and now - leaving.since > LEAVING_GRACE_SECONDS:
+            return None
+        seconds = self._pauses.get_seconds_left(server, now)
+        if seconds > 0:
+            return _refuse(
+                Reason.OVERLOADED,
+                max(1, int(seconds * 1000)),
+                "the server asked for a pause",
+            )
+        allowed = self._count_connections(server)
+        ramp = self._pauses.get_ramp_limit(server, now)
+        if ramp is not None:
+            allowed = min(allowed, ramp)
+        if self._requests.by_holder[row.owner] >= allowed:
             return None
         if fingerprint in self.tables.quarantines:
             # If a server crashed under two suspects, either could be the cause.
--- a/src/dragonflyrock/standin/main.py
+++ b/src/dragonflyrock/standin/main.py
@@ -98,6 +98,7 @@
     Give up after ``DRAIN_TIMEOUT_SECONDS``.
     """
     announcer.ready = False
+    standin.is_leaving = True
     deadline = time.monotonic() + DRAIN_TIMEOUT_SECONDS
     while time.monotonic() < deadline and (len(grants) or standin.is_busy):
         time.sleep(DRAIN_POLL_INTERVAL_SECONDS)
--- a/src/dragonflyrock/standin/server.py
+++ b/src/dragonflyrock/standin/server.py
@@ -29,7 +29,11 @@
 
 
 class StandIn:
-    """WSGI application that behaves like a backend server that owns its keys."""
+    """WSGI application that behaves like a backend server that owns its keys.
+
+    ``POST /leave`` makes it say in each response that it leaves, and
+    ``POST /pause/SECONDS`` makes it turn requests away for so long.
+    """
 
     def __init__(
         self,
@@ -50,6 +54,8 @@
         self._running = 0
         self._cancelled: dict[str, None] = {}
         self._load_samples: deque[tuple[float, float]] = deque(maxlen=200)
+        self._paused_until = 0.0
+        self.is_leaving = False
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -62,6 +68,12 @@
             case "POST", ["cancel", request]:
                 self._cancel(request)
                 return _respond_json(start_response, 200, {})
+            case "POST", ["leave"]:
+                self.is_leaving = True
+                return _respond_json(start_response, 200, {})
+            case "POST", ["pause", seconds]:
+                self._paused_until = time.monotonic() + float(seconds)
+                return _respond_json(start_response, 200, {})
             case "GET", ["health"]:
                 return _respond_json(start_response, 200, {"ready": True})
             case "GET", ["load"]:
@@ -119,6 +131,8 @@
     ) -> Iterable[bytes]:
         """Run a caller's request in a slot, or refuse it if none gets free in time."""
         request = _Request(environ)
+        if time.monotonic() < self._paused_until:
+            return self._refuse(request, "paused", start_response)
         with self._lock:
             full = self._waiting >= self._behaviour.queue
             self._waiting += not full
@@ -190,13 +204,17 @@
         status = 409 if reason == "not-granted" else 503
         headers = [("X-Outcome", "not-run"), ("X-Reason", reason)]
         headers.append(("X-Request-Id", request.id))
+        seconds_left = self._paused_until - time.monotonic()
+        if reason == "paused" and seconds_left > 0:
+            headers.append(("Retry-After", f"{seconds_left:.3f}"))
+        headers += self._make_leaving_headers()
         return _respond_json(start_response, status, {"reason": reason}, headers)
 
     def _respond(
         self, request: _Request, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Respond with the request's identity and as many characters as it asks for."""
-        headers = [("X-Request-Id", request.id)]
+        headers = [("X-Request-Id", request.id), *self._make_leaving_headers()]
         fields = {
             "server": self._identity.name,
             "key": request.key,
@@ -207,6 +225,10 @@
         }
         return _respond_json(start_response, 200, fields, headers)
 
+    def _make_leaving_headers(self) -> list[tuple[str, str]]:
+        """Return the header of each response of a server that leaves."""
+        return [("X-Server-Leaving", "1")] if self.is_leaving else []
+
     def _write_journal(
         self, event: JournalEvent, request: _Request, reason: str
     ) -> None:
--- /dev/null
+++ b/tests/entry/test_gate_notices.py
@@ -0,0 +1,98 @@
+"""Tests of servers that leave or ask for a pause, on the product's own port."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflyrock.entry.forward import ServerResponse
+from dragonflyrock.entry.gate import LEAVING_GRACE_SECONDS, Gate, InFlightRequest
+from dragonflyrock.entry.notices import ServerNotices
+from dragonflyrock.errors import Reason, Refusal
+from dragonflyrock.hashing import KEY_SPACE
+from dragonflyrock.models import Delta, RangeRow, RangeState, ServerRow
+from dragonflyrock.observe import EventRing, HybridClock
+from dragonflyrock.observe.events import EventFilter
+from dragonflyrock.tables import LeavingRow
+from dragonflyrock.transport.messages import HostUpdate
+
+SERVER = ServerRow("one", "s", "127.0.0.1:9", "a", 1, 2, 130, True)
+
+
+class GateHost:
+    """A gate with a lease, whose only server owns all keys."""
+
+    def __init__(self) -> None:
+        """Start at second 100 with the server's rows."""
+        self.now = 100.0
+        self.revision = 0
+        self.gate = Gate(lambda: self.now, 1000.0, 10)
+        self.leaving: list[LeavingRow] = []
+        self.gate.on_leaving = self.leaving.append
+        self.events = EventRing("host", HybridClock())
+        self.notices = ServerNotices(self.gate, self.events)
+        self.apply(SERVER)
+
+    def apply(self, server: ServerRow) -> None:
+        """Send the gate the rows of the server."""
+        self.revision += 1
+        top, state = KEY_SPACE - 1, RangeState.ACTIVE
+        row = RangeRow("s", 0, top, server.holder, 1, state, "", self.revision)
+        delta = Delta(0, self.revision, True, (row,), (server,))
+        self.gate.apply(HostUpdate(1, "leader", self.now, 1, delta, 0, None))
+
+    def begin(self) -> InFlightRequest | Refusal | None:
+        """Begin a dispatch, or return None if it has to wait."""
+        return self.gate.try_begin_dispatch("s", 7, "f", self.now + 5)
+
+    def respond(self, status: int, *headers: tuple[str, str]) -> None:
+        """Deliver a response of the server."""
+        self.notices.receive(SERVER, ServerResponse(status, headers, b""))
+
+
+@pytest.fixture
+def host() -> GateHost:
+    """Return a host that may dispatch."""
+    return GateHost()
+
+
+# Guards against new work for a server that has said that it leaves, longer than its
+# keys need to move.
+def test_a_server_that_leaves_gets_nothing_after_the_grace_period(
+    host: GateHost,
+) -> None:
+    host.respond(200, ("X-Server-Leaving", "1"))
+    assert isinstance(host.begin(), InFlightRequest)
+    assert host.gate.list_leaving_servers() == ("one@1",)
+    assert [row.holder for row in host.leaving] == ["one@1"]
+    host.now += LEAVING_GRACE_SECONDS + 0.1
+    host.apply(SERVER)
+    assert host.begin() is None
+    host.apply(SERVER._replace(incarnation=2))
+    assert isinstance(host.begin(), InFlightRequest)
+
+
+# Guards against requests to a server in the pause that it asked for, and against
+# callers that are not told when it ends.
+def test_a_server_that_asks_for_a_pause_gets_nothing(host: GateHost) -> None:
+    host.respond(503, ("Retry-After", "3"), ("X-Outcome", "not-run"))
+    host.now += 1.0
+    refusal = host.begin()
+    assert isinstance(refusal, Refusal)
+    assert (refusal.reason, refusal.retry_after_ms) == (Reason.OVERLOADED, 2000)
+    host.now += 2.1
+    first = host.begin()
+    assert isinstance(first, InFlightRequest)
+    assert host.begin() is None
+    host.now += 2.0
+    assert isinstance(host.begin(), InFlightRequest)
+
+
+# Guards against a bad value that is ignored, or closes the server for long.
+def test_an_unreadable_pause_is_recorded_and_short(host: GateHost) -> None:
+    host.respond(503, ("Retry-After", "soon"))
+    assert isinstance(host.begin(), Refusal)
+    host.now += 1.1
+    assert isinstance(host.begin(), InFlightRequest)
+    events = host.events.select(EventFilter(), 10)
+    details = [event.detail for event in events if event.kind == "server-paused"]
+    assert details == ["1.000 s; Retry-After: not a number of seconds"]
