--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,7 @@
     Unreached,
     Violation,
 )
+from .notice_checks import check_leaving, check_pauses
 
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 FAILURE_STATUSES: Final = (500, 502, 504)
@@ -349,8 +350,8 @@
 
 CHECKS: Final = (
     check_owner, check_runs, check_responses, check_lost_requests, check_process_ends,
-    check_drain, check_ready, check_recovery, check_config_reads,
-    check_config_changes, check_unknown_routes,
+    check_drain, check_leaving, check_pauses, check_ready, check_recovery,
+    check_config_reads, check_config_changes, check_unknown_routes,
 )  # fmt: skip
 
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -12,6 +12,10 @@
 AFTER_FAULT_SECONDS: Final = 3.0
 DRAIN_SECONDS: Final = 2.0
 CONFIG_APPLY_SECONDS: Final = 2.0
+# A node may still send to a server this long after the server asked for a pause, and
+# send this many requests in the rest of the pause.
+PAUSE_NOTICE_SECONDS: Final = 0.5
+MAX_PAUSED_ARRIVAL_COUNT: Final = 2
 RECOVERY_SECONDS: Final = 15.0
 READY_VALID_SECONDS: Final = 1.0
 ADDRESS_REUSE_SECONDS: Final = 2.0
--- a/soak/history_index.py
+++ b/soak/history_index.py
@@ -20,7 +20,7 @@
 )
 
 # These faults excuse no lost request: the process is notified, or is hardly slowed.
-HARMLESS_FAULTS: Final = ("stop", "hup", "change", "delay", "leave", "slow")
+HARMLESS_FAULTS: Final = ("stop", "hup", "change", "delay", "leave", "slow", "pause")
 # Name of the test program itself in ``Starved`` records.
 SOAK: Final = "soak"
 
@@ -96,6 +96,17 @@
         names = (node, "control")
         return not any(self.has_fault_near(name, start, end) for name in names)
 
+    def was_restarted_or_frozen(self, node: str, start: float, end: float) -> bool:
+        """Return whether a node was started or frozen between two times."""
+        return any(
+            record.node == node and start <= at <= end for at, record in self.started
+        ) or any(
+            (act.target, act.what) == (node, "freeze")
+            and at <= end
+            and start <= act.until
+            for at, act in self.acted
+        )
+
     def find_sigterm(self, node: str, at: float) -> float | None:
         """Return the time of the SIGTERM that a node was handling, or None."""
         stops = [
--- a/soak/models.py
+++ b/soak/models.py
@@ -72,6 +72,18 @@
     how: str
 
 
+class Told(NamedTuple):
+    """A server answers that it leaves, or that it wants a pause of ``seconds``.
+
+    A response that asks for a pause turns the request away.
+    """
+
+    request: str
+    server: str
+    what: str
+    seconds: float = 0.0
+
+
 class Beaten(NamedTuple):
     """A control node acknowledged a server's heartbeat."""
 
@@ -140,7 +152,7 @@
 
 
 Record = (
-    Sent | Outcome | Unreached | Readied | Began | Finished | Beaten | Put | Read
+    Sent | Outcome | Unreached | Readied | Began | Finished | Told | Beaten | Put | Read
     | Acted | Starved | Started | Ended
 )  # fmt: skip
 
--- a/soak/script.py
+++ b/soak/script.py
@@ -112,6 +112,12 @@
         ),
         LATER_STOP,
     ),
+    # Servers that want pauses, while one leaves.
+    (
+        FaultSpec("pause", SERVERS, 1, (1.0, 3.0)),
+        FaultSpec("pause", SERVERS, 2, (1.0, 3.0)),
+        FaultSpec("leave", SERVERS, 1),
+    ),
     # All control nodes, or all nodes, killed at the same moment.
     (FaultSpec("kill", CONTROL, 0, SHORT_FAULT_SECONDS, NO_GAP),),
     (FaultSpec("kill", NODES, 0, SHORT_FAULT_SECONDS, NO_GAP),),
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -16,9 +16,11 @@
 
 from . import const, wire
 from .context import RunContext
-from .models import Beaten, Began, Finished
+from .models import Beaten, Began, Finished, Told
 
 LEAVE_DELAY_SECONDS: Final = 1.5
+# A server that leaves says so in its responses this long before its heartbeats do.
+HEARTBEAT_LAG_SECONDS: Final = 0.5
 BODY_LINE_COUNT: Final = 40
 SLOW_FACTOR: Final = 5
 # A server's clock may run slow by this factor, which makes its leases last longer.
@@ -61,6 +63,8 @@
         self._received_grants: list[Grant] = []
         self._running: dict[str, int] = {}
         self._state = "ready"
+        self._says_leaving = False
+        self.paused_until = 0.0
         self._has_crashed = False
         self._queued_count = 0
         self._slots = asyncio.Semaphore(const.SLOT_COUNT)
@@ -70,6 +74,8 @@
 
     async def leave(self) -> None:
         """Announce draining, deregister, finish all requests and start again."""
+        self._says_leaving = True
+        await asyncio.sleep(HEARTBEAT_LAG_SECONDS)
         self._state = "draining"
         await asyncio.sleep(const.DRAIN_SECONDS + LEAVE_DELAY_SECONDS)
         await self._call("deregister", b"{}")
@@ -125,7 +131,20 @@
             return self._apply_grant(request)
         if request.target == wire.names.RELEASE_PATH:
             return await self._release(request)
-        return await self._queue(request)
+        response = await self._queue(request)
+        if not self._says_leaving:
+            return response
+        leaving = (wire.HEADER_NAMES.leaving, b"1")
+        self._history.add(Told(_read_request_id(request), self.name, "leaving"))
+        return response._replace(headers=(*response.headers, leaving))
+
+    def _ask_for_pause(self, request: Request) -> Response:
+        """Turn a request away, and ask for a pause of the time that is left."""
+        seconds = self.paused_until - self._history.now()
+        self._history.add(Told(_read_request_id(request), self.name, "pause", seconds))
+        response = wire.make_refusal(request, 503, self.name)
+        pause = (wire.RETRY_AFTER, b"%.3f" % seconds)
+        return response._replace(headers=(*response.headers, pause))
 
     def _apply_grant(self, request: Request) -> Response:
         """Store a grant, unless one of its keys was granted with a higher fence."""
@@ -163,6 +182,8 @@
             find_header(request.headers, wire.HEADER_NAMES.time_left_ms) or b"1000"
         )
         arrived = self._history.now()
+        if arrived < self.paused_until:
+            return self._ask_for_pause(request)
         until = arrived + float(time_left_ms) / 1000
         if self._queued_count >= const.MAX_QUEUED_COUNT:
             return wire.make_refusal(request, 503, self.name)
@@ -187,7 +208,7 @@
             if grant is None:
                 return wire.make_refusal(request, 421, self.name)
             fence, lease = grant.fence, grant.until
-        request_id = (find_header(request.headers, names.request_id) or b"").decode()
+        request_id = _read_request_id(request)
         work_seconds = float(find_header(request.headers, wire.WORK_MS) or b"20") / 1000
         self._history.add(Began(request_id, self.name, key, fence, arrived))
         self._running[request_id] = key
@@ -230,6 +251,12 @@
         return "done"
 
 
+def _read_request_id(request: Request) -> str:
+    """Return the id of a request."""
+    value = find_header(request.headers, wire.HEADER_NAMES.request_id)
+    return (value or b"").decode()
+
+
 def _remove_keys(grants: list[Grant], low: int, high: int) -> list[Grant]:
     """Return grants without the keys from ``low`` to ``high``."""
     below = [g._replace(high=min(g.high, low - 1)) for g in grants if g.low < low]
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -33,6 +33,7 @@
     signature=b"x-dragonflyrock-server-stamp",
     not_run=b"x-dragonflyrock-not-executed",
     load=b"x-dragonflyrock-server-load",
+    leaving=b"server-leaving",
     key=b"x-dragonflyrock-shard-key",
 )
 HEALTH_PATH: Final = b"/health"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -21,6 +21,7 @@
     Sent,
     Started,
     Starved,
+    Told,
     Unreached,
 )
 
@@ -204,7 +205,42 @@
     ),
 }
 
+LEAVING = [*make_request(), (10.3, Told("c-1", "server-1.1", "leaving"))]
+LEAVING += make_response()
+PAUSE: RecordList = [
+    (10.0, Sent("c-1", NODE, "book", False, 11.5)),
+    (10.1, Told("c-1", "server-1.1", "pause", 3.0)),
+    *make_response(10.2, status=503),
+]
+PAUSED_REQUESTS = [
+    record
+    for number in range(3)
+    for record in make_request(11.0 + number / 10, f"c-{number + 2}")
+    + make_response(11.4 + number / 10, f"c-{number + 2}")
+]
+BROKEN["a request to a server that told the node that it leaves"] = (
+    LEAVING + make_request(12.5, "c-2") + make_response(12.9, "c-2"),
+    "DRAIN",
+)
+BROKEN["three requests to a server in the pause that it asked for"] = (
+    PAUSE + PAUSED_REQUESTS,
+    "BUDGET",
+)
+
 ALLOWED: dict[str, RecordList] = {
+    "a request to a server that has just told the node that it leaves": LEAVING
+    + make_request(12.0, "c-2")
+    + make_response(12.4, "c-2"),
+    "a request of a node that restarted after a server told it that it leaves": [
+        *LEAVING,
+        (12.0, Started(NODE)),
+        *make_request(13.0, "c-2"),
+        *make_response(13.4, "c-2"),
+    ],
+    "two requests to a server in the pause that it asked for": PAUSE
+    + PAUSED_REQUESTS[:-4],
+    "requests to a server after its pause": PAUSE
+    + [(at + 3, record) for at, record in PAUSED_REQUESTS],
     "an answered request": make_request() + make_response(),
     "a safe request that ran twice": make_request(safe=True)
     + make_response()
