--- a/src/dragonflyrock/control/moves.py
+++ b/src/dragonflyrock/control/moves.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
-from ..models import RangeRef, RangeRow, RangeState
+from ..models import ContractRow, RangeRef, RangeRow, RangeState
 from ..systems.handover import (
     Cancel,
     Finish,
@@ -25,7 +25,7 @@
 from .state import ControlState
 from .tables import NEVER, GrantRow, LeaderTables, LeaderTiming, LoadRow
 
-__all__ = ["Moves"]
+__all__ = ["Moves", "find_longest_deadline"]
 
 LOAD_SMOOTHING: Final = 0.3
 LOAD_WINDOW_SECONDS: Final = 1.0
@@ -133,13 +133,16 @@
                 excluded and self._has_acknowledged(grant, row),
             )
         timing = self._timing
+        longest = find_longest_deadline(
+            self._state.contracts.values(), timing.longest_deadline
+        )
         return decide_handover(
             row,
             hosts,
             owner,
             started[1],
             timing.drain_limit,
-            timing.with_drift(timing.longest_deadline),
+            timing.with_drift(longest),
             now,
         )
 
@@ -233,3 +236,12 @@
             stopping = server.stopping or (announced and not row.ready)
             candidates.append(Candidate(holder, float(server.slots), accepts, stopping))
         return candidates
+
+
+def find_longest_deadline(contracts: Iterable[ContractRow], bound: float) -> float:
+    """Return the longest deadline of a request, in seconds.
+
+    New contracts are within ``bound``; older ones may be above it.
+    """
+    deadlines = [row.contract.deadline_ms / 1000 for row in contracts]
+    return max((bound, *deadlines))
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -175,7 +175,10 @@
             WebServer("platform", listen.platform, announcements, PLATFORM_THREAD_COUNT)
         )
         operators = OperatorsApp(
-            self._caller.call, settings.operators.token_sha256, self._events
+            self._caller.call,
+            settings.operators.token_sha256,
+            self._events,
+            settings.limits.longest_deadline_ms,
         )
         servers.append(
             WebServer("operators", listen.operators, operators, OPERATOR_THREAD_COUNT)
@@ -239,7 +242,9 @@
             service.name: frozenset(service.idempotent_methods)
             for service in settings.services
         }
-        config = CallersConfig(settings.limits.body_bytes, methods)
+        config = CallersConfig(
+            settings.limits.body_bytes, methods, settings.limits.longest_deadline_ms
+        )
         return CallersApp(
             config,
             self._gate,
--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -23,7 +23,7 @@
 from .request import CallerRequest, make_fingerprint
 from .reservation import Reservations
 
-__all__ = ["CallersApp", "CallersConfig"]
+__all__ = ["CallersApp", "CallersConfig", "compute_deadline"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -47,10 +47,12 @@
 
     ``body_bytes`` is the largest body that this host accepts, and
     ``idempotent_methods`` has the methods that may be retried, by service.
+    ``longest_deadline_ms`` bounds the deadlines of all contracts.
     """
 
     body_bytes: int
     idempotent_methods: Mapping[str, frozenset[str]]
+    longest_deadline_ms: int = 30_000
 
 
 class CallersApp:
@@ -188,7 +190,12 @@
             if not self._gate.has_service(service):
                 return Refusal(Reason.UNKNOWN_SERVICE, Step.LOCATE, detail=service)
             return Refusal(Reason.SERVICE_NOT_IN_CONTRACT, Step.ADMIT, detail=service)
-        deadline = self._compute_deadline(environ, row, started)
+        deadline = compute_deadline(
+            environ.get("HTTP_X_REQUEST_TIMEOUT_MS", ""),
+            row,
+            self._config.longest_deadline_ms,
+            started,
+        )
         if isinstance(deadline, Refusal):
             return deadline
         body = self._read_body(environ, row)
@@ -255,24 +262,6 @@
             return Refusal(Reason.UNKNOWN_TOKEN, Step.AUTHENTICATE)
         return row
 
-    @staticmethod
-    def _compute_deadline(
-        environ: Environ, row: ContractRow, started: float
-    ) -> float | Refusal:
-        """Return the request's deadline by this host's clock, or a refusal.
-
-        The contract limits the timeout that the caller may set.
-        """
-        limit_ms = row.contract.deadline_ms
-        text = environ.get("HTTP_X_REQUEST_TIMEOUT_MS", "")
-        if not text:
-            return started + limit_ms / 1000
-        if not text.isascii() or not text.isdecimal() or not 0 < int(text[:12]) < 10**9:
-            return _refuse_bad_request(
-                "X-Request-Timeout-Ms must be a number of milliseconds"
-            )
-        return started + min(int(text[:12]), limit_ms) / 1000
-
     def _read_body(self, environ: Environ, row: ContractRow) -> bytes | Refusal:
         """Return the body, or a refusal if it is malformed or too large."""
         limit = min(row.contract.body_bytes, self._config.body_bytes)
@@ -293,6 +282,24 @@
         return body
 
 
+def compute_deadline(
+    text: str, row: ContractRow, longest_ms: int, started: float
+) -> float | Refusal:
+    """Return a request's deadline by this host's clock in seconds, or a refusal.
+
+    ``text`` is the timeout that the caller asks for, or empty. The contract limits it,
+    and ``longest_ms`` limits every contract.
+    """
+    limit_ms = min(row.contract.deadline_ms, longest_ms)
+    if not text:
+        return started + limit_ms / 1000
+    if not text.isascii() or not text.isdecimal() or not 0 < int(text[:12]) < 10**9:
+        return _refuse_bad_request(
+            "X-Request-Timeout-Ms must be a number of milliseconds"
+        )
+    return started + min(int(text[:12]), limit_ms) / 1000
+
+
 def _refuse_bad_request(detail: str) -> Refusal:
     """Return a refusal of a malformed request."""
     return Refusal(Reason.BAD_REQUEST, Step.PARSE, detail=detail)
--- a/src/dragonflyrock/entry/operators.py
+++ b/src/dragonflyrock/entry/operators.py
@@ -78,14 +78,19 @@
     """A WSGI application whose requests need an operator's token."""
 
     def __init__(
-        self, call: Call, token_sha256: tuple[str, ...], events: EventRing
+        self,
+        call: Call,
+        token_sha256: tuple[str, ...],
+        events: EventRing,
+        longest_deadline_ms: int,
     ) -> None:
         """Set up an application that reaches the control leader by ``call``.
 
         ``call`` sends a message to a group's leader, with a timeout in seconds, and
         returns the answer or None. ``token_sha256`` are the hashes of the operators'
-        tokens, in hexadecimal.
+        tokens, in hexadecimal. ``longest_deadline_ms`` bounds contracts' deadlines.
         """
+        self._longest_deadline_ms = longest_deadline_ms
         self._call = call
         self._token_sha256 = token_sha256
         self._events = events
@@ -173,7 +178,7 @@
         fields = _decode(environ, ContractBody)
         if isinstance(fields, Refusal):
             return fields
-        problem = _check_contract(customer, fields)
+        problem = _check_contract(customer, fields, self._longest_deadline_ms)
         if problem:
             return Refusal(Reason.BAD_REQUEST, Step.PARSE, customer, problem)
         return self._propose(
@@ -258,7 +263,9 @@
     return fields
 
 
-def _check_contract(customer: str, fields: ContractBody) -> str:
+def _check_contract(
+    customer: str, fields: ContractBody, longest_deadline_ms: int
+) -> str:
     """Return the first problem of a contract, or an empty text."""
     contract = fields.contract
     if contract.customer != customer:
@@ -272,6 +279,9 @@
     for name, value in positive:
         if not 0 < value < 10**9:
             return f"contract.{name}: found {value!r}; allowed: more than 0"
+    if contract.deadline_ms > longest_deadline_ms:
+        allowed = f"at most {longest_deadline_ms} (limits.longest_deadline_ms)"
+        return f"contract.deadline_ms: found {contract.deadline_ms}; allowed: {allowed}"
     if not 0 <= contract.body_bytes < 2**40:
         return f"contract.body_bytes: found {contract.body_bytes!r}; allowed: 0 or more"
     if not 0 <= contract.retry_percent <= 100:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -254,6 +254,12 @@
         400,
         "allowed: 'planners'",
     ),
+    BadCall(
+        "operators",
+        make_contract_change({"deadline_ms": 30_001}),
+        400,
+        "contract.deadline_ms: found 30001; allowed: at most 30000",
+    ),
     BadCall(
         "operators",
         make_contract_change({"requests_per_second": -1}),
