--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -12,6 +12,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
@@ -49,6 +50,15 @@
     close: Callable[[], None] | None = None
 
 
+class _Waiting(StrEnum):
+    """What a request waits for before it is sent."""
+
+    MOVE = "the key's range is moving"
+    LEAVING = "the owner leaves, and the key has not moved yet"
+    CONNECTION = "the server has no free connection for this host"
+    SUSPECT = "the server may be running another suspect request"
+
+
 @dataclass(slots=True)
 class _Load:
     """The work dispatched to a range since the last report."""
@@ -262,9 +272,10 @@
         with self._changed:
             if has_lapsed(self.tables.lease_until, now):
                 return _refuse(Reason.LEASE_LAPSED, LEASE_RETRY_MS)
-            if now >= deadline:
-                return _refuse(Reason.DEADLINE, 0, "the key's range is moving")
-            return self._begin(service, key_hash, fingerprint, deadline, now)
+            result = self._begin(service, key_hash, fingerprint, deadline, now)
+            if isinstance(result, _Waiting):
+                return _refuse(Reason.DEADLINE, 0, result) if now >= deadline else None
+            return result
 
     def _begin(
         self,
@@ -273,19 +284,27 @@
         fingerprint: str,
         deadline: float,
         now: float,
-    ) -> InFlightRequest | Refusal | None:
-        """Find the owner and count the request in flight; return None to wait."""
+    ) -> InFlightRequest | Refusal | _Waiting:
+        """Find the owner and count the request in flight, or return what to wait for.
+
+        The quarantine is read at each send, since a retry may have waited.
+        """
         row = self.tables.ranges.find(service, key_hash)
         if row is None:
             return Refusal(Reason.UNKNOWN_SERVICE, Step.LOCATE, detail=service)
+        quarantine = self.tables.quarantines.get(fingerprint)
+        if quarantine is not None and quarantine.refused:
+            return Refusal(
+                Reason.QUARANTINED, Step.LOCATE, detail=f"fingerprint {fingerprint}"
+            )
         if row.state != RangeState.ACTIVE:
-            return None
+            return _Waiting.MOVE
         server = self.tables.holders.get(row.owner)
         if server is None:
             return _refuse(Reason.NO_OWNER, OWNER_RETRY_MS)
         leaving = self._leaving.find(server)
         if leaving is not None and now - leaving.since > LEAVING_GRACE_SECONDS:
-            return None
+            return _Waiting.LEAVING
         seconds = self._pauses.get_seconds_left(server, now)
         if seconds > 0:
             return _refuse(
@@ -298,12 +317,14 @@
         if ramp is not None:
             allowed = min(allowed, ramp)
         if self._requests.by_holder[row.owner] >= allowed:
-            return None
-        if fingerprint in self.tables.quarantines:
+            return _Waiting.CONNECTION
+        if quarantine is not None:
             # If a server crashed under two suspects, either could be the cause.
             if row.owner in self._requests.suspects:
-                return None
+                return _Waiting.SUSPECT
             self._requests.suspects[row.owner] = fingerprint
+        if now >= deadline:
+            return _refuse(Reason.DEADLINE, 0, "the deadline has passed")
         in_flight = InFlightRequest(
             row.ref, server, row.epoch, fingerprint, now, deadline
         )
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -231,11 +231,10 @@
 
     async def _send_until_answered(self, context: RequestContext) -> Response:
         """Send a request until it is answered or refused, or its deadline expires."""
-        if self._is_quarantined(context):
-            return self._make_local_response(
-                503, "the request is quarantined", context.request_id
-            )
         while True:
+            # A retry may have waited, so the quarantine is read at each send.
+            if self._is_quarantined(context):
+                return self._refuse_quarantined(context)
             now = self._clock()
             if now >= context.deadline:
                 return self._answer_failure(context)
@@ -252,6 +251,14 @@
                 context.wrong_owner = False
                 await _wait_for_change(changed, OWNER_POLL_SECONDS)
 
+    def _refuse_quarantined(self, context: RequestContext) -> Response:
+        """Answer a request that ended the servers that ran it."""
+        if context.may_have_run:
+            return self._answer_failure(context)
+        return self._make_local_response(
+            503, "the request is quarantined", context.request_id
+        )
+
     def _get_fingerprint(self, context: RequestContext) -> str:
         """Return the fingerprint of a request; compute it on first use."""
         if not context.fingerprint:
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -333,3 +333,23 @@
         assert harness.crash_reports.cleared_fingerprints == [name]
 
     run_scenario(scenario)
+
+
+# Guards against a retry of a request that was quarantined after its first send.
+def test_a_request_that_is_quarantined_meanwhile_is_not_sent_again() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        async def fail_and_quarantine(request: Request) -> Response:
+            """Answer without an id, after the request was quarantined."""
+            name = harness.router.compute_fingerprint(b"GET", b"h", b"/p/x", b"")
+            row = QuarantineRow(name, "", "GET", "/p/x", ("a", "b"), True, 0, 9)
+            harness.state.tables.quarantines[name] = row
+            return make_response(200, b"")
+
+        await harness.add_server("one", fail_and_quarantine)
+        await harness.add_server("two", fail_and_quarantine)
+        harness.apply_update()
+        response = await harness.send_request()
+        assert response.status == 502
+        assert len(harness.received) == 1
+
+    run_scenario(scenario)
