--- a/soak/processes.py
+++ b/soak/processes.py
@@ -7,6 +7,7 @@
 import shutil
 import signal
 import sys
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Final
 
@@ -72,10 +73,8 @@
         self._sigterm_at, self._killed = -1.0, False
         environment = {wire.names.SETTINGS_VARIABLE: str(self._settings)}
         environment["PATH"] = os.environ.get("PATH", "")
-        with self._log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable, str(PROGRAM), env=environment, stdout=log, stderr=log
-            )
+        command = (sys.executable, str(PROGRAM))
+        self._process = await start_process(command, environment, self._log)
         self._history.add(Started(self.spec.name))
         self._exit_task = asyncio.create_task(self._record_end(self._process))
         self.is_down = False
@@ -130,3 +129,21 @@
                 data[int(position * (len(data) - 1))] ^= FLIPPED_BIT_MASK
                 path.write_bytes(bytes(data))
                 self.is_damaged = True
+
+
+async def start_process(
+    command: Sequence[str], environment: Mapping[str, str], log: Path
+) -> asyncio.subprocess.Process:
+    """Start a process that ignores SIGHUP until it sets a handler of its own.
+
+    A program cannot set a handler before its first line runs, but it inherits that the
+    signal is ignored. ``log`` gets the output.
+    """
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        with log.open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                *command, env=dict(environment), stdout=output, stderr=output
+            )
+    finally:
+        signal.signal(signal.SIGHUP, former)
