--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -68,6 +69,7 @@
 # Callers that were told to come back after a pause do so over this time.
 PAUSE_SPREAD_SECONDS: Final = 0.5
 MAX_SERVER_REJECTION_COUNT: Final = 2
+MAX_CONNECT_FAILURE_COUNT: Final = 4
 # A request waits for the first rows of a new host for this share of its time left.
 DOCUMENT_WAIT_SHARE: Final = 0.25
 # Retry-After of a host that still has no rows; the retry may go to any host.
@@ -93,12 +95,15 @@
         clock: Callable[[], float],
         random: Random,
         crash_reporter: CrashReporter,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         """Create a router that routes by ``state`` over ``connections``.
 
-        ``clock`` returns seconds. ``crash_reporter`` receives the requests that were
-        running on a server when it ended.
+        ``clock`` returns seconds, ``wall_clock`` seconds of Unix time. The
+        ``crash_reporter`` receives the requests that were running on a server when it
+        ended.
         """
+        self._wall_clock = wall_clock
         self._config = config
         self._state = state
         self._connections = connections
@@ -255,8 +260,11 @@
         """Answer a request that ended the servers that ran it."""
         if context.may_have_run:
             return self._answer_failure(context)
+        row = self._state.tables.quarantines[context.fingerprint]
+        seconds = max(MIN_RETRY_AFTER_SECONDS, row.until_ms / 1000 - self._wall_clock())
+        headers = ((b"Retry-After", b"%.3f" % seconds),)
         return self._make_local_response(
-            503, "the request is quarantined", context.request_id
+            503, "the request is quarantined", context.request_id, headers
         )
 
     def _get_fingerprint(self, context: RequestContext) -> str:
@@ -363,9 +371,8 @@
             if isinstance(opened, ExchangeFault):
                 record_unreachable(stat, self._clock())
                 self._connections.close_idle(address)
-                context.avoid.add(stat.row.name)
                 context.detail = f"connect: {opened.detail}"
-                return None
+                return self._handle_failed_connect(context, stat)
             connection = opened
         now = self._clock()
         seconds_left = context.deadline - now
@@ -441,7 +448,7 @@
             stat, self._state.get_service_stat(context.service), None, self._clock()
         )
         if fault.kind == FaultKind.NOT_CONNECTED:
-            return None
+            return self._handle_failed_connect(context, stat)
         context.may_have_run = True
         context.avoid.add(stat.row.name)
         now = self._clock()
@@ -453,6 +460,23 @@
             return None
         return self._answer_failure(context)
 
+    def _handle_failed_connect(
+        self, context: RequestContext, stat: ServerStat
+    ) -> Response | None:
+        """Handle a server that got nothing of a request; return None to send again.
+
+        This needs no retry budget, since no server has more work, but has a bound: a
+        refused connection takes no time.
+        """
+        context.avoid.add(stat.row.name)
+        context.connect_failures += 1
+        if context.connect_failures < MAX_CONNECT_FAILURE_COUNT:
+            return None
+        now = self._clock()
+        return self._refuse(
+            context, Rejection("no server can be reached", stat.down_until - now)
+        )
+
     def _handle_dropped_connection(
         self, context: RequestContext, stat: ServerStat, fault: ExchangeFault
     ) -> Response | None:
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -25,7 +25,8 @@
 
     ``target_at`` is the time at which the request misses its target latency.
     ``sends`` counts the sends to servers, and ``server_rejections`` those that a
-    server answered without running the request. ``wrong_owner`` is set while the
+    server answered without running the request, ``connect_failures`` those that reached
+    no server. ``wrong_owner`` is set while the
     last server has answered that it does not own the key. Servers in ``avoid`` are
     chosen only if there is no other.
     """
@@ -40,6 +41,7 @@
     target_at: float
     sends: int = 0
     server_rejections: int = 0
+    connect_failures: int = 0
     may_have_run: bool = False
     wrong_owner: bool = False
     avoid: set[str] = field(default_factory=set)
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -76,6 +76,7 @@
             self.clock,
             Random(1),
             self.crash_reports,
+            self.wall_clock,
         )
         self.received: list[tuple[str, Request]] = []
         self.rows: dict[str, ServerRow] = {}
@@ -86,6 +87,11 @@
         """Return the router's time; ``frozen_at`` replaces it if set."""
         return time.monotonic() if self.frozen_at is None else self.frozen_at
 
+    @staticmethod
+    def wall_clock() -> float:
+        """Return a fixed time of day."""
+        return 1_800_000_000.0
+
     async def add_server(self, name: str, handler: Handler | None = None) -> ServerRow:
         """Start a test server and add its row; ``handler`` handles its requests."""
 
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from dragonflyrock.http import Request, Response, find_header, make_response
+from dragonflyrock.http import (
+    ExchangeFault,
+    Request,
+    Response,
+    ServerConnection,
+    find_header,
+    make_response,
+)
 from dragonflyrock.models import QuarantineRow, ServerRow
 from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS, OWNER_WAIT_SECONDS
 from dragonflyrock.router.server_stats import estimate_error_rate
@@ -353,3 +360,46 @@
         assert len(harness.received) == 1
 
     run_scenario(scenario)
+
+
+# Guards against a request that connects again and again, as fast as it is refused, to
+# servers that cannot be reached, until its deadline.
+def test_a_request_is_refused_after_a_few_failed_connects() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        connects: list[str] = []
+        connect = harness.connections.connect
+
+        async def count_connect(
+            address: str, timeout: float
+        ) -> ServerConnection | ExchangeFault:
+            """Count the attempts."""
+            connects.append(address)
+            return await connect(address, timeout)
+
+        harness.connections.connect = count_connect  # type: ignore[method-assign]
+        for name in ("one", "two"):
+            await harness.add_server(name)
+            harness.servers.pop().close()
+        harness.apply_update()
+        response = await harness.send_request()
+        assert response.status == 503
+        assert find_header(response.headers, b"retry-after") is not None
+        assert len(connects) <= 4
+
+    run_scenario(scenario)
+
+
+# Guards against a caller that is not told when its request may run again.
+def test_a_quarantined_request_is_told_when_to_come_back() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        name = harness.router.compute_fingerprint(b"GET", b"h", b"/p/x", b"")
+        until_ms = int(harness.wall_clock() * 1000) + 20_000
+        row = QuarantineRow(name, "", "GET", "/p/x", ("a", "b"), True, until_ms, 9)
+        harness.state.tables.quarantines[name] = row
+        response = await harness.send_request()
+        assert response.status == 503
+        assert find_header(response.headers, b"retry-after") == b"20.000"
+
+    run_scenario(scenario)
