--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -45,6 +45,8 @@
 # Pause after a failed connection or a timeout; doubles with each further failure.
 BACKOFF_SECONDS: Final = 0.4
 MAX_BACKOFF_SECONDS: Final = 3.0
+# Enough to reach the longest pause; far more would overflow.
+MAX_BACKOFF_DOUBLINGS: Final = 8
 # Weight of a new request in a server's error rate, and the time constant with which
 # the rate decays, so that a server that has recovered gets requests again.
 ERROR_RATE_SMOOTHING: Final = 0.3
@@ -259,6 +261,7 @@
 
 def record_unreachable(stat: ServerStat, now: float) -> None:
     """Start or extend the pause of a server that could not be reached in time."""
-    pause = min(BACKOFF_SECONDS * 2**stat.consecutive_failures, MAX_BACKOFF_SECONDS)
+    doublings = min(stat.consecutive_failures, MAX_BACKOFF_DOUBLINGS)
+    pause = min(BACKOFF_SECONDS * 2**doublings, MAX_BACKOFF_SECONDS)
     stat.consecutive_failures += 1
     stat.down_until = now + pause
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -8,6 +8,7 @@
 from dragonflyrock.router.budget import BudgetPolicy, ServiceRetryBudget
 from dragonflyrock.router.choice import choose_fastest
 from dragonflyrock.router.server_stats import (
+    MAX_BACKOFF_SECONDS,
     LoadReport,
     ServerStat,
     ServiceStat,
@@ -118,3 +119,12 @@
     record_full(stat, 0.0)
     assert estimate_wait(stat, service, 0.0) > 3 * before
     assert estimate_wait(stat, service, 2.0) == pytest.approx(before, rel=0.05)
+
+
+# Guards against a server that has failed so often that the computation of its pause
+# overflows, which ends each request that tries it.
+def test_a_pause_stays_bounded_after_any_number_of_failures() -> None:
+    stat = make_server_stat("dead")
+    for _ in range(3_000):
+        record_unreachable(stat, 10.0)
+    assert stat.down_until == 10.0 + MAX_BACKOFF_SECONDS
