--- a/src/dragonflyrock/router/headers.py
+++ b/src/dragonflyrock/router/headers.py
@@ -73,7 +73,8 @@
     """Return why a successful response is invalid; empty if it is valid."""
     if not 200 <= response.status < 300:
         return ""
-    if find_header(response.headers, names.request_id) != request_id:
+    echoed = find_header(response.headers, names.request_id) or b""
+    if echoed != request_id:
         return "the response has no matching request id"
     signature = names.signature
     if signature and find_header(response.headers, signature) is None:
