--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import Final
 
+import msgspec
+
 from ..drain import Drain
 from ..entry.request import make_fingerprint
 from ..http import (
@@ -193,7 +195,7 @@
         name = self._config.header_names.request_id
         if request_id and name:
             headers = ((name, request_id), *headers)
-        body = b'{"error": "%s"}' % detail.replace('"', "'").encode()
+        body = msgspec.json.encode({"error": detail})
         return make_response(status, body, headers)
 
     def _start_request(
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 import pytest
@@ -403,3 +404,15 @@
         assert find_header(response.headers, b"retry-after") == b"20.000"
 
     run_scenario(scenario)
+
+
+# Guards against an error body that is not valid JSON because of what the caller sent.
+@pytest.mark.parametrize("path", [b'/p\\x"', b"/\\", b"/\x01", b"/\xff"])
+def test_the_body_of_an_own_answer_is_valid_json(path: bytes) -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        harness.apply_update()
+        response = await harness.send_request(path)
+        assert response.status == 404
+        assert "no route for h" in json.loads(response.body)["error"]
+
+    run_scenario(scenario)
