--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -278,15 +278,19 @@
         if lengths > 1 or codings > 1 or (lengths and codings):
             self._refuse(400)
             return
+        wants_continue = False
         for name, value in self._headers:
-            if name.lower() == b"content-length":
-                if int(value) > self._server.limits.body_bytes:
+            match name.lower():
+                case b"content-length" if int(value) > self._server.limits.body_bytes:
                     self._refuse(413)
-            elif name.lower() == b"transfer-encoding":
-                if value.strip().lower() != b"chunked":
+                    return
+                case b"transfer-encoding" if value.strip().lower() != b"chunked":
                     self._refuse(400)
-            elif name.lower() == b"expect" and self._transport is not None:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    return
+                case b"expect":
+                    wants_continue = value.strip().lower() == b"100-continue"
+        if wants_continue and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and refuse a body that is too large."""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -158,3 +158,27 @@
         server.close()
 
     asyncio.run(run_scenario())
+
+
+# Guards against an invitation to send a body that is too large, or that nobody asked
+# for.
+@pytest.mark.parametrize(
+    ("head", "expected"),
+    [
+        (b"Expect: 100-continue\r\nContent-Length: 2\r\n", b"HTTP/1.1 100 "),
+        (b"Content-Length: 2000\r\nExpect: 100-continue\r\n", b"HTTP/1.1 413 "),
+        (b"Expect: 100-continue\r\nContent-Length: 2000\r\n", b"HTTP/1.1 413 "),
+        (b"Expect: a-miracle\r\nContent-Length: 0\r\n", b"HTTP/1.1 200 "),
+    ],
+)
+def test_only_a_request_that_is_accepted_is_told_to_continue(
+    head: bytes, expected: bytes
+) -> None:
+    async def run_scenario() -> None:
+        server, port = await start(RecordingHandler(), WireLimits(500, 1000))
+        data = b"POST / HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n"
+        response = await send_bytes(port, data, b"\r\n\r\n")
+        assert response.startswith(expected)
+        server.close()
+
+    asyncio.run(run_scenario())
