--- a/src/dragonflyrock/settings.py
+++ b/src/dragonflyrock/settings.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import struct
 import tomllib
 from pathlib import Path
 from typing import Any, Final
 
 import msgspec
+from zmq.utils import z85
 
 from .consensus import Timing
 from .control.leader import ServicePolicy
@@ -29,6 +31,7 @@
     "make_timing",
 ]
 
+CURVE_KEY_BYTES: Final = 32
 ROLES: Final = ("entry", "control")
 VOTER_COUNTS: Final = (1, 3, 5)
 # Within this time after a host or server is lost, others must serve its keys.
@@ -421,24 +424,32 @@
 
 
 def _check_keys(settings: Settings) -> list[str]:
-    """Check that the keys for encrypted links are set, unless all are on loopback."""
+    """Check the keys of links, which are needed unless all links are on loopback."""
     remote = [peer.name for peer in settings.hosts if not peer.link.startswith("127.")]
-    if not remote:
-        return []
     problems = []
-    if not settings.keys.curve_secret_file:
+    if remote and not settings.keys.curve_secret_file:
         allowed = "a file, since not all links are on loopback"
         problems.append(_format_problem("keys.curve_secret_file", "", allowed))
     problems += [
         _format_problem(
-            f"hosts.{peer.name}.curve_public_key", "", "a Z85 key of 40 characters"
+            f"hosts.{peer.name}.curve_public_key",
+            peer.curve_public_key,
+            "a Z85 key of 40 characters",
         )
         for peer in settings.hosts
-        if len(peer.curve_public_key) != 40
+        if (remote or peer.curve_public_key) and not _is_key(peer.curve_public_key)
     ]
     return problems
 
 
+def _is_key(text: str) -> bool:
+    """Return whether a text is a Z85-encoded key of 32 bytes."""
+    try:
+        return len(z85.decode(text)) == CURVE_KEY_BYTES
+    except (ValueError, KeyError, struct.error):
+        return False
+
+
 def make_timing(settings: Settings) -> Timing:
     """Return the timeouts of the consensus groups."""
     timeouts = settings.timeouts
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -414,6 +414,16 @@
         "[control]", "[timeouts]\nheartbeat_ms = -1\n[control]", ("heartbeat_ms", "-1")
     ),
     BadSettings('link = "127.0.0.1:7101"', 'link = "10.0.0.1:7101"', ("curve",)),
+    BadSettings(
+        'link = "127.0.0.1:7101"',
+        f'link = "127.0.0.1:7101"\ncurve_public_key = "{"~" * 40}"',
+        ("curve_public_key", "a Z85 key of 40 characters"),
+    ),
+    BadSettings(
+        'link = "127.0.0.1:7101"',
+        f'link = "127.0.0.1:7101"\ncurve_public_key = "{"#" * 40}"',
+        ("curve_public_key", "a Z85 key of 40 characters"),
+    ),
 ]
 
 
