--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -107,8 +107,9 @@
         settings = msgspec.convert(data, NodeSettings)
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}", step="settings") from error
-    for problem in _find_problems(settings):
-        raise SettingsError(f"{path}: {problem}", step="settings")
+    problems = _find_problems(settings)
+    if problems:
+        raise SettingsError(f"{path}: {'; '.join(problems)}", step="settings")
     return settings
 
 
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -72,3 +72,14 @@
 def test_a_missing_file_is_reported(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="No such file"):
         load_node_settings(tmp_path / "none.toml")
+
+
+# Guards against an operator who corrects one setting at a time, with a start for each.
+def test_all_problems_of_a_file_are_reported(tmp_path: Path) -> None:
+    bad = VALID_SETTINGS.replace('role = "control"', 'role = "other"').replace(
+        'link = "10.0.0.1:7000"', 'link = "here"'
+    )
+    with pytest.raises(SettingsError) as caught:
+        write_and_load(tmp_path, bad + "[bounds]\nstop_grace_s = 0\n")
+    for name in ("node.role", "listen.link", "bounds.stop_grace_s"):
+        assert name in str(caught.value)
