--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -117,7 +117,6 @@
         self.drain: Drain | None = None
         self._splitter = WeightedSplitter()
         self._split_offset = hash_fraction(config.host, "split")
-        self._longest_deadlines: dict[str, float] = {}
         self._crash_checks: set[asyncio.Task[None]] = set()
 
     async def handle(self, request: Request) -> Response:
@@ -209,9 +208,10 @@
             seconds_left = int(value) / 1000
         # Callers send the same time left with each first attempt; less means a retry.
         # The difference is the time that has passed since the first attempt.
-        longest = max(self._longest_deadlines.get(route.name, 0.0), seconds_left)
+        deadlines = self._state.longest_deadlines
+        longest = max(deadlines.get(route.name, 0.0), seconds_left)
         if value is not None:
-            self._longest_deadlines[route.name] = longest
+            deadlines[route.name] = longest
         since_first_attempt = (
             min(longest - seconds_left, longest) if value is not None else 0.0
         )
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -28,8 +28,9 @@
     """Tables from the leader, and statistics; used by the event loop's thread only.
 
     ``by_service`` lists the servers of a service that do not leave. ``changed`` is
-    set, and replaced by a new event, whenever rows change. ``on_leaving`` is called
-    when this host learns that a server leaves.
+    set, and replaced by a new event, whenever rows change. ``longest_deadlines`` has
+    the longest time left in seconds with which callers sent requests, by route.
+    ``on_leaving`` is called when this host learns that a server leaves.
     """
 
     def __init__(self, policy: BudgetPolicy, clock: Callable[[], float]) -> None:
@@ -45,6 +46,7 @@
         self._key_loads: dict[tuple[str, int], int] = {}
         self._speeds: dict[str, tuple[int, float]] = {}
         self._ended: set[str] = set()
+        self.longest_deadlines: dict[str, float] = {}
         self.leaving = LeavingTable()
         self.pauses = PauseTable()
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
@@ -53,11 +55,21 @@
         """Apply an update from the leader; return whether rows changed."""
         changed = self.tables.apply(update, update.lease_ms / 1000, self._clock())
         if changed:
+            self._forget_absent()
             self._index_servers()
             self.changed.set()
             self.changed = asyncio.Event()
         return changed
 
+    def _forget_absent(self) -> None:
+        """Forget what was recorded of routes and services that are gone."""
+        routes, services = self.tables.routes, self.tables.routed_services
+        for name in [name for name in self.longest_deadlines if name not in routes]:
+            del self.longest_deadlines[name]
+        for by_service in (self._services, self._budgets):
+            for name in by_service.keys() - services.keys():
+                del by_service[name]
+
     def _index_servers(self) -> None:
         """Add and remove statistics so that they match the server rows."""
         rows = self.tables.servers
@@ -67,7 +79,7 @@
         self.by_service = {}
         for name, row in rows.items():
             stat = self.stats.get(name)
-            if stat is None:
+            if stat is None or stat.row.holder != row.holder:
                 stat = ServerStat(row, slots=max(1, row.slots))
                 self.stats[name] = stat
             stat.row = row
--- a/src/dragonflyrock/routes/lookup.py
+++ b/src/dragonflyrock/routes/lookup.py
@@ -29,6 +29,10 @@
         """Return the number of routes."""
         return len(self._by_name)
 
+    def __contains__(self, name: str) -> bool:
+        """Return whether there is a route with a name."""
+        return name in self._by_name
+
     def put(self, route: Route) -> None:
         """Add a route, or replace the route with its name."""
         self.remove(route.name)
@@ -43,6 +47,8 @@
         prefixes = self._by_host.get(route.host.lower(), {})
         if prefixes.get(route.prefix) is route:
             del prefixes[route.prefix]
+        if not prefixes:
+            self._by_host.pop(route.host.lower(), None)
 
     def clear(self) -> None:
         """Remove all routes."""
