--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -33,6 +33,7 @@
     estimate_wire_bytes,
     find_response_error,
     make_server_request,
+    parse_key,
     parse_load_report,
 )
 from .models import (
@@ -135,6 +136,9 @@
             return self._answer_unrouted(
                 request_id, 404, f"no route for {host}{target}"
             )
+        if self._has_invalid_key(request, route):
+            detail = "the key is not a number of the key space"
+            return self._answer_unrouted(request_id, 400, detail)
         context = self._start_request(request, request_id, route, now)
         if self.drain is not None and not self.drain.accepts(now, context.deadline):
             response = self._refuse(context, Rejection("the host is stopping", 0.0))
@@ -150,6 +154,14 @@
         self._log_request(context, response.status, context.detail)
         return response
 
+    def _has_invalid_key(self, request: Request, route: Route) -> bool:
+        """Return whether a service of the route needs a key and this one is invalid."""
+        if parse_key(request, self._config.header_names) is not None:
+            return False
+        services = self._state.tables.routed_services
+        routed = [services.get(share.service) for share in route.shares]
+        return any(service is not None and service.keyed for service in routed)
+
     def _is_past_end(self) -> bool:
         """Return whether the host's drain is over.
 
@@ -220,8 +232,7 @@
         routed = self._state.tables.routed_services.get(service)
         key_hash: int | None = None
         if routed is not None and routed.keyed:
-            key = find_header(request.headers, names.key) or b"0"
-            key_hash = int(key) << names.key_shift if key.isdigit() else 0
+            key_hash = parse_key(request, names) or 0
             # Refused requests count too: keys are moved by the demand for them.
             self._state.count_key_request(service, key_hash)
         self._state.get_budget(service).count_request(now)
--- a/src/dragonflyrock/router/headers.py
+++ b/src/dragonflyrock/router/headers.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from ..hashing import KEY_SPACE
 from ..http import Headers, Request, Response, find_header
 from .header_names import HeaderNames
 from .server_stats import LoadReport
@@ -13,9 +14,12 @@
     "drop_hop_by_hop_headers",
     "find_response_error",
     "make_server_request",
+    "parse_key",
     "parse_load_report",
 ]
 
+# Any larger number is outside of the key space.
+MAX_KEY_DIGITS: Final = 20
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b"connection",
@@ -84,6 +88,17 @@
     return ""
 
 
+def parse_key(request: Request, names: HeaderNames) -> int | None:
+    """Return the hash of a request's key, 0 without one; None for an invalid key."""
+    value = find_header(request.headers, names.key)
+    if value is None:
+        return 0
+    if not value.isdigit() or len(value) > MAX_KEY_DIGITS:
+        return None
+    key_hash = int(value) << names.key_shift
+    return key_hash if key_hash < KEY_SPACE else None
+
+
 def parse_load_report(response: Response, names: HeaderNames) -> LoadReport | None:
     """Return the load report of a response; None if it is missing or malformed."""
     value = find_header(response.headers, names.load)
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -416,3 +416,31 @@
         assert "no route for h" in json.loads(response.body)["error"]
 
     run_scenario(scenario)
+
+
+# Guards against a key outside of the key space, which no range covers and which is
+# counted as a key of its own.
+@pytest.mark.parametrize("key", [b"65536", b"9" * 40, b"-1", b"x"])
+def test_a_key_outside_of_the_key_space_is_refused(key: bytes) -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update(owner="one")
+        headers = ((b"Host", b"h"), (b"X-Request-Id", b"id"), (b"X-Key", key))
+        response = await harness.router.handle(Request(b"GET", b"/p/x", headers, b""))
+        assert response.status == 400
+        assert harness.state.pop_loads() == ()
+        assert harness.received == []
+
+    run_scenario(scenario)
+
+
+# Guards against a refusal because of a header that the service does not use.
+def test_a_service_without_keys_ignores_the_key() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        headers = ((b"Host", b"h"), (b"X-Request-Id", b"id"), (b"X-Key", b"x"))
+        response = await harness.router.handle(Request(b"GET", b"/p/x", headers, b""))
+        assert response.status == 200
+
+    run_scenario(scenario)
