--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -20,6 +20,7 @@
     FaultKind,
     Request,
     Response,
+    ServerConnection,
     find_header,
 )
 from .names import (
@@ -45,22 +46,21 @@
     async def send(self, order: Order, timeout: float) -> OrderResult:
         """Send an order and return its result.
 
-        Without a response within ``timeout`` seconds the outcome is unknown.
+        Without a response within ``timeout`` seconds, in which the connection is opened
+        too, the outcome is unknown if the order may have been sent.
         """
-        address = order.server.address
-        connection = self._connections.acquire_idle(address)
-        if connection is None:
-            new_connection = await self._connections.connect(address, timeout)
-            if isinstance(new_connection, ExchangeFault):
-                return OrderResult(
-                    order, OrderOutcome.NOT_SENT, detail=new_connection.detail
-                )
-            connection = new_connection
+        connection: ServerConnection | ExchangeFault | None = None
         try:
             async with asyncio.timeout(timeout):
+                connection = await self._connect(order.server.address, timeout)
+                if isinstance(connection, ExchangeFault):
+                    return OrderResult(
+                        order, OrderOutcome.NOT_SENT, detail=connection.detail
+                    )
                 result = await connection.exchange(_make_request(order))
         except TimeoutError:
-            return OrderResult(order, OrderOutcome.UNKNOWN, detail="no answer in time")
+            outcome = OrderOutcome.UNKNOWN if connection else OrderOutcome.NOT_SENT
+            return OrderResult(order, outcome, detail="no answer in time")
         self._connections.release(connection)
         if isinstance(result, ExchangeFault):
             outcome = OrderOutcome.UNKNOWN
@@ -69,6 +69,15 @@
             return OrderResult(order, outcome, detail=result.detail)
         return _read_result(order, result)
 
+    async def _connect(
+        self, address: str, timeout: float
+    ) -> ServerConnection | ExchangeFault:
+        """Return an idle connection to a server, or a new one."""
+        connection = self._connections.acquire_idle(address)
+        if connection is not None:
+            return connection
+        return await self._connections.connect(address, timeout)
+
 
 def _make_request(order: Order) -> Request:
     """Return the HTTP request for an order."""
