--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from random import Random
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from ..codec import get_outer_name
 from ..consensus import Role, open_group
@@ -55,6 +55,8 @@
 # A follower without a message from the leader for this long may be cut off from it.
 LEADER_CONTACT_TIMEOUT_SECONDS: Final = 0.6
 SERVER_REPORT_INTERVAL_SECONDS: Final = 1.0
+# Longer than an election takes, shorter than a server may be silent.
+UNREPORTED_SECONDS: Final = 2.0
 # A stopping node runs at least this long after it starts to hand over the leadership.
 HANDOVER_SECONDS: Final = 0.3
 
@@ -62,6 +64,13 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class UnreportedHeartbeat(NamedTuple):
+    """A heartbeat that was acknowledged here, and when by this node's clock."""
+
+    sequence: int
+    received_at: float
+
+
 class ControlNode:
     """A control node: its member of the control group, its links and HTTP servers.
 
@@ -86,7 +95,7 @@
         self._timing = make_directed_timing(settings)
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._state = state = ControlState()
-        self._unreported_sequences: dict[str, int] = {}
+        self._unreported: dict[str, UnreportedHeartbeat] = {}
         self._servers_reported_at = 0.0
         voters = settings.seed_names if settings.node.forming else ()
         if settings.node.name not in voters:
@@ -192,7 +201,9 @@
         to the leader later, together with others. Any other is sent to the leader.
         """
         if self._repeats_committed_row(heartbeat):
-            self._unreported_sequences[heartbeat.name] = heartbeat.sequence
+            self._unreported[heartbeat.name] = UnreportedHeartbeat(
+                heartbeat.sequence, self._loop.clock()
+            )
             return HeartbeatAccepted()
         answer = await self._call(heartbeat)
         if isinstance(answer, HeartbeatAccepted | Refusal):
@@ -224,13 +235,20 @@
         )
 
     def _report_servers(self) -> None:
-        """Report heartbeats acknowledged since the last report to the leader."""
-        if not self._unreported_sequences:
-            return
-        sequences, self._unreported_sequences = self._unreported_sequences, {}
+        """Report heartbeats acknowledged since the last report to the leader.
+
+        Without a leader, or a link to it, they are kept for the next reports, but not
+        for long: the leader takes a report as a sign of life at that time.
+        """
+        since = self._loop.clock() - UNREPORTED_SECONDS
+        recent = {n: h for n, h in self._unreported.items() if h.received_at > since}
+        self._unreported = recent
         leader = self._group.replica.leader
-        if leader:
-            self._loop.send(leader, ServersHeard(tuple(sequences.items())))
+        if not leader or not recent:
+            return
+        sequences = tuple((name, heard.sequence) for name, heard in recent.items())
+        if self._loop.send(leader, ServersHeard(sequences)):
+            self._unreported = {}
 
     async def put_routes(self, command: PutRoutes | ChangeRoutes) -> Done | Refusal:
         """Commit a change of the route document through the leader."""
--- a/tests/node/test_control_disk.py
+++ b/tests/node/test_control_disk.py
@@ -15,9 +15,14 @@
 from dragonflyrock.http import Request, Response, make_response
 from dragonflyrock.models import ServerRow
 from dragonflyrock.node import loop as node_loop
-from dragonflyrock.node.control import ControlNode
+from dragonflyrock.node.control import (
+    UNREPORTED_SECONDS,
+    ControlNode,
+    UnreportedHeartbeat,
+)
 from dragonflyrock.node.settings import NodeSettings, load_node_settings
 from dragonflyrock.routes import RouteDocument
+from dragonflyrock.transport.messages import ServersHeard
 
 from ..common import free_port
 from ..consensus.groups import FaultyFiles
@@ -138,3 +143,32 @@
         return before, after
 
     assert asyncio.run(check_before_and_after()) == (True, False)
+
+
+# Guards against heartbeats that were acknowledged and are never reported: the leader
+# then counts the servers as silent.
+def test_heartbeats_are_reported_once_there_is_a_leader_again(
+    settings: NodeSettings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def report_twice() -> list[tuple[str, object]]:
+        node = ControlNode(settings, reject_order, time.monotonic())
+        sent: list[tuple[str, object]] = []
+
+        def send(peer: str, message: object) -> bool:
+            """Record a message; the link to "unreachable" is not open."""
+            if peer == "unreachable":
+                return False
+            sent.append((peer, message))
+            return True
+
+        monkeypatch.setattr(node._loop, "send", send)
+        now = node._loop.clock()
+        node._unreported["server"] = UnreportedHeartbeat(7, now)
+        node._unreported["silent"] = UnreportedHeartbeat(9, now - UNREPORTED_SECONDS)
+        for leader in ("", "unreachable", "leader", "leader"):
+            node._group.replica.leader = leader
+            node._report_servers()
+        node._loop.close()
+        return sent
+
+    assert asyncio.run(report_twice()) == [("leader", ServersHeard((("server", 7),)))]
