--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -57,8 +57,10 @@
 SERVER_REPORT_INTERVAL_SECONDS: Final = 1.0
 # Longer than an election takes, shorter than a server may be silent.
 UNREPORTED_SECONDS: Final = 2.0
-# A stopping node runs at least this long after it starts to hand over the leadership.
+# A stopping leader runs at least this long after it starts to hand over, another node
+# for as long as its last messages need.
 HANDOVER_SECONDS: Final = 0.3
+LAST_MESSAGES_SECONDS: Final = 0.05
 
 OrderSender = Callable[[Order, float], Awaitable[OrderResult]]
 Handler = Callable[[Request], Awaitable[Response]]
@@ -174,10 +176,12 @@
         assert server is not None
         self._loop.lines.add("stopping", busy=server.busy_count)
         self._report_servers()
+        is_leader = self._group.replica.role == Role.LEADER
         self._member.hand_over(self._loop.clock())
         self._loop.schedule_pass()
         grace = self._settings.bounds.stop_grace_s
-        handover_wait = asyncio.create_task(asyncio.sleep(HANDOVER_SECONDS))
+        wait = HANDOVER_SECONDS if is_leader else LAST_MESSAGES_SECONDS
+        handover_wait = asyncio.create_task(asyncio.sleep(wait))
         await server.finish(plan_drain(self._stop_requested_at, grace).end)
         await handover_wait
         self._member.close()
--- a/src/dragonflyrock/node/timing.py
+++ b/src/dragonflyrock/node/timing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from ..consensus import Timing
 from ..control.directed_models import DirectedTiming
 from ..control.tables import LeaderTiming
@@ -9,6 +11,13 @@
 
 __all__ = ["make_consensus_timing", "make_directed_timing", "make_lease_timing"]
 
+# One answer may be lost, and the next be on its way.
+UNANSWERED_RENEWALS: Final = 3
+# Two heartbeats may be lost or late in a row.
+MISSED_HEARTBEATS: Final = 3
+# For heartbeats that come late, or by way of a follower.
+HEARTBEAT_MARGIN_SECONDS: Final = 0.3
+
 
 def make_consensus_timing(settings: NodeSettings) -> Timing:
     """Return the timeouts of the replicated log."""
@@ -24,7 +33,7 @@
     timeouts = settings.timeouts
     return LeaderTiming(
         entry_lease=timeouts.host_lease_ms / 1000,
-        answer_timeout=3 * timeouts.host_renew_ms / 1000,
+        answer_timeout=UNANSWERED_RENEWALS * timeouts.host_renew_ms / 1000,
         longest_deadline=timeouts.host_lease_ms / 1000,
     )
 
@@ -35,5 +44,6 @@
     return DirectedTiming(
         hold=timeouts.hold_ms / 1000,
         renew_interval=timeouts.hold_renew_ms / 1000,
-        silence_timeout=3.2 * settings.bounds.announce_ms / 1000,
+        silence_timeout=MISSED_HEARTBEATS * settings.bounds.announce_ms / 1000
+        + HEARTBEAT_MARGIN_SECONDS,
     )
--- a/tests/node/test_control_stop.py
+++ b/tests/node/test_control_stop.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from dragonflyrock.node.control import ControlNode
+from dragonflyrock.node.control import HANDOVER_SECONDS, ControlNode
 from dragonflyrock.node.settings import ListenAddresses, NodeIdentity, NodeSettings
 from dragonflyrock.platform.control_calls import ControlCalls
 from dragonflyrock.platform.orders import OrderClient
@@ -92,3 +92,23 @@
         writer.close()
 
     run_control_scenario(tmp_path, scenario)
+
+
+# Guards against a node that has nothing to hand over and still waits for it.
+def test_a_node_that_does_not_lead_stops_at_once(tmp_path: Path) -> None:
+    times: list[float] = []
+
+    async def scenario(harness: ControlHarness) -> None:
+        close = harness.node._member.close
+
+        def record_close() -> None:
+            """Record when the node closes its member."""
+            times.append(harness.node._loop.clock())
+            close()
+
+        harness.node._member.close = record_close  # type: ignore[method-assign]
+        times.append(harness.node._loop.clock())
+
+    run_control_scenario(tmp_path, scenario)
+    asked, closed = times
+    assert closed - asked < HANDOVER_SECONDS / 2
