--- a/src/dragonflyrock/trial/history.py
+++ b/src/dragonflyrock/trial/history.py
@@ -6,7 +6,7 @@
 import json
 import threading
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 __all__ = [
@@ -16,6 +16,7 @@
     "JournalEntry",
     "Violation",
     "check_history",
+    "measure_longest_outage",
 ]
 
 NS_PER_SECOND = 1_000_000_000
@@ -225,3 +226,21 @@
         yield Violation("contracts", f"version {last} was lost, {version} is in force")
     elif version == last and value != by_version[last].value:
         yield Violation("contracts", f"version {last} has another value")
+
+
+def measure_longest_outage(calls: Sequence[CallRecord]) -> float:
+    """Return the longest time in seconds without a successful response for a key.
+
+    That is the time from the start of the first of a key's failed calls in a row to the
+    end of the call that succeeds after them, or the duration of a single call.
+    """
+    longest = 0.0
+    failing_since: dict[str, float] = {}
+    for call in sorted(calls, key=lambda call: call.ended_at):
+        since = min(failing_since.get(call.key, call.sent_at), call.sent_at)
+        longest = max(longest, call.ended_at - since)
+        if call.status == 200:
+            failing_since.pop(call.key, None)
+        else:
+            failing_since[call.key] = since
+    return longest
--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -22,6 +22,7 @@
     PlannedStop,
     Violation,
     check_history,
+    measure_longest_outage,
 )
 from .plans import SINGLE, FleetPlan, ServicePlan
 
@@ -176,7 +177,6 @@
         self._threads: list[threading.Thread] = []
         self._version = 0
         self._load_start_index = 0
-        self._tokens = 0
 
     def start(self) -> None:
         """Start the fleet, put a contract, and wait until all hosts have applied it."""
@@ -203,9 +203,7 @@
         violations = check_history(self._history, STOP_GRACE_SECONDS, in_force)
         calls = self._history.calls
         failed = sum(call.status != 200 for call in calls)
-        return ScenarioResult(
-            len(calls), failed, self._measure_longest_outage(), violations
-        )
+        return ScenarioResult(len(calls), failed, self._measure_outage(), violations)
 
     def describe(self) -> str:
         """Return the latest events of all hosts that respond, sorted."""
@@ -278,7 +276,7 @@
         """Check one expectation."""
         match kind, arguments:
             case "unavailable", [seconds]:
-                outage = self._measure_longest_outage()
+                outage = self._measure_outage()
                 self._expect(
                     outage <= float(seconds), f"unavailable for {outage:.2f} s"
                 )
@@ -523,24 +521,6 @@
                 return
         self._expect(False, "the request was never quarantined")
 
-    def _measure_longest_outage(self) -> float:
-        """Return the longest time in seconds without a successful response for a key.
-
-        That is the duration of a successful call, or the time from the start of the
-        first to the end of the last of a key's failed calls in a row.
-        """
-        longest = 0.0
-        failing_since: dict[str, float] = {}
-        calls = sorted(
-            self._history.calls[self._load_start_index :],
-            key=lambda call: call.ended_at,
-        )
-        for call in calls:
-            since = min(failing_since.get(call.key, call.sent_at), call.sent_at)
-            if call.status == 200:
-                longest = max(longest, call.ended_at - call.sent_at)
-                failing_since.pop(call.key, None)
-            else:
-                failing_since[call.key] = since
-                longest = max(longest, call.ended_at - since)
-        return longest
+    def _measure_outage(self) -> float:
+        """Return the longest outage of a key in seconds since the load began."""
+        return measure_longest_outage(self._history.calls[self._load_start_index :])
--- a/tests/trial/test_history.py
+++ b/tests/trial/test_history.py
@@ -14,6 +14,7 @@
     JournalEntry,
     PlannedStop,
     check_history,
+    measure_longest_outage,
 )
 
 
@@ -136,3 +137,16 @@
     assert find_failed_checks(history, (2, 21.0)) == {"contracts"}
     history.changes.append(ContractChange("c", 2, 30.0, 3.0))
     assert find_failed_checks(history) == {"contracts"}
+
+
+# Guards against an outage that seems to end with the last failed call, although the
+# next call has not succeeded yet.
+def test_an_outage_lasts_until_a_call_succeeds() -> None:
+    times = ((10.0, 10.1, 200), (11.0, 11.1, 503), (11.5, 11.6, 503), (13.0, 13.2, 200))
+    calls = [
+        make_call("", "", status=status)._replace(sent_at=sent, ended_at=ended)
+        for sent, ended, status in times
+    ]
+    assert measure_longest_outage(calls) == pytest.approx(2.2)
+    assert measure_longest_outage(calls[:1]) == pytest.approx(0.1)
+    assert measure_longest_outage([]) == 0.0
