--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,6 @@
 from .models import Outcome, Readied, Sent, Unreached
 from .operators import ConfigView
 
-NOT_RUN_STATUSES: Final = (429, 503)
 # A node leaves the rotation after this many failed readiness checks in a row.
 FAILED_CHECKS_TO_REMOVE: Final = 2
 CALLED_KEY_COUNT: Final = 40
@@ -146,7 +145,7 @@
         for _ in range(const.MAX_RETRY_COUNT + 1):
             node = node or self._balancer.pick(self._node)
             status, retry_delay = await self._attempt(request, node)
-            may_retry = status in NOT_RUN_STATUSES or (
+            may_retry = status in const.NOT_RUN_STATUSES or (
                 request.route.safe and status in (0, *range(500, 600))
             )
             remaining = request.until - self._history.now()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,7 +21,6 @@
 )
 from .notice_checks import check_leaving, check_pauses
 
-NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 FAILURE_STATUSES: Final = (500, 502, 504)
 # Tolerance at a deadline, which caller and node measure on their own clocks.
 DEADLINE_SLACK_SECONDS: Final = 0.05
@@ -73,7 +72,7 @@
         if outcome.how == "answered" and outcome.detail:
             yield Violation("MIXED", at, outcome.detail, subjects)
         for _, run in index.began.get(outcome.request, ()):
-            if outcome.status in NOT_RUN_STATUSES:
+            if outcome.status in const.NOT_RUN_STATUSES:
                 detail = f"answered {outcome.status}, but run by {run.server}"
                 yield Violation("REFUSED", at, detail, subjects)
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -26,6 +26,9 @@
 # A missing response is a failure this long after the request's deadline.
 LATE_RESPONSE_SECONDS: Final = 0.5
 
+# Statuses that promise that a request has not run and never will.
+NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
+
 CONTROL_NODE_COUNT: Final = 3
 ENTRY_NODE_COUNT: Final = 4
 SHARDED_SERVER_COUNT: Final = 3
