--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from ..codec import CodecError
+from ..const import NEVER
 from .files import Files
 from .log import Log
 from .membership import step_down
@@ -46,7 +47,6 @@
 DISK_RETRY_SECONDS: Final = 0.5
 # Delay before a snapshot that could not be saved is tried again.
 SNAPSHOT_RETRY_SECONDS: Final = 5.0
-NEVER: Final = float("-inf")
 
 
 class StateMachine(Protocol):
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from ..const import NEVER
 from .log import Log
 from .models import (
     Configuration,
@@ -39,7 +40,6 @@
     "undo_output",
 ]
 
-NEVER: Final = float("-inf")
 # Fraction of the range of election timeouts over which the first elections after a
 # start are spread.
 STARTUP_SPREAD_RATIO: Final = 0.6
--- /dev/null
+++ b/src/dragonflyrock/const.py
@@ -0,0 +1,14 @@
+"""Constants that several parts use."""
+
+from __future__ import annotations
+
+from typing import Final
+
+__all__ = ["HOST_LIST_INTERVAL_SECONDS", "NEVER"]
+
+# A time before any other.
+NEVER: Final = float("-inf")
+# Where the list of hosts is only used to divide shared limits, it changes at most once
+# in this time. Otherwise, when many hosts start at once, each one would be sent a new
+# list for every other one.
+HOST_LIST_INTERVAL_SECONDS: Final = 0.5
--- a/src/dragonflyrock/control/commands.py
+++ b/src/dragonflyrock/control/commands.py
@@ -57,7 +57,10 @@
 
 
 class ForgetServer(NamedTuple):
-    """Drop a server that no longer runs and owns no ranges."""
+    """Drop a server that no longer runs and owns no ranges.
+
+    Nothing proposes it any more; logs of released versions may contain it.
+    """
 
     holder: str
 
@@ -119,7 +122,10 @@
 
 
 class SplitRange(NamedTuple):
-    """Split an active range so that a new one begins at ``middle``."""
+    """Split an active range so that a new one begins at ``middle``.
+
+    Nothing proposes it any more; logs of released versions may contain it.
+    """
 
     service: str
     low: int
@@ -127,7 +133,10 @@
 
 
 class MergeRanges(NamedTuple):
-    """Merge an active range with the next range of the same owner."""
+    """Merge an active range with the next range of the same owner.
+
+    Nothing proposes it any more; logs of released versions may contain it.
+    """
 
     service: str
     low: int
--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -44,7 +43,6 @@
 
 __all__ = ["DirectedLeader"]
 
-_LOGGER = logging.getLogger(__name__)
 
 MAX_ENDED_INSTANCES: Final = 10_000
 JOIN_INTERVAL_SECONDS: Final = 5.0
@@ -497,7 +495,6 @@
         move = RangeMove(
             service, low, high, epoch, source, target, MoveStage.FREE, cause
         )
-        move.started_at = now
         hold = self._find_hold(service, low)
         # The owner may not hold the part yet, but receive it by a pending grant.
         held = hold is not None and (
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from ..codec import outer_name
+from ..const import NEVER
 from ..hashing import KEY_SPACE
 from ..models import ServerRow
 
@@ -26,8 +27,6 @@
     "ServerLiveness",
 ]
 
-NEVER: Final = float("-inf")
-
 
 class DirectedTiming(NamedTuple):
     """Holds and timeouts in seconds; ``key_step`` is the width of one key.
@@ -192,4 +191,3 @@
     free_at: float = NEVER
     possible_until: float = NEVER
     handover: str = ""
-    started_at: float = 0.0
--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -4,6 +4,7 @@
 
 from typing import Final, NamedTuple
 
+from ..const import HOST_LIST_INTERVAL_SECONDS
 from ..hashing import hash_score
 from ..models import Delta, HostRecord
 from ..systems.leases import extend_granted, has_lapsed
@@ -26,10 +27,6 @@
 HOST_RETENTION_DEADLINES: Final = 2
 # A member that has sent no report for this time is assigned no more hosts.
 NEAR_REPORT_TIMEOUT_SECONDS: Final = 1.5
-# Where the list of hosts is only used to divide shared limits, it changes at most once
-# in this time. Otherwise, when many hosts start at once, each one would be sent a new
-# list for every other one.
-HOST_LIST_INTERVAL_SECONDS: Final = 0.5
 
 
 class NearMember(NamedTuple):
--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -5,6 +5,7 @@
 from typing import Final
 from zlib import crc32
 
+from ..const import HOST_LIST_INTERVAL_SECONDS
 from ..transport.messages import (
     HostRenew,
     HostsNear,
@@ -22,8 +23,6 @@
 LEADER_TIMEOUT_SECONDS: Final = 0.9
 # A host that has not renewed for this time gets its rows from another member.
 HOST_TIMEOUT_SECONDS: Final = 3.0
-# See the constant of the same name in ``hosts``.
-HOST_LIST_INTERVAL_SECONDS: Final = 0.5
 
 
 class NearHosts:
--- a/src/dragonflyrock/control/tables.py
+++ b/src/dragonflyrock/control/tables.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
+from ..const import NEVER
 from ..models import HostRecord, RangeRef, ServerRow
 from .calls import GrantedRange
 
@@ -17,7 +18,6 @@
     "LoadRow",
 ]
 
-NEVER: Final = float("-inf")
 VERSIONS_PER_TERM: Final = 1 << 32
 
 
--- a/src/dragonflyrock/entry/admission.py
+++ b/src/dragonflyrock/entry/admission.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple
 
+from ..const import NEVER
 from ..errors import Reason, Refusal, Step
 from ..models import Contract, ContractRow
 from ..systems.limits import (
@@ -31,7 +32,6 @@
 DEMAND_INTERVAL_SECONDS: Final = 0.02
 ARRIVAL_SMOOTHING_FACTOR: Final = 0.3
 SPARE_PERMIT_COUNT: Final = 2
-NEVER: Final = float("-inf")
 
 
 class Demand(NamedTuple):
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
+from ..const import NEVER
 from ..models import HostRecord, RangeRef
 from ..transport.messages import (
     HostRenew,
@@ -20,7 +21,6 @@
 
 Send = Callable[[str, HostRenew | NearRenew | LeavingServers], object]
 
-NEVER: Final = float("-inf")
 LEADER_SILENCE_INTERVALS: Final = 2
 # Fractions of the renewal interval: the time that the near member has to answer a
 # renewal, and the interval between renewals after it did not. Every host must learn
--- a/src/dragonflyrock/entry/tables.py
+++ b/src/dragonflyrock/entry/tables.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Final
 
+from ..const import NEVER
 from ..models import (
     ContractRow,
     Delta,
@@ -20,8 +20,6 @@
 
 __all__ = ["EntryTables"]
 
-NEVER: Final = float("-inf")
-
 
 @dataclass(slots=True)
 class EntryTables:
--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -43,7 +43,6 @@
         """Initialize a connection that is not yet established."""
         self.address = address
         self.usable_until = float("inf")
-        self.used = False
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -82,7 +81,6 @@
         self._response_future = self._loop.create_future()
         self._id_header, self._request_id = id_header, request_id
         self._is_head_request = request.method == b"HEAD"
-        self.used = True
         if self._is_closed:
             self._fail(FaultKind.NOT_CONNECTED, "connection was closed while idle")
         else:
@@ -253,7 +251,6 @@
 
     def __init__(self) -> None:
         """Initialize an empty pool."""
-        self.connect_count = 0
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
 
     def acquire_idle(self, address: str) -> ServerConnection | None:
@@ -273,7 +270,6 @@
         """Open a connection within ``timeout`` seconds, or return the fault."""
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
-        self.connect_count += 1
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
--- a/src/dragonflyrock/node/group_lines.py
+++ b/src/dragonflyrock/node/group_lines.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..consensus import Replica, Role
+from ..const import NEVER
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
 
@@ -13,7 +14,6 @@
 NO_LEADER_INTERVAL_SECONDS: Final = 2.0
 # Shortest interval between two lines about the same candidate.
 REFUSAL_INTERVAL_SECONDS: Final = 0.2
-NEVER: Final = float("-inf")
 
 
 class GroupLines:
--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -6,24 +6,27 @@
 from math import exp
 from typing import Final, NamedTuple
 
+from ..const import NEVER
 from ..models import ServerRow
 
 __all__ = [
     "LoadReport",
     "ServerStat",
     "ServiceStat",
+    "estimate_backlog",
     "estimate_error_rate",
     "estimate_processing_time",
     "estimate_wait",
     "is_unresponsive",
     "measure_processing_time",
+    "record_full",
+    "record_load_report",
     "record_outcome",
     "record_response",
     "record_sent",
     "record_unreachable",
 ]
 
-NEVER: Final = float("-inf")
 # Weights of a new sample in moving averages (0 to 1).
 PROCESSING_TIME_SMOOTHING: Final = 0.12
 QUEUED_PROCESSING_TIME_SMOOTHING: Final = 0.06
--- a/src/dragonflyrock/systems/leases.py
+++ b/src/dragonflyrock/systems/leases.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
-from typing import Final
+from ..const import NEVER
 
 __all__ = ["NEVER", "extend_granted", "extend_held", "has_lapsed"]
 
-NEVER: Final = float("-inf")
-
 
 def extend_held(until: float, sent_at: float, lease: float) -> float:
     """Return until when the holder may rely on a renewed lease, in seconds.
--- a/src/dragonflyrock/systems/placement.py
+++ b/src/dragonflyrock/systems/placement.py
@@ -14,6 +14,7 @@
 from heapq import heapify, heappop, heappush
 from typing import Final, NamedTuple
 
+from ..const import NEVER
 from ..models import RangeRef, RangeRow, RangeState
 
 __all__ = [
@@ -26,7 +27,6 @@
 ]
 
 MS_PER_SECOND: Final = 1000
-NEVER: Final = float("-inf")
 
 
 class PlacementPolicy(NamedTuple):
--- a/tests/control/directed_world.py
+++ b/tests/control/directed_world.py
@@ -65,7 +65,7 @@
     lost: float = 0.0
 
 
-class World:
+class DirectedWorld:
     """A leader, its servers, and the messages in transit between them."""
 
     def __init__(self, seed: int, servers: int = 4) -> None:
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -10,7 +10,7 @@
 from dragonflyrock.control import directed
 from dragonflyrock.control.directed_models import GrantOrder, OrderOutcome, OrderResult
 
-from .directed_world import KEY_COUNT, KEY_STEP, SERVICE, TIMING, World
+from .directed_world import KEY_COUNT, KEY_STEP, SERVICE, TIMING, DirectedWorld
 
 # A hold with the clock drift, an order's timeout and two rounds of renewals.
 RECOVERY_SECONDS = (
@@ -20,9 +20,9 @@
 HANDOVER_SECONDS = 1.5
 
 
-def start(number: int, servers: int = 4) -> World:
+def start(number: int, servers: int = 4) -> DirectedWorld:
     """Return a world in which every key is held."""
-    world = World(number, servers)
+    world = DirectedWorld(number, servers)
     world.run(5.0)
     assert world.unserved() == []
     return world
--- a/tests/control/test_near.py
+++ b/tests/control/test_near.py
@@ -58,7 +58,7 @@
         return ()
 
 
-class World:
+class NearWorld:
     """A leader, a follower in the hosts' zone, and hosts, without delays."""
 
     def __init__(self, hosts: int = 3) -> None:
@@ -165,7 +165,7 @@
 # Guards against updates for each host that all cross zones: the leader sent each move
 # to each of 80 hosts, which made up a sixth of all bytes.
 def test_rows_of_a_zone_come_from_its_own_member_and_not_from_the_leader() -> None:
-    world = World()
+    world = NearWorld()
     world.run(2.0)
     before = world.pushed_by_leader
     world.renewed.clear()
@@ -179,7 +179,7 @@
 
 # Guards against hosts that get no newer rows after their member has ended.
 def test_hosts_leave_a_member_that_is_lost() -> None:
-    world = World()
+    world = NearWorld()
     world.run(2.0)
     world.near_running = False
     world.change_document()
@@ -194,7 +194,7 @@
 # Guards against a host that has lost its member and sends to a server that has left.
 # Such a host sent a request 2.3 s after the server had left.
 def test_a_change_arrives_soon_although_a_member_and_an_answer_are_lost() -> None:
-    world = World()
+    world = NearWorld()
     world.run(2.0)
     world.near_running = False
     world.lost_answers = len(world.hosts)
@@ -206,7 +206,7 @@
 
 # Guards against hosts that keep using old rows because their member has no leader.
 def test_released_hosts_renew_elsewhere_at_once() -> None:
-    world = World()
+    world = NearWorld()
     world.run(2.0)
     world.near_running = False
     world.change_document()
@@ -219,7 +219,7 @@
 
 # Guards against a resumed member that releases hosts of another member.
 def test_a_resumed_member_does_not_release_the_hosts_of_another() -> None:
-    world = World()
+    world = NearWorld()
     world.run(2.0)
     world.renewed.clear()
     for agent in world.hosts.values():
@@ -230,7 +230,7 @@
 
 # Guards against lost loads: the leader moves keys by the sum of all reports.
 def test_all_loads_of_hosts_reach_the_leader() -> None:
-    world = World(hosts=2)
+    world = NearWorld(hosts=2)
     world.run(1.0)
     world.loads = 0
     world.renewed.clear()
@@ -243,7 +243,7 @@
 # Guards against a member that sends older rows to a host that had its rows from the
 # leader.
 def test_a_host_ahead_of_its_member_keeps_its_rows() -> None:
-    world = World(hosts=1)
+    world = NearWorld(hosts=1)
     world.run(2.0)
     renew = HostRenew(
         HostRecord("h0", 1, "a", "", ""), world.now, world.index + 3, (), ()
@@ -257,7 +257,7 @@
 # Guards against a new leader's first answer that is lost, because the link to the host
 # is not open yet.
 def test_a_new_leader_sends_its_name_once_to_the_hosts_of_earlier_terms() -> None:
-    world = World()
+    world = NearWorld()
     timing = LeaderTiming(entry_lease=4.0)
     leases = HostLeases(
         "next",
