--- /dev/null
+++ b/tests/consensus/test_member_schedules.py
@@ -0,0 +1,137 @@
+"""Random schedules of control hosts that are replaced, wiped, killed or cut off.
+
+At most as many disks are lost at a time as a group tolerates, and the next fault comes
+when the group must be whole again: a host counts as lost until four seconds after it is
+back.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from string import ascii_lowercase, ascii_uppercase
+from typing import Final
+
+import pytest
+
+from dragonflyrock.consensus import Timing
+
+from .common import Cluster, admit
+
+CATCH_UP_SECONDS: Final = 4.0
+REPLACEMENT_DELAY_SECONDS: Final = 1.2
+DARK_SECONDS: Final = 3.0
+FAULT_COUNT: Final = 6
+KINDS: Final = (
+    "replace",
+    "replace",
+    "replace-planned",
+    "wipe",
+    "kill",
+    "freeze",
+    "cut",
+    "kill-all",
+)
+
+
+class Schedule:
+    """A group and the hosts that are in use."""
+
+    def __init__(self, seed: int, size: int) -> None:
+        """Start a group of ``size`` voters."""
+        self.random = Random(seed)
+        self.names = list(ascii_lowercase[:size])
+        self.new_names = iter(ascii_lowercase[size:] + ascii_uppercase)
+        self.cluster = Cluster("".join(self.names), seed)
+        for name in self.names:
+            self._set_up(name)
+        self.run(3.0)
+
+    def _set_up(self, name: str) -> None:
+        """Give a member the timing of a node and the seeds of its settings."""
+        replica = self.cluster.replicas[name]
+        replica.timing = Timing(0.2, 0.45, 0.8, 0.02, True)
+        seeds = self.random.sample(self.names, min(3, len(self.names)))
+        replica.join_peers = tuple(sorted(seeds))
+
+    def run(self, seconds: float) -> None:
+        """Advance the time, with a change of the state each quarter of a second."""
+        for _ in range(round(seconds / 0.25)):
+            admit(self.cluster, 0.25)
+            self.cluster.propose(b"change")
+
+    def start_empty(self, name: str) -> None:
+        """Start a host with an empty disk, which joins by its seeds."""
+        first, self.cluster.initial_voters = self.cluster.initial_voters, ()
+        self.cluster.wipe(name)
+        self.cluster.initial_voters = first
+        self._set_up(name)
+
+    def restart(self, name: str) -> None:
+        """Start a host from its disk."""
+        self.cluster.start(name)
+        self._set_up(name)
+
+    def remove(self, name: str) -> None:
+        """Take a host away for good."""
+        self.cluster.stop(name)
+        self.names.remove(name)
+        del self.cluster.disks[name]
+
+    def add(self) -> None:
+        """Add a host with an empty disk."""
+        name = next(self.new_names)
+        self.start_empty(name)
+        self.names.append(name)
+
+    def play(self, kind: str) -> None:
+        """Play a fault of a host, most often the leader, and its recovery."""
+        leader = self.cluster.leader()
+        name = self.random.choice(self.names)
+        if leader is not None and self.random.random() < 0.4:
+            name = leader.me.name
+        match kind:
+            case "replace":
+                self.remove(name)
+                self.run(REPLACEMENT_DELAY_SECONDS)
+                self.add()
+            case "replace-planned":
+                self.add()
+                self.run(1.0)
+                self.remove(name)
+            case "wipe":
+                self.cluster.stop(name)
+                self.run(DARK_SECONDS)
+                self.start_empty(name)
+            case "kill":
+                self.cluster.stop(name)
+                self.run(0.75)
+                self.restart(name)
+            case "freeze":
+                self.cluster.frozen.add(name)
+                self.run(DARK_SECONDS)
+                self.cluster.frozen.discard(name)
+            case "cut":
+                self.cluster.isolate(name)
+                self.run(DARK_SECONDS)
+                self.cluster.cut_links.clear()
+            case "kill-all":
+                for each in self.names:
+                    self.cluster.stop(each)
+                self.cluster.run(0.75)
+                for each in self.names:
+                    self.restart(each)
+        self.run(CATCH_UP_SECONDS)
+
+
+# Guards against a group that loses its quorum for ever, keeps a member that is gone, or
+# leaves out one that is there, after faults that it must tolerate.
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_group_has_the_hosts_in_use_as_voters(seed: int, size: int) -> None:
+    schedule = Schedule(seed, size)
+    for _ in range(FAULT_COUNT):
+        schedule.play(schedule.random.choice(KINDS))
+    schedule.run(2.0)
+    members = schedule.cluster.wait_for_leader().configuration
+    assert {voter.name for voter in members.voters} == set(schedule.names)
+    assert not members.learners
