--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -30,6 +30,8 @@
 SLOT_RETRY_MS: Final = 200
 # The owner of a key gets its requests until the range moves, at most this long.
 LEAVING_GRACE_SECONDS: Final = 0.9
+# A range moves in this time if it can; after that, its requests are refused at once.
+MOVE_LIMIT_SECONDS: Final = 2.5
 
 
 @dataclass(slots=True, eq=False)
@@ -304,6 +306,10 @@
             return _refuse(Reason.NO_OWNER, OWNER_RETRY_MS)
         leaving = self._leaving.find(server)
         if leaving is not None and now - leaving.since > LEAVING_GRACE_SECONDS:
+            if now - leaving.since > LEAVING_GRACE_SECONDS + MOVE_LIMIT_SECONDS:
+                return _refuse(
+                    Reason.NO_OWNER, OWNER_RETRY_MS, "the owner leaves; no other yet"
+                )
             return _Waiting.LEAVING
         seconds = self._pauses.get_seconds_left(server, now)
         if seconds > 0:
--- a/tests/entry/test_gate_notices.py
+++ b/tests/entry/test_gate_notices.py
@@ -5,7 +5,12 @@
 import pytest
 
 from dragonflyrock.entry.forward import ServerResponse
-from dragonflyrock.entry.gate import LEAVING_GRACE_SECONDS, Gate, InFlightRequest
+from dragonflyrock.entry.gate import (
+    LEAVING_GRACE_SECONDS,
+    MOVE_LIMIT_SECONDS,
+    Gate,
+    InFlightRequest,
+)
 from dragonflyrock.entry.notices import ServerNotices
 from dragonflyrock.errors import Reason, Refusal
 from dragonflyrock.hashing import KEY_SPACE
@@ -96,3 +101,15 @@
     events = host.events.select(EventFilter(), 10)
     details = [event.detail for event in events if event.kind == "server-paused"]
     assert details == ["1.000 s; Retry-After: not a number of seconds"]
+
+
+# Guards against callers that wait until their deadlines for a key that does not move,
+# as when there is no other server.
+def test_a_key_that_does_not_move_is_refused_at_once(host: GateHost) -> None:
+    host.respond(200, ("X-Server-Leaving", "1"))
+    host.now += LEAVING_GRACE_SECONDS + MOVE_LIMIT_SECONDS + 0.1
+    host.apply(SERVER)
+    refusal = host.begin()
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == Reason.NO_OWNER
+    assert refusal.retry_after_ms > 0
