--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -169,7 +169,10 @@
             servers.append(WebServer("callers", listen.callers, self._callers, threads))
             self._runtime.agent = self._make_agent()
         announcements = AnnouncementsApp(
-            self._caller.call, self._find_unready, self._metrics
+            self._caller.call,
+            self._find_unready,
+            self._metrics,
+            self._update_server_notices,
         )
         servers.append(
             WebServer("platform", listen.platform, announcements, PLATFORM_THREAD_COUNT)
@@ -203,6 +206,7 @@
         agent = EntryAgent(config, self._gate, self._runtime.send, self._clock)
         self._gate.on_drained = lambda: self._runtime.post(agent.request_renewal)
         self._gate.on_leaving = partial(self._handle_leaving_server, agent)
+        self._gate.on_turned_away = self._count_turned_away
         return agent
 
     def _handle_leaving_server(self, agent: EntryAgent, row: LeavingRow) -> None:
@@ -211,6 +215,17 @@
         if row.source == LeavingSource.RESPONSE:
             self._runtime.post(agent.request_renewal)
 
+    def _count_turned_away(self, service: str, reason: str) -> None:
+        """Count a request refused because a server leaves or asked for a pause."""
+        self._metrics.turned_away.labels(service, reason).inc()
+
+    def _update_server_notices(self) -> None:
+        """Set the metrics of servers that leave or are paused."""
+        self._metrics.servers_paused.set(self._gate.count_paused())
+        for source in LeavingSource:
+            count = self._gate.count_leaving(source)
+            self._metrics.servers_leaving.labels(source).set(count)
+
     def _make_callers_app(self) -> CallersApp:
         """Return the application of the callers' port."""
         settings = self._settings
--- a/src/dragonflyrock/entry/announcements.py
+++ b/src/dragonflyrock/entry/announcements.py
@@ -44,16 +44,22 @@
     """A WSGI application for backend servers, load balancers and monitoring."""
 
     def __init__(
-        self, call: Call, find_unready: Callable[[], str], metrics: Metrics
+        self,
+        call: Call,
+        find_unready: Callable[[], str],
+        metrics: Metrics,
+        update_metrics: Callable[[], None],
     ) -> None:
         """Set up an application that sends announcements by ``call``.
 
         ``call`` sends a message to a group's leader, with a timeout in seconds, and
         returns the answer or None. ``find_unready`` returns why callers may not be
-        sent to this host, or an empty text if it is ready.
+        sent to this host, or an empty text if it is ready. ``update_metrics`` is called
+        before the metrics are read.
         """
         self._call = call
         self._find_unready = find_unready
+        self._update_metrics = update_metrics
         self._metrics = metrics
 
     def __call__(
@@ -72,6 +78,7 @@
                     unready_reason or "ready\n",
                 )
             case "GET", ["metrics"]:
+                self._update_metrics()
                 body = self._metrics.render()
                 return _respond(start_response, 200, CONTENT_TYPE, body)
             case "POST", ["backend-servers", name] if name:
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -19,7 +19,7 @@
 from ..http.retry_after import RequestedPause
 from ..models import QuarantineRow, RangeRef, RangeState, ServerRow
 from ..systems.leases import has_lapsed
-from ..tables import LeavingRow, LeavingTable, PauseTable
+from ..tables import LeavingRow, LeavingSource, LeavingTable, PauseTable
 from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .tables import EntryTables
 
@@ -90,7 +90,8 @@
     """The tables of an entry host and its requests in flight.
 
     ``on_drained`` is called when a request to a moving range has ended, and
-    ``on_leaving`` when this host learns that a server leaves.
+    ``on_leaving`` when this host learns that a server leaves. ``on_turned_away`` gets
+    the service, and "leaving" or "paused", of each request refused for that.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self._host_fraction = host_fraction
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
         self.on_drained: Callable[[], None] = lambda: None
+        self.on_turned_away: Callable[[str, str], None] = lambda service, why: None
 
     def apply(self, update: HostUpdate) -> bool:
         """Apply an update and cancel the requests in flight to lost owners.
@@ -213,6 +215,16 @@
         with self._changed:
             return self._leaving.list_unconfirmed(self.tables.servers)
 
+    def count_leaving(self, source: LeavingSource) -> int:
+        """Return the number of servers known to leave from one source."""
+        with self._changed:
+            return self._leaving.count(source)
+
+    def count_paused(self) -> int:
+        """Return the number of servers whose pauses are not over."""
+        with self._changed:
+            return self._pauses.count(self._clock())
+
     def pop_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call and reset them."""
         with self._changed:
@@ -307,12 +319,14 @@
         leaving = self._leaving.find(server)
         if leaving is not None and now - leaving.since > LEAVING_GRACE_SECONDS:
             if now - leaving.since > LEAVING_GRACE_SECONDS + MOVE_LIMIT_SECONDS:
+                self.on_turned_away(service, "leaving")
                 return _refuse(
                     Reason.NO_OWNER, OWNER_RETRY_MS, "the owner leaves; no other yet"
                 )
             return _Waiting.LEAVING
         seconds = self._pauses.get_seconds_left(server, now)
         if seconds > 0:
+            self.on_turned_away(service, "paused")
             return _refuse(
                 Reason.OVERLOADED,
                 max(1, int(seconds * 1000)),
--- a/tests/entry/test_gate_notices.py
+++ b/tests/entry/test_gate_notices.py
@@ -17,7 +17,7 @@
 from dragonflyrock.models import Delta, RangeRow, RangeState, ServerRow
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.observe.events import EventFilter
-from dragonflyrock.tables import LeavingRow
+from dragonflyrock.tables import LeavingRow, LeavingSource
 from dragonflyrock.transport.messages import HostUpdate
 
 SERVER = ServerRow("one", "s", "127.0.0.1:9", "a", 1, 2, 130, True)
@@ -33,6 +33,8 @@
         self.gate = Gate(lambda: self.now, 1000.0, 10)
         self.leaving: list[LeavingRow] = []
         self.gate.on_leaving = self.leaving.append
+        self.turned_away: list[tuple[str, str]] = []
+        self.gate.on_turned_away = lambda *args: self.turned_away.append(args)
         self.events = EventRing("host", HybridClock())
         self.notices = ServerNotices(self.gate, self.events)
         self.apply(SERVER)
@@ -69,6 +71,7 @@
     assert isinstance(host.begin(), InFlightRequest)
     assert host.gate.list_leaving_servers() == ("one@1",)
     assert [row.holder for row in host.leaving] == ["one@1"]
+    assert host.gate.count_leaving(LeavingSource.RESPONSE) == 1
     host.now += LEAVING_GRACE_SECONDS + 0.1
     host.apply(SERVER)
     assert host.begin() is None
@@ -84,6 +87,8 @@
     refusal = host.begin()
     assert isinstance(refusal, Refusal)
     assert (refusal.reason, refusal.retry_after_ms) == (Reason.OVERLOADED, 2000)
+    assert host.turned_away == [("s", "paused")]
+    assert host.gate.count_paused() == 1
     host.now += 2.1
     first = host.begin()
     assert isinstance(first, InFlightRequest)
