--- a/soak/notice_checks.py
+++ b/soak/notice_checks.py
@@ -49,12 +49,18 @@
         since, until = pauses.get(key, (at, at))
         if since + const.PAUSE_NOTICE_SECONDS < at < until:
             counts[key] = counts.get(key, 0) + 1
-            is_excused = index.was_disrupted(
-                node, since, at
-            ) or index.was_restarted_or_frozen(node, since, at)
-            if counts[key] > const.MAX_PAUSED_ARRIVAL_COUNT and not is_excused:
+            if counts[key] > const.MAX_PAUSED_ARRIVAL_COUNT and not _is_excused(
+                index, node, since, at
+            ):
                 detail = f"request {counts[key]} in a pause, {at - since:.3f} s after"
                 yield Violation("BUDGET", at, detail, (record.request, *key))
         if isinstance(record, Told) and at >= until:
             pauses[key] = (at, at + record.seconds)
             counts[key] = 0
+
+
+def _is_excused(index: HistoryIndex, node: str, start: float, end: float) -> bool:
+    """Return whether a restart, freeze or cut of a node excuses what it sends."""
+    return index.was_disrupted(node, start, end) or index.was_restarted_or_frozen(
+        node, start, end
+    )
--- a/src/dragonflyrock/tables/pauses.py
+++ b/src/dragonflyrock/tables/pauses.py
@@ -59,9 +59,14 @@
         Return None if there is no such limit.
         """
         row = self._find(server)
-        if row is None or now - row.until >= RAMP_SECONDS:
+        if row is None:
             return None
-        return 1 + int((now - row.until) / RAMP_STEP_SECONDS) if now >= row.until else 0
+        since_end = now - row.until
+        if since_end < 0:
+            return 0
+        if since_end >= RAMP_SECONDS:
+            return None
+        return 1 + int(since_end / RAMP_STEP_SECONDS)
 
     def count(self, now: float) -> int:
         """Return the number of paused servers."""
