--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -16,9 +18,14 @@
     "NodeIdentity",
     "NodeSettings",
     "load_node_settings",
+    "read_node_settings",
 ]
 
 
+READ_RETRIES: Final = 3
+READ_RETRY_SECONDS: Final = 0.1
+
+
 class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A table of the settings file; an unknown key is an error."""
 
@@ -113,6 +120,22 @@
     return settings
 
 
+def read_node_settings(
+    path: Path, wait: Callable[[float], None] = time.sleep
+) -> NodeSettings:
+    """Read the settings at a start, again if the file is invalid.
+
+    It may be written while the node starts. Raise ``SettingsError`` if it stays
+    invalid. ``wait`` waits for some seconds.
+    """
+    for _ in range(READ_RETRIES):
+        try:
+            return load_node_settings(path)
+        except SettingsError:
+            wait(READ_RETRY_SECONDS)
+    return load_node_settings(path)
+
+
 def _find_problems(settings: NodeSettings) -> list[str]:
     """Return the errors in settings whose types are valid."""
     problems = []
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ..errors import DragonflyrockError
-from ..node.settings import NodeSettings, load_node_settings
+from ..node.settings import NodeSettings, load_node_settings, read_node_settings
 from .names import SETTINGS_VARIABLE
 
 __all__ = ["main"]
@@ -88,7 +88,7 @@
     logging.basicConfig(level="INFO", stream=sys.stderr)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        asyncio.run(_run(load_node_settings(path), path, began_at))
+        asyncio.run(_run(read_node_settings(path), path, began_at))
     except DragonflyrockError as error:
         print(f"dragonflyrock: step={error.step}: {error}", file=sys.stderr)
         return 2
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from dragonflyrock.node.settings import NodeSettings, load_node_settings
+from dragonflyrock.node.settings import (
+    NodeSettings,
+    load_node_settings,
+    read_node_settings,
+)
 from dragonflyrock.settings import SettingsError
 
 VALID_SETTINGS = """
@@ -83,3 +87,29 @@
         write_and_load(tmp_path, bad + "[bounds]\nstop_grace_s = 0\n")
     for name in ("node.role", "listen.link", "bounds.stop_grace_s"):
         assert name in str(caught.value)
+
+
+# Guards against a node that ends since its settings file is being written while it
+# starts.
+def test_a_file_that_is_being_written_is_read_again(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text("")
+    pauses: list[float] = []
+
+    def finish_writing(seconds: float) -> None:
+        """Complete the file during the pause."""
+        pauses.append(seconds)
+        path.write_text(VALID_SETTINGS)
+
+    assert read_node_settings(path, finish_writing).node.label == "core-1"
+    assert len(pauses) == 1
+
+
+# Guards against a start with a wrong file that goes on for ever.
+def test_a_file_that_stays_invalid_is_refused(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text("[node")
+    pauses: list[float] = []
+    with pytest.raises(SettingsError, match="not TOML"):
+        read_node_settings(path, pauses.append)
+    assert sum(pauses) < 1.0
