--- a/tests/common.py
+++ b/tests/common.py
@@ -3,36 +3,46 @@
 from __future__ import annotations
 
 import socket
-from itertools import count
+from collections import deque
+from itertools import count, islice
 from typing import Final
 
 BLOCK_PORT_COUNT: Final = 600
 FIRST_PORT: Final = 12_000
 LAST_PORT: Final = 30_000
+# A test uses one block at a time, so that older blocks can be used again.
+HELD_BLOCK_COUNT: Final = 8
 PROBED_OFFSETS: Final = (0, 100, 200, 300, 400, 401, 402, 420, 501, 505)
 
 _BLOCK_NUMBERS = count()
-_GUARDS: list[socket.socket] = []
+_GUARDS: deque[socket.socket] = deque()
 
 
 def find_free_port_block() -> int:
     """Return the first port of a free block; each call tries the next block.
 
     Only some ports of a block are probed, at offsets that fleets use. The last port of
-    the block is held until this process ends, so that another suite that runs at the
-    same time does not take the block too.
+    the latest blocks is held, so that another suite that runs at the same time does not
+    take these blocks too.
     """
-    for number in _BLOCK_NUMBERS:
-        block_count = (LAST_PORT - FIRST_PORT) // BLOCK_PORT_COUNT
+    block_count = (LAST_PORT - FIRST_PORT) // BLOCK_PORT_COUNT
+    for number in islice(_BLOCK_NUMBERS, 2 * block_count):
         first = FIRST_PORT + (number % block_count) * BLOCK_PORT_COUNT
         guard = _claim(first + BLOCK_PORT_COUNT - 1)
         if guard is None:
             continue
         if all(_is_free(first + offset) for offset in PROBED_OFFSETS):
-            _GUARDS.append(guard)
+            _hold(guard)
             return first
         guard.close()
-    raise AssertionError("unreachable: the block numbers never end")
+    raise RuntimeError(f"none of {block_count} blocks of ports is free")
+
+
+def _hold(guard: socket.socket) -> None:
+    """Keep the socket of a block open, and close the oldest one if there are many."""
+    _GUARDS.append(guard)
+    if len(_GUARDS) > HELD_BLOCK_COUNT:
+        _GUARDS.popleft().close()
 
 
 def _claim(port: int) -> socket.socket | None:
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -20,3 +20,18 @@
         monkeypatch.setattr(common, "_BLOCK_NUMBERS", count())
         blocks.add(common.find_free_port_block())
     assert len(blocks) == 3
+
+
+# Guards against a suite with more fleets than there are blocks, which would search for
+# a free block for ever.
+def test_a_suite_finds_more_blocks_than_there_are() -> None:
+    block_count = (common.LAST_PORT - common.FIRST_PORT) // common.BLOCK_PORT_COUNT
+    for _ in range(2 * block_count):
+        assert common.find_free_port_block() >= common.FIRST_PORT
+
+
+# Guards against a search for ever where other programs hold every block.
+def test_no_free_block_is_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(common, "_claim", lambda port: None)
+    with pytest.raises(RuntimeError, match="blocks of ports is free"):
+        common.find_free_port_block()
