Log and count the limits that servers name, without heeding them

Both doors now read the header (the platform's with and without its prefix) and log server-limited when the limit changes and server-limit-ended when a success names none; the sends to servers that had named one are counted (dragonflyrock_limited_sends, servers_limited).

A value that is not a decimal number neither sets nor lifts a limit, of several the lowest counts, and each is logged. Only a success that was sent after the last limit lifts it: a failure may come from a part of the server that names none, and an older response may arrive late. No decision has the limit as an input yet.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -220,7 +220,8 @@
         self._metrics.turned_away.labels(service, reason).inc()
 
     def _update_server_notices(self) -> None:
-        """Set the metrics of servers that leave or are paused."""
+        """Set the metrics of servers that leave, are paused or named a limit."""
+        self._metrics.servers_limited.set(self._gate.count_limited())
         self._metrics.servers_paused.set(self._gate.count_paused())
         for source in LeavingSource:
             count = self._gate.count_leaving(source)
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -72,7 +72,9 @@
     detail: str
 
 
-def _ignore_response(server: ServerRow, response: ServerResponse) -> None:
+def _ignore_response(
+    server: ServerRow, response: ServerResponse, sent_at: float
+) -> None:
     """Ignore what a response says about its server."""
 
 
@@ -86,12 +88,15 @@
         self,
         clock: Callable[[], float],
         max_answer_bytes: int,
-        on_response: Callable[[ServerRow, ServerResponse], None] = _ignore_response,
+        on_response: Callable[
+            [ServerRow, ServerResponse, float], None
+        ] = _ignore_response,
     ) -> None:
         """Start without connections.
 
         Responses with a body of more than ``max_answer_bytes`` are refused.
-        ``on_response`` receives each complete response, and its server.
+        ``on_response`` receives the server, each complete response, and the time before
+        which its request was not sent.
         """
         self._on_response = on_response
         self._clock = clock
@@ -148,7 +153,7 @@
             connection.close()
             return self._convert_error(in_flight, error)
         self._release_connection(in_flight.server.address, connection, response)
-        self._on_response(in_flight.server, server_response)
+        self._on_response(in_flight.server, server_response, in_flight.started_at)
         return _convert_refusal(server_response, peer)
 
     def _send_request(
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -19,7 +19,13 @@
 from ..http.retry_after import RequestedPause
 from ..models import QuarantineRow, RangeRef, RangeState, ServerRow
 from ..systems.leases import has_lapsed
-from ..tables import LeavingRow, LeavingSource, LeavingTable, PauseTable
+from ..tables import (
+    LeavingRow,
+    LeavingSource,
+    LeavingTable,
+    NamedLimitTable,
+    PauseTable,
+)
 from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .tables import EntryTables
 
@@ -119,6 +125,7 @@
         self._loads: defaultdict[RangeRef, _Load] = defaultdict(_Load)
         self._leaving = LeavingTable()
         self._pauses = PauseTable()
+        self._named_limits = NamedLimitTable()
         self._host_fraction = host_fraction
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
         self.on_drained: Callable[[], None] = lambda: None
@@ -147,6 +154,7 @@
         servers = self.tables.servers
         self._leaving.retain(servers)
         self._pauses.retain(servers, now)
+        self._named_limits.retain(servers)
         rows = [self._leaving.apply_row(server, now) for server in servers.values()]
         return [row for row in rows if row is not None]
 
@@ -166,6 +174,19 @@
         if row is not None:
             self.on_leaving(row)
 
+    def record_limit(self, server: ServerRow, per_second: float) -> bool:
+        """Record a limit that a server named; return whether it changed."""
+        with self._changed:
+            return self._named_limits.record(server, per_second, self._clock())
+
+    def lift_limit(self, server: ServerRow, sent_at: float) -> bool:
+        """Remove a server's limit; return whether there was one.
+
+        See ``NamedLimitTable.lift`` for ``sent_at``.
+        """
+        with self._changed:
+            return self._named_limits.lift(server, sent_at)
+
     def _cancel_lost(self) -> list[InFlightRequest]:
         """Mark the requests in flight to lost owners as cancelled and return them."""
         cancelled_requests = [
@@ -225,6 +246,11 @@
         with self._changed:
             return self._pauses.count(self._clock())
 
+    def count_limited(self) -> int:
+        """Return the number of servers that named a limit to this host."""
+        with self._changed:
+            return self._named_limits.count()
+
     def pop_loads(self) -> tuple[RangeLoad, ...]:
         """Return the loads since the last call and reset them."""
         with self._changed:
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -187,6 +187,7 @@
         state, metrics = self.state, self._loop.metrics
         for holder in state.pauses.retain(state.tables.servers, now):
             self._loop.lines.add("pause-ended", server=holder)
+        metrics.servers_limited.set(state.named_limits.count())
         metrics.servers_paused.set(state.pauses.count(now))
         for source in LeavingSource:
             metrics.servers_leaving.labels(source).set(state.leaving.count(source))
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -147,6 +147,18 @@
             "dragonflyrock_servers_paused",
             "Servers that asked this host for a pause which is not over",
         )
+        self._servers_limited = Family(
+            Value,
+            "dragonflyrock_servers_limited",
+            "Servers that named a limit of requests a second to this host",
+        )
+        self.limited_sends = Family(
+            Value,
+            "dragonflyrock_limited_sends",
+            "Requests sent to servers that had named a limit to this host",
+            "service",
+            is_counter=True,
+        )
         self.link_bytes = Family(
             Value,
             "dragonflyrock_link_bytes",
@@ -234,6 +246,7 @@
         )
         self.dropped_frames = self._dropped_frames.labels()
         self.servers_paused = self._servers_paused.labels()
+        self.servers_limited = self._servers_limited.labels()
         self.revision = self._revision.labels()
         self.lease_seconds = self._lease_seconds.labels()
         self.loop_seconds = self._loop_seconds.labels()
@@ -249,6 +262,8 @@
             self.turned_away,
             self.servers_leaving,
             self._servers_paused,
+            self._servers_limited,
+            self.limited_sends,
             self.link_bytes,
             self.server_bytes,
             self.leading,
--- a/src/dragonflyrock/platform/header_names.py
+++ b/src/dragonflyrock/platform/header_names.py
@@ -19,6 +19,7 @@
     not_run=NOT_RUN,
     load=b"x-dragonflyrock-server-load",
     leaving=b"server-leaving",
+    limit=(b"server-limit", b"x-dragonflyrock-server-limit"),
     key=b"x-dragonflyrock-shard-key",
     key_shift=KEY_SHIFT_BITS,
 )
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -395,6 +395,8 @@
         service = self._state.get_service_stat(context.service)
         backlog = estimate_backlog(stat, service, now)
         record_sent(stat, now)
+        if self._state.named_limits.find(stat.row) is not None:
+            self._metrics.limited_sends.labels(context.service).inc()
         context.sends += 1
         outgoing = make_server_request(
             context.request, names, stat.row.name, seconds_left
@@ -518,7 +520,9 @@
         names = self._config.header_names
         now = self._clock()
         service = self._state.get_service_stat(context.service)
-        record_notices(self._state, stat, response, self._config, self._lines, now)
+        record_notices(
+            self._state, stat, response, self._config, self._lines, now - elapsed, now
+        )
         report = parse_load_report(response, names)
         not_run = find_header(response.headers, names.not_run) is not None
         if not_run or response.status == 421:
--- a/src/dragonflyrock/router/header_names.py
+++ b/src/dragonflyrock/router/header_names.py
@@ -10,6 +10,8 @@
 class HeaderNames(NamedTuple):
     """Header names in lower case; an empty name is neither sent nor read.
 
+    A server may use any of the names in ``limit``.
+
     ``key_shift`` is the number of bits by which a key in a header is shifted left to
     give its hash.
     """
@@ -22,5 +24,6 @@
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-server-load"
     leaving: bytes = b"x-server-leaving"
+    limit: tuple[bytes, ...] = (b"x-server-limit",)
     key: bytes = b"x-key"
     key_shift: int = 48
--- a/src/dragonflyrock/router/notices.py
+++ b/src/dragonflyrock/router/notices.py
@@ -1,9 +1,10 @@
-"""What servers say in their responses: that they leave, or want a pause."""
+"""What servers say in their responses: that they leave, want a pause, or a limit."""
 
 from __future__ import annotations
 
 from ..http import Response
 from ..http.retry_after import PauseProblem, RequestedPause, read_requested_pause
+from ..http.server_limit import NamedLimit, read_named_limit
 from ..observe.lines import LineLog
 from .choice import hash_fraction
 from .header_names import HeaderNames
@@ -11,7 +12,12 @@
 from .server_stats import ServerStat
 from .state import RouterState
 
-__all__ = ["find_requested_pause", "is_leaving_response", "record_notices"]
+__all__ = [
+    "find_named_limit",
+    "find_requested_pause",
+    "is_leaving_response",
+    "record_notices",
+]
 
 
 def is_leaving_response(response: Response, names: HeaderNames) -> bool:
@@ -33,17 +39,31 @@
     )
 
 
+def find_named_limit(response: Response, names: HeaderNames) -> NamedLimit | None:
+    """Return the limit that a server names in a response, or None."""
+    return read_named_limit(
+        value.decode("latin-1")
+        for name, value in response.headers
+        if name.lower() in names.limit
+    )
+
+
 def record_notices(
     state: RouterState,
     stat: ServerStat,
     response: Response,
     config: RouterConfig,
     lines: LineLog,
+    sent_at: float,
     now: float,
 ) -> None:
-    """Record what a response says about its server, and log what is new."""
+    """Record what a response says about its server, and log what is new.
+
+    ``sent_at`` is when the request was sent.
+    """
     if is_leaving_response(response, config.header_names):
         state.mark_leaving(stat)
+    _record_limit(state, stat, response, config, lines, sent_at, now)
     pause = find_requested_pause(response)
     if pause is None:
         return
@@ -54,6 +74,36 @@
         _log_pause(lines, row.holder, pause)
 
 
+def _record_limit(
+    state: RouterState,
+    stat: ServerStat,
+    response: Response,
+    config: RouterConfig,
+    lines: LineLog,
+    sent_at: float,
+    now: float,
+) -> None:
+    """Record the limit that a response names, or that it names none any more."""
+    limit = find_named_limit(response, config.header_names)
+    holder = stat.row.holder
+    if limit is None:
+        # A failure may come from a part of the server that does not name its limit.
+        succeeded = 200 <= response.status < 300
+        if succeeded and state.named_limits.lift(stat.row, sent_at):
+            lines.add("server-limit-ended", server=holder)
+        return
+    changed = limit.per_second is not None and state.named_limits.record(
+        stat.row, limit.per_second, now
+    )
+    if changed or limit.per_second is None:
+        lines.add(
+            "server-limited",
+            server=holder,
+            per_second="" if limit.per_second is None else limit.per_second,
+            detail=f"Server-Limit: {limit.problem}" if limit.problem else "",
+        )
+
+
 def _log_pause(lines: LineLog, holder: str, pause: RequestedPause) -> None:
     """Log a pause, and what is wrong with its value."""
     detail = ""
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -8,7 +8,7 @@
 
 from ..entry.tables import EntryTables
 from ..models import RangeRef, ServerRow
-from ..tables import LeavingRow, LeavingTable, PauseTable
+from ..tables import LeavingRow, LeavingTable, NamedLimitTable, PauseTable
 from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
 from .budget import BudgetPolicy, ServiceRetryBudget
 from .server_stats import ServerStat, ServiceStat
@@ -49,6 +49,7 @@
         self.longest_deadlines: dict[str, float] = {}
         self.leaving = LeavingTable()
         self.pauses = PauseTable()
+        self.named_limits = NamedLimitTable()
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
 
     def apply(self, update: HostUpdate) -> bool:
@@ -76,6 +77,7 @@
         for name in [name for name in self.stats if name not in rows]:
             del self.stats[name]
         self.leaving.retain(rows)
+        self.named_limits.retain(rows)
         self.by_service = {}
         for name, row in rows.items():
             stat = self.stats.get(name)
--- a/src/dragonflyrock/tables/__init__.py
+++ b/src/dragonflyrock/tables/__init__.py
@@ -4,6 +4,7 @@
 
 from .journal import ChangedRow, ChangeJournal
 from .leaving import LeavingRow, LeavingSource, LeavingTable
+from .named_limits import NamedLimitRow, NamedLimitTable
 from .pauses import PauseRow, PauseTable
 from .ranges import RangeTable
 
@@ -13,6 +14,8 @@
     "LeavingRow",
     "LeavingSource",
     "LeavingTable",
+    "NamedLimitRow",
+    "NamedLimitTable",
     "PauseRow",
     "PauseTable",
     "RangeTable",
--- a/tests/entry/test_gate_notices.py
+++ b/tests/entry/test_gate_notices.py
@@ -53,7 +53,7 @@
 
     def respond(self, status: int, *headers: tuple[str, str]) -> None:
         """Deliver a response of the server."""
-        self.notices.receive(SERVER, ServerResponse(status, headers, b""))
+        self.notices.receive(SERVER, ServerResponse(status, headers, b""), self.now)
 
 
 @pytest.fixture
--- a/tests/load/notices_model.py
+++ b/tests/load/notices_model.py
@@ -141,7 +141,9 @@
             context.sends += 1
             response = make_response(status, b"", headers)
             if self.plan.listens:
-                record_notices(state, chosen, response, config, self._lines, self.now)
+                record_notices(
+                    state, chosen, response, config, self._lines, self.now, self.now
+                )
             if status == 200:
                 self._schedule(self.now + WORK_SECONDS, partial(_end, chosen))
                 self.served += 1
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -144,6 +145,11 @@
         )
         return await self.router.handle(Request(b"GET", path, headers, b""))
 
+    def read_lines(self, prefix: str) -> list[dict[str, object]]:
+        """Return the queued lines whose events begin with a prefix."""
+        lines = [json.loads(line) for line in self.lines._lines]
+        return [line for line in lines if line["event"].startswith(prefix)]
+
     def close(self) -> None:
         """Stop every server."""
         self.connections.close()
--- a/tests/router/test_notices.py
+++ b/tests/router/test_notices.py
@@ -143,3 +143,34 @@
         assert len(harness.received) == 1
 
     run_scenario(scenario)
+
+
+# Guards against a host that was told a limit and of which no line shows it.
+def test_lines_and_metrics_show_the_limit_that_a_server_named() -> None:
+    values = [b"nan", b"2.50", b"2.5"]
+
+    async def handle(request: Request) -> Response:
+        response = await answer_ok(request)
+        if not values:
+            return response
+        limit = (b"X-Server-Limit", values.pop(0))
+        return response._replace(headers=(*response.headers, limit))
+
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one", handle)
+        harness.apply_update()
+        for _ in range(4):
+            harness.frozen_at = (harness.frozen_at or 100.0) + 10
+            assert (await harness.send_request()).status == 200
+        events = [
+            (line["event"], line.get("per_second"), line.get("detail", ""))
+            for line in harness.read_lines("server-limit")
+        ]
+        assert events == [
+            ("server-limited", None, "Server-Limit: not a decimal number"),
+            ("server-limited", 2.5, ""),
+            ("server-limit-ended", None, ""),
+        ]
+        assert harness.metrics.limited_sends.labels("s").value == 2
+
+    run_scenario(scenario)
