--- a/tests/load/notices_model.py
+++ b/tests/load/notices_model.py
@@ -1,7 +1,7 @@
-"""Simulate hosts and servers that leave or ask for pauses, without a network.
+"""Simulate hosts and servers that leave, ask for pauses or name limits.
 
-Hosts decide with the router's functions and tables. Callers that are refused come back
-when they are told to, once.
+There is no network. Hosts decide with the router's functions and tables. Callers that
+are refused come back when they are told to, once.
 """
 
 from __future__ import annotations
@@ -13,8 +13,9 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from dragonflyrock.hashing import KEY_SPACE
 from dragonflyrock.http import Headers, Request, make_response
-from dragonflyrock.models import Delta, DocumentHead, ServerRow
+from dragonflyrock.models import Delta, DocumentHead, RangeRow, RangeState, ServerRow
 from dragonflyrock.observe.lines import LineLog
 from dragonflyrock.router import HeaderNames, RouterConfig, RouterState
 from dragonflyrock.router.budget import BudgetPolicy
@@ -51,7 +52,9 @@
 class NoticesPlan:
     """What servers do at a time; the functions get the time and a server's name.
 
-    ``get_pause`` returns the seconds for which a server turns requests away, or 0.
+    ``get_pause`` returns the seconds for which a server turns requests away, or 0,
+    ``get_limit`` the requests a second that it names as its limit, or None. With
+    ``keyed`` the servers own equal parts of the keys, to which requests go evenly.
     """
 
     hosts: int = 20
@@ -61,6 +64,8 @@
     listens: bool = True
     is_leaving: Callable[[float, str], bool] = lambda now, name: False
     get_pause: Callable[[float, str], float] = lambda now, name: 0.0
+    get_limit: Callable[[float, str], float | None] = lambda now, name: None
+    keyed: bool = False
     rows_at: list[tuple[float, tuple[ServerRow, ...]]] = field(default_factory=list)
 
 
@@ -102,10 +107,10 @@
             0,
             self._revision,
             True,
-            (),
+            make_ranges(rows) if self.plan.keyed else (),
             rows,
             routes=(ROUTE,),
-            services=(RoutedService("s", "/health", 100, False, 0.0),),
+            services=(RoutedService("s", "/health", 100, self.plan.keyed, 0.0),),
             document=DocumentHead(1, ClientLimits()),
         )
         for state in self.hosts:
@@ -127,8 +132,9 @@
         number = self.random.randrange(self.plan.hosts)
         state = self.hosts[number]
         request = Request(b"GET", b"/p/x", (), b"")
+        key = self.random.randrange(KEY_SPACE) if self.plan.keyed else None
         context = RequestContext(
-            request, b"id", ROUTE, "s", None, self.now, self.now + 0.9, self.now + 0.5
+            request, b"id", ROUTE, "s", key, self.now, self.now + 0.9, self.now + 0.5
         )
         config = RouterConfig(f"host-{number}", "a", NAMES)
         while True:
@@ -168,6 +174,9 @@
         headers: tuple[tuple[bytes, bytes], ...] = ()
         if self.plan.is_leaving(self.now, server):
             headers = ((NAMES.leaving, b"1"),)
+        limit = self.plan.get_limit(self.now, server)
+        if limit is not None:
+            headers = (*headers, (NAMES.limit[0], b"%.3f" % limit))
         pause = self.plan.get_pause(self.now, server)
         status = 503 if pause else 200
         if pause:
@@ -181,6 +190,17 @@
     stat.in_flight -= 1
 
 
+def make_ranges(rows: tuple[ServerRow, ...]) -> tuple[RangeRow, ...]:
+    """Return ranges of equal size, one for each server."""
+    step = KEY_SPACE // len(rows)
+    lows = [step * number for number in range(len(rows))]
+    highs = [*(low - 1 for low in lows[1:]), KEY_SPACE - 1]
+    return tuple(
+        RangeRow("s", low, high, row.holder, 1, RangeState.ACTIVE, "", 1)
+        for low, high, row in zip(lows, highs, rows, strict=True)
+    )
+
+
 def make_rows(count: int, incarnation: int = 1) -> tuple[ServerRow, ...]:
     """Return the rows of servers that stay."""
     return tuple(
