Soak: servers name limits, and LIMIT is checked

A server names 1 to 2 requests/s for 6 to 9 s, half of them with the prefix of the other headers, beside killed, stopped and cut entry nodes.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,7 +19,7 @@
     Unreached,
     Violation,
 )
-from .notice_checks import check_leaving, check_pauses
+from .notice_checks import check_leaving, check_limits, check_pauses
 
 FAILURE_STATUSES: Final = (500, 502, 504)
 # Tolerance at a deadline, which caller and node measure on their own clocks.
@@ -349,7 +349,7 @@
 
 CHECKS: Final = (
     check_owner, check_runs, check_responses, check_lost_requests, check_process_ends,
-    check_drain, check_leaving, check_pauses, check_ready, check_recovery,
+    check_drain, check_leaving, check_limits, check_pauses, check_ready, check_recovery,
     check_config_reads, check_config_changes, check_unknown_routes,
 )  # fmt: skip
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -16,6 +16,14 @@
 # send this many requests in the rest of the pause.
 PAUSE_NOTICE_SECONDS: Final = 0.5
 MAX_PAUSED_ARRIVAL_COUNT: Final = 2
+# A server that names a limit may get this much of it, and some requests more, within a
+# window, from a time after it first named the limit, and from nodes told before.
+MIN_LIMIT_PER_SECOND: Final = 1.0
+LIMIT_NOTICE_SECONDS: Final = 3.0
+LIMIT_TOLD_SECONDS: Final = 0.5
+LIMIT_WINDOW_SECONDS: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_EXTRA_COUNT: Final = 5
 RECOVERY_SECONDS: Final = 15.0
 READY_VALID_SECONDS: Final = 1.0
 ADDRESS_REUSE_SECONDS: Final = 2.0
--- a/soak/history_index.py
+++ b/soak/history_index.py
@@ -20,7 +20,9 @@
 )
 
 # These faults excuse no lost request: the process is notified, or is hardly slowed.
-HARMLESS_FAULTS: Final = ("stop", "hup", "change", "delay", "leave", "slow", "pause")
+HARMLESS_FAULTS: Final = (
+    *("stop", "hup", "change", "delay", "leave", "slow", "pause", "limit"),
+)
 # Name of the test program itself in ``Starved`` records.
 SOAK: Final = "soak"
 
@@ -107,6 +109,16 @@
             for at, act in self.acted
         )
 
+    def was_cut(self, node: str, start: float, end: float) -> bool:
+        """Return whether a cut affected a node between two times."""
+        return any(
+            act.what == "cut"
+            and (act.target.startswith(node) or act.source in (node, "entry"))
+            and at <= end
+            and start <= act.until
+            for at, act in self.acted
+        )
+
     def find_sigterm(self, node: str, at: float) -> float | None:
         """Return the time of the SIGTERM that a node was handling, or None."""
         stops = [
--- a/soak/models.py
+++ b/soak/models.py
@@ -84,6 +84,14 @@
     seconds: float = 0.0
 
 
+class Limited(NamedTuple):
+    """A request arrived at a server that names a limit of requests a second."""
+
+    request: str
+    server: str
+    per_second: float
+
+
 class Beaten(NamedTuple):
     """A control node acknowledged a server's heartbeat."""
 
@@ -152,8 +160,8 @@
 
 
 Record = (
-    Sent | Outcome | Unreached | Readied | Began | Finished | Told | Beaten | Put | Read
-    | Acted | Starved | Started | Ended
+    Sent | Outcome | Unreached | Readied | Began | Finished | Told | Limited | Beaten
+    | Put | Read | Acted | Starved | Started | Ended
 )  # fmt: skip
 
 
--- a/soak/notice_checks.py
+++ b/soak/notice_checks.py
@@ -1,14 +1,16 @@
-"""Checks of what nodes do after a server said that it leaves, or wants a pause."""
+"""Checks of what nodes do after a server said that it leaves, or how much it takes."""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from . import const
 from .history_index import HistoryIndex
-from .models import Began, Told, Violation
+from .models import Began, Limited, Outcome, Told, Violation
 
-__all__ = ["check_leaving", "check_pauses"]
+__all__ = ["check_leaving", "check_limits", "check_pauses"]
 
 
 def check_leaving(index: HistoryIndex) -> Iterator[Violation]:
@@ -59,6 +61,57 @@
             counts[key] = 0
 
 
+class _LimitedArrival(NamedTuple):
+    """A request at a server that named a limit, from a node that it had told."""
+
+    at: float
+    request: str
+    node: str
+    per_second: float
+
+
+def check_limits(index: HistoryIndex) -> Iterator[Violation]:
+    """Find servers that get more than their limit allows from nodes that they told.
+
+    Only a restart, freeze or cut of a node excuses what it sends.
+    """
+    told: dict[tuple[str, str], float] = {}
+    named: dict[str, float] = {}
+    servers: dict[str, str] = {}
+    arrivals: defaultdict[str, list[_LimitedArrival]] = defaultdict(list)
+    for at, record in index.events:
+        match record:
+            case Outcome(request, node, "answered") if request in servers:
+                named.setdefault(servers[request], at)
+                told.setdefault((node, servers[request]), at)
+            case Limited(request, server, per_second) if request in index.sent:
+                servers[request] = server
+                node = index.sent[request][1].node
+                since = told.get((node, server), at)
+                if (
+                    at < named.get(server, at) + const.LIMIT_NOTICE_SECONDS
+                    or at < since + const.LIMIT_TOLD_SECONDS
+                    or index.was_restarted_or_frozen(node, since, at)
+                    or index.was_cut(node, since, at)
+                ):
+                    continue
+                arrivals[server].append(_LimitedArrival(at, request, node, per_second))
+                yield from _check_window(server, arrivals[server])
+
+
+def _check_window(server: str, arrivals: list[_LimitedArrival]) -> Iterator[Violation]:
+    """Find a window that ends with the last arrival and has too many."""
+    last = arrivals[-1]
+    since = last.at - const.LIMIT_WINDOW_SECONDS
+    window = [arrival for arrival in arrivals if arrival.at > since]
+    per_second = max(arrival.per_second for arrival in window)
+    allowed = const.LIMIT_FACTOR * const.LIMIT_WINDOW_SECONDS * per_second
+    allowed += const.LIMIT_EXTRA_COUNT
+    if len(window) > allowed:
+        detail = f"{len(window)} requests at {per_second:.2f} requests/s"
+        yield Violation("LIMIT", last.at, detail, (last.request, server, last.node))
+
+
 def _is_excused(index: HistoryIndex, node: str, start: float, end: float) -> bool:
     """Return whether a restart, freeze or cut of a node excuses what it sends."""
     return index.was_disrupted(node, start, end) or index.was_restarted_or_frozen(
--- a/soak/player.py
+++ b/soak/player.py
@@ -64,7 +64,7 @@
                     self._nodes[step.target].send_signal(signal.SIGHUP)
             case "cut" | "delay" | "half" | "reset":
                 await self._apply_network_fault(step)
-            case "leave" | "crash" | "slow" | "pause":
+            case "leave" | "crash" | "slow" | "pause" | "limit":
                 await self._apply_server_fault(step, self._servers[step.target])
 
     async def _restart(self, step: Step, node: NodeProcess) -> None:
@@ -121,7 +121,7 @@
         self._proxies.remove(fault, is_reset)
 
     async def _apply_server_fault(self, step: Step, server: StandIn) -> None:
-        """Make a server leave, crash, slow down or ask for a pause."""
+        """Make a server leave, crash, slow down, ask for a pause or name a limit."""
         if step.target in self._stopped_servers:
             return
         self._record(step, step.length)
@@ -133,6 +133,11 @@
         if step.what == "pause":
             server.paused_until = self._history.now() + step.length
             return
+        if step.what == "limit":
+            server.limit = const.MIN_LIMIT_PER_SECOND * (1 + step.value)
+            await asyncio.sleep(step.length)
+            server.limit = 0.0
+            return
         self._stopped_servers.add(step.target)
         if step.what == "leave":
             await server.leave()
--- a/soak/script.py
+++ b/soak/script.py
@@ -118,6 +118,14 @@
         FaultSpec("pause", SERVERS, 2, (1.0, 3.0)),
         FaultSpec("leave", SERVERS, 1),
     ),
+    # Servers that name a limit, while nodes stop, fail or are cut from one another.
+    (
+        FaultSpec("limit", SERVERS, 0, (6.0, 9.0)),
+        FaultSpec("limit", SERVERS, 1, (6.0, 9.0)),
+        FaultSpec("kill", ENTRY, 6, FAULT_SECONDS),
+        FaultSpec("stop", ENTRY, 6),
+        FaultSpec("cut", [f"{name}/link" for name in ENTRY], 6, CUT_OR_FREEZE_SECONDS),
+    ),
     # All control nodes, or all nodes, killed at the same moment.
     (FaultSpec("kill", CONTROL, 0, SHORT_FAULT_SECONDS, NO_GAP),),
     (FaultSpec("kill", NODES, 0, SHORT_FAULT_SECONDS, NO_GAP),),
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -16,7 +16,7 @@
 
 from . import const, wire
 from .context import RunContext
-from .models import Beaten, Began, Finished, Told
+from .models import Beaten, Began, Finished, Limited, Told
 
 LEAVE_DELAY_SECONDS: Final = 1.5
 # A server that leaves says so in its responses this long before its heartbeats do.
@@ -54,6 +54,8 @@
         self._history = context.history
         self._random = context.make_random(self.label)
         self._instance_count = 0
+        limit_headers = wire.HEADER_NAMES.limit
+        self._limit_header = limit_headers[number % len(limit_headers)]
 
     async def start(self) -> None:
         """Start a new instance without grants."""
@@ -65,6 +67,7 @@
         self._state = "ready"
         self._says_leaving = False
         self.paused_until = 0.0
+        self.limit = 0.0
         self._has_crashed = False
         self._queued_count = 0
         self._slots = asyncio.Semaphore(const.SLOT_COUNT)
@@ -131,7 +134,13 @@
             return self._apply_grant(request)
         if request.target == wire.names.RELEASE_PATH:
             return await self._release(request)
+        limit = self.limit
+        if limit:
+            self._history.add(Limited(_read_request_id(request), self.name, limit))
         response = await self._queue(request)
+        if limit:
+            named = (self._limit_header, b"%.2f" % limit)
+            response = response._replace(headers=(*response.headers, named))
         if not self._says_leaving:
             return response
         leaving = (wire.HEADER_NAMES.leaving, b"1")
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -34,6 +34,7 @@
     not_run=b"x-dragonflyrock-not-executed",
     load=b"x-dragonflyrock-server-load",
     leaving=b"server-leaving",
+    limit=(b"server-limit", b"x-dragonflyrock-server-limit"),
     key=b"x-dragonflyrock-shard-key",
 )
 HEALTH_PATH: Final = b"/health"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,6 +13,7 @@
     Ended,
     Event,
     Finished,
+    Limited,
     Outcome,
     Put,
     Read,
@@ -218,6 +219,15 @@
     for record in make_request(11.0 + number / 10, f"c-{number + 2}")
     + make_response(11.4 + number / 10, f"c-{number + 2}")
 ]
+LIMITED: RecordList = []
+for number in range(25):
+    at, name = 10 + number / 4, f"c-{number}"
+    LIMITED += [
+        (at, Sent(name, NODE, "book", False, at + 1.5)),
+        (at + 0.01, Limited(name, "server-1.1", 1.0)),
+        *make_response(at + 0.1, name, status=503),
+    ]
+BROKEN["more requests to a server than its limit allows"] = (LIMITED, "LIMIT")
 BROKEN["a request to a server that told the node that it leaves"] = (
     LEAVING + make_request(12.5, "c-2") + make_response(12.9, "c-2"),
     "DRAIN",
@@ -228,6 +238,11 @@
 )
 
 ALLOWED: dict[str, RecordList] = {
+    "as many requests to a server as its limit allows": LIMITED[:-3],
+    "requests to a server beyond its limit, of a node that was cut from others": [
+        (9.5, Acted(f"{NODE}/link", "cut", 17.0)),
+        *LIMITED,
+    ],
     "a request to a server that has just told the node that it leaves": LEAVING
     + make_request(12.0, "c-2")
     + make_response(12.4, "c-2"),
