Log sends to servers that would not be chosen any more

The lines of second1 (BUDGET) cannot show whether a request was sent by a decision that was made before a wait: nothing is logged when a request goes to a server that is paused, leaving, ended, gone or no owner of its key by then. outdated-send says so with the request's id, the reason and the time since the choice. No decision changes.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -46,6 +46,7 @@
     RouterConfig,
 )
 from .notices import record_notices
+from .obstacles import Obstacle, find_obstacle
 from .server_stats import (
     LoadReport,
     ServerStat,
@@ -348,6 +349,7 @@
     ) -> ServerStat | Rejection:
         """Return the server to send to, or why the request is rejected."""
         chosen = choose_server(self._state, self._config, context, now)
+        context.chosen_at = now
         if isinstance(chosen, Rejection):
             self._count_turned_away(context, chosen)
         return chosen
@@ -393,6 +395,7 @@
         if seconds_left <= 0:
             self._connections.release(connection)
             return self._answer_failure(context)
+        self._log_outdated_send(context, stat, now)
         service = self._state.get_service_stat(context.service)
         backlog = estimate_backlog(stat, service, now)
         record_sent(stat, now)
@@ -437,6 +440,21 @@
             return self._handle_fault(context, stat, result, ended - now)
         return self._handle_response(context, stat, result, backlog, ended - now)
 
+    def _log_outdated_send(
+        self, context: RequestContext, stat: ServerStat, now: float
+    ) -> None:
+        """Log a send to a server that would not be chosen any more."""
+        obstacle = find_obstacle(self._state, context, stat, now)
+        if obstacle == Obstacle.NONE:
+            return
+        self._lines.add(
+            "outdated-send",
+            id=context.request_id.decode("latin-1"),
+            server=stat.row.holder,
+            reason=obstacle,
+            waited=round(now - context.chosen_at, 4),
+        )
+
     async def _connect(
         self, context: RequestContext, stat: ServerStat
     ) -> ServerConnection | None:
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -28,7 +28,7 @@
     server answered without running the request, ``connect_failures`` those that reached
     no server. ``wrong_owner`` is set while the
     last server has answered that it does not own the key. Servers in ``avoid`` are
-    chosen only if there is no other.
+    chosen only if there is no other. ``chosen_at`` is when the last server was chosen.
     """
 
     request: Request
@@ -48,6 +48,7 @@
     server: str = ""
     detail: str = ""
     fingerprint: str = ""
+    chosen_at: float = 0.0
 
 
 class CrashReporter(Protocol):
