--- /dev/null
+++ b/tests/router/test_decisions_after_waits.py
@@ -0,0 +1,162 @@
+"""Tests of requests that wait between the choice of their server and the send.
+
+The first request has an idle connection, and what the server answers to it changes the
+decision. The other requests were read before that answer, and wait for new connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from dragonflyrock.http import Request, Response, make_response
+from dragonflyrock.models import QuarantineRow
+from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS
+
+from .harness import Handler, RouterHarness, answer_ok, run_scenario
+
+WAITING_COUNT = 20
+CONNECT_SECONDS = 0.1
+
+
+async def answer_with_pause(request: Request) -> Response:
+    """Turn a request away, and ask for a pause."""
+    return make_response(503, b"", ((b"X-Not-Run", b"1"), (b"Retry-After", b"3")))
+
+
+async def answer_as_another(request: Request) -> Response:
+    """Answer as another server at the same address."""
+    return make_response(421, b"", ((b"X-Not-Run", b"1"), (b"X-Server-Name", b"x")))
+
+
+async def answer_leaving(request: Request) -> Response:
+    """Answer, and say that the server leaves."""
+    response = await answer_ok(request)
+    return response._replace(headers=(*response.headers, (b"X-Server-Leaving", b"1")))
+
+
+async def send_together(
+    harness: RouterHarness, handler: Handler, *, keyed: bool = True
+) -> list[Response]:
+    """Send the first request and those that wait; return all responses."""
+    row = await harness.add_server("one", handler)
+    harness.apply_update(owner="one" if keyed else "")
+    await harness.open_idle_connection(row.address)
+    harness.delay_connections(CONNECT_SECONDS)
+    return await asyncio.gather(
+        *(harness.send_request() for _ in range(1 + WAITING_COUNT))
+    )
+
+
+# Guards against requests that wait for a connection and are sent in the pause that the
+# server asks for meanwhile.
+@pytest.mark.parametrize("keyed", [True, False])
+def test_a_pause_during_the_connect_keeps_requests_back(*, keyed: bool) -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        responses = await send_together(harness, answer_with_pause, keyed=keyed)
+        assert {response.status for response in responses} == {503}
+        assert len(harness.received) == 1
+
+    run_scenario(scenario)
+
+
+# Guards against requests to a server without keys that says meanwhile that it leaves.
+def test_a_server_that_leaves_during_the_connect_gets_nothing_more() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await send_together(harness, answer_leaving, keyed=False)
+        assert len(harness.received) == 1
+
+    run_scenario(scenario)
+
+
+# Guards against requests to an owner that has been leaving for the whole grace period
+# when their connections are open.
+def test_an_owner_gets_nothing_after_its_grace_period_ended_during_the_connect() -> (
+    None
+):
+    async def scenario(harness: RouterHarness) -> None:
+        harness.frozen_at = 100.0
+        row = await harness.add_server("one", answer_leaving)
+        harness.apply_update(owner="one")
+        harness.state.leaving.record_response(row, 100.0)
+        harness.frozen_at = 100.0 + LEAVING_GRACE_SECONDS
+        harness.delay_connections(CONNECT_SECONDS)
+        request = asyncio.create_task(harness.send_request())
+        await asyncio.sleep(CONNECT_SECONDS / 2)
+        harness.frozen_at += 0.4
+        assert (await request).status == 503
+        assert harness.received == []
+
+    run_scenario(scenario)
+
+
+# Guards against requests to an address at which another server answers by now.
+def test_a_server_that_ends_during_the_connect_gets_nothing_more() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        responses = await send_together(harness, answer_as_another)
+        assert {response.status for response in responses} == {503}
+        assert len(harness.received) == 1
+
+    run_scenario(scenario)
+
+
+async def wait_then(
+    harness: RouterHarness, change: Callable[[], object]
+) -> Awaitable[Response]:
+    """Start a request that waits for its connection, and make a change meanwhile."""
+    harness.delay_connections(CONNECT_SECONDS)
+    request = asyncio.create_task(harness.send_request())
+    await asyncio.sleep(CONNECT_SECONDS / 2)
+    change()
+    return request
+
+
+# Guards against a request that is sent to an owner from which its key has moved.
+def test_a_key_that_moves_during_the_connect_is_sent_to_its_new_owner() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        await harness.add_server("two")
+        harness.apply_update(owner="one")
+        request = await wait_then(harness, lambda: harness.apply_update(owner="two"))
+        assert (await request).status == 200
+        assert [name for name, _ in harness.received] == ["two"]
+
+    run_scenario(scenario)
+
+
+# Guards against one more server that a quarantined request ends, as the request was
+# waiting for its connection when it was put in quarantine.
+def test_a_quarantine_during_the_connect_keeps_the_request_back() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        fingerprint = harness.router.compute_fingerprint(b"GET", b"h", b"/p/x", b"")
+        until_ms = round(harness.wall_clock() * 1000) + 9000
+        row = QuarantineRow(
+            fingerprint, "", "GET", "/p/x", ("a", "b"), True, until_ms, 9
+        )
+        quarantines = harness.state.tables.quarantines
+        change = lambda: quarantines.update({fingerprint: row})  # noqa: E731
+        assert (await (await wait_then(harness, change))).status == 503
+        assert harness.received == []
+
+    run_scenario(scenario)
+
+
+# Guards against a request to the address of a server whose row is gone.
+def test_a_server_that_is_removed_during_the_connect_gets_nothing() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+
+        def remove() -> None:
+            """Send rows without the server."""
+            del harness.rows["one"]
+            harness.apply_update()
+
+        assert (await (await wait_then(harness, remove))).status == 503
+        assert harness.received == []
+
+    run_scenario(scenario)
