--- a/tests/router/test_decisions_after_waits.py
+++ b/tests/router/test_decisions_after_waits.py
@@ -81,7 +81,7 @@
         row = await harness.add_server("one", answer_leaving)
         harness.apply_update(owner="one")
         harness.state.leaving.record_response(row, 100.0)
-        harness.frozen_at = 100.0 + LEAVING_GRACE_SECONDS
+        harness.frozen_at = 100.0 + LEAVING_GRACE_SECONDS - 0.1
         harness.delay_connections(CONNECT_SECONDS)
         request = asyncio.create_task(harness.send_request())
         await asyncio.sleep(CONNECT_SECONDS / 2)
