Read the decision again after the last wait before a send

Cause: the choice of a server is used after waits (connect, token of a limit) in which the server may ask for a pause, leave, end, lose the key or be removed, and the request may be put in quarantine. Class: a decision that is used after a wait without being read again.

find_obstacle reads all of these once the connection is open and the token is there; nothing is waited for between it and the send.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -387,15 +387,15 @@
             connection = await self._connect(context, stat)
             if connection is None:
                 return self._handle_failed_connect(context, stat)
-        if not await self._take_token(context, stat):
+        may_send = await self._take_token(context, stat)
+        now = self._clock()
+        if not may_send or self._is_outdated(context, stat, now):
             self._connections.release(connection)
             return None
-        now = self._clock()
         seconds_left = context.deadline - now
         if seconds_left <= 0:
             self._connections.release(connection)
             return self._answer_failure(context)
-        self._log_outdated_send(context, stat, now)
         service = self._state.get_service_stat(context.service)
         backlog = estimate_backlog(stat, service, now)
         record_sent(stat, now)
@@ -440,20 +440,23 @@
             return self._handle_fault(context, stat, result, ended - now)
         return self._handle_response(context, stat, result, backlog, ended - now)
 
-    def _log_outdated_send(
+    def _is_outdated(
         self, context: RequestContext, stat: ServerStat, now: float
-    ) -> None:
-        """Log a send to a server that would not be chosen any more."""
+    ) -> bool:
+        """Return whether the server would not be chosen any more, after a wait."""
         obstacle = find_obstacle(self._state, context, stat, now)
+        if self._is_quarantined(context):
+            obstacle = Obstacle.QUARANTINED
         if obstacle == Obstacle.NONE:
-            return
+            return False
         self._lines.add(
-            "outdated-send",
+            "choice-outdated",
             id=context.request_id.decode("latin-1"),
             server=stat.row.holder,
             reason=obstacle,
             waited=round(now - context.chosen_at, 4),
         )
+        return True
 
     async def _connect(
         self, context: RequestContext, stat: ServerStat
--- a/src/dragonflyrock/router/obstacles.py
+++ b/src/dragonflyrock/router/obstacles.py
@@ -21,6 +21,7 @@
     MOVED = "moved"
     LEAVING = "leaving"
     PAUSED = "paused"
+    QUARANTINED = "quarantined"
 
 
 def find_obstacle(
