Read the decision again after the connect on the product's own port

The same class as in the router: the gate admits a request, which then connects for up to its whole deadline, while the server asks for a pause, its grace period ends, or the request is put in quarantine. The forwarder asks the gate again once the connection is open; the connection goes to the pool. A key that moves meanwhile needs nothing: the handover waits for requests in flight.

Three new tests failed before (the request was sent) and pass.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -249,6 +249,7 @@
                 self._clock,
                 settings.limits.answer_bytes,
                 ServerNotices(self._gate, self._events).receive,
+                self._gate.recheck,
             ),
             self._events,
             self._metrics,
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -78,6 +78,11 @@
     """Ignore what a response says about its server."""
 
 
+def _accept_dispatch(in_flight: InFlightRequest) -> Refusal | None:
+    """Keep back no request."""
+    return None
+
+
 class Forwarder:
     """Send requests to backend servers over pooled connections.
 
@@ -91,14 +96,17 @@
         on_response: Callable[
             [ServerRow, ServerResponse, float], None
         ] = _ignore_response,
+        recheck: Callable[[InFlightRequest], Refusal | None] = _accept_dispatch,
     ) -> None:
         """Start without connections.
 
         Responses with a body of more than ``max_answer_bytes`` are refused.
         ``on_response`` receives the server, each complete response, and the time before
-        which its request was not sent.
+        which its request was not sent. ``recheck`` returns why a request must not be
+        sent any more once its connection is open.
         """
         self._on_response = on_response
+        self._recheck = recheck
         self._clock = clock
         self._max_answer_bytes = max_answer_bytes
         self._idle_connections: defaultdict[str, list[HTTPConnection]] = defaultdict(
@@ -130,6 +138,10 @@
         if in_flight.cancelled:
             connection.close()
             return Refusal(Reason.OWNER_LOST, Step.DISPATCH, peer)
+        refusal = self._recheck(in_flight)
+        if refusal is not None:
+            self._keep_connection(in_flight.server.address, connection)
+            return refusal
         return self._exchange(connection, in_flight, request)
 
     def _exchange(
@@ -257,6 +269,10 @@
         if connection.sock is None or response.headers.get("Connection") == "close":
             connection.close()
             return
+        self._keep_connection(address, connection)
+
+    def _keep_connection(self, address: str, connection: HTTPConnection) -> None:
+        """Put an open connection into the pool, or close it if the pool is full."""
         with self._lock:
             idle = self._idle_connections[address]
             if len(idle) < MAX_IDLE_CONNECTIONS_PER_SERVER:
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -343,14 +343,9 @@
                     Reason.NO_OWNER, OWNER_RETRY_MS, "the owner leaves; no other yet"
                 )
             return _Waiting.LEAVING
-        seconds = self._pauses.get_seconds_left(server, now)
-        if seconds > 0:
-            self.on_turned_away(service, "paused")
-            return _refuse(
-                Reason.OVERLOADED,
-                max(1, int(seconds * 1000)),
-                "the server asked for a pause",
-            )
+        paused = self._find_pause(service, server, now)
+        if paused is not None:
+            return paused
         allowed = self._count_connections(server)
         ramp = self._pauses.get_ramp_limit(server, now)
         if ramp is not None:
@@ -381,6 +376,34 @@
         self._requests.by_holder[row.owner] += 1
         return in_flight
 
+    def recheck(self, in_flight: InFlightRequest) -> Refusal | None:
+        """Return why a request must not be sent any more, after a wait."""
+        now = self._clock()
+        with self._changed:
+            server = in_flight.server
+            quarantine = self.tables.quarantines.get(in_flight.fingerprint)
+            if quarantine is not None and quarantine.refused:
+                detail = f"fingerprint {in_flight.fingerprint}"
+                return Refusal(Reason.QUARANTINED, Step.LOCATE, detail=detail)
+            leaving = self._leaving.find(server)
+            if leaving is not None and now - leaving.since > LEAVING_GRACE_SECONDS:
+                return _refuse(Reason.OWNER_LOST, OWNER_RETRY_MS, _Waiting.LEAVING)
+            return self._find_pause(in_flight.ref.service, server, now)
+
+    def _find_pause(
+        self, service: str, server: ServerRow, now: float
+    ) -> Refusal | None:
+        """Return the refusal of a request to a server that asked for a pause."""
+        seconds = self._pauses.get_seconds_left(server, now)
+        if not seconds:
+            return None
+        self.on_turned_away(service, "paused")
+        return _refuse(
+            Reason.OVERLOADED,
+            max(1, int(seconds * 1000)),
+            "the server asked for a pause",
+        )
+
     def wait_for_new_owner(
         self, service: str, key_hash: int, epoch: int, until: float
     ) -> None:
--- a/tests/entry/test_gate_notices.py
+++ b/tests/entry/test_gate_notices.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+from collections.abc import Callable
+
 import pytest
+from urllib3.connection import HTTPConnection
 
-from dragonflyrock.entry.forward import ServerResponse
+from dragonflyrock.entry.forward import Forwarder, ServerRequest, ServerResponse
 from dragonflyrock.entry.gate import (
     LEAVING_GRACE_SECONDS,
     MOVE_LIMIT_SECONDS,
@@ -13,9 +17,15 @@
 )
 from dragonflyrock.entry.notices import ServerNotices
 from dragonflyrock.entry.server_rates import ServerRateAgent
-from dragonflyrock.errors import Reason, Refusal
+from dragonflyrock.errors import Outcome, Reason, Refusal
 from dragonflyrock.hashing import KEY_SPACE
-from dragonflyrock.models import Delta, RangeRow, RangeState, ServerRow
+from dragonflyrock.models import (
+    Delta,
+    QuarantineRow,
+    RangeRow,
+    RangeState,
+    ServerRow,
+)
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.observe.events import EventFilter
 from dragonflyrock.tables import LeavingRow, LeavingSource
@@ -156,3 +166,79 @@
     host.respond(200)
     results = [host.begin() for _ in range(50)]
     assert all(isinstance(result, InFlightRequest) for result in results)
+
+
+def forward_after(
+    host: GateHost, monkeypatch: pytest.MonkeyPatch, change: Callable[[], None]
+) -> tuple[ServerResponse | Refusal, bytes]:
+    """Forward a request, and make a change while it connects.
+
+    Return the result and what the server has received.
+    """
+    ours, theirs = socket.socketpair()
+    theirs.setblocking(False)
+
+    def connect(connection: HTTPConnection) -> None:
+        """Open the connection after the change."""
+        change()
+        connection.sock = ours
+
+    monkeypatch.setattr(HTTPConnection, "connect", connect)
+    forwarder = Forwarder(lambda: host.now, 1000, recheck=host.gate.recheck)
+    in_flight = host.begin()
+    assert isinstance(in_flight, InFlightRequest)
+    request = ServerRequest("GET", "/s/k", (), b"", "id-1")
+    with theirs:
+        result = forwarder.forward(in_flight, request)
+        host.gate.end_dispatch(in_flight, may_still_run=False)
+        try:
+            return result, theirs.recv(1000)
+        except BlockingIOError:
+            return result, b""
+
+
+# Guards against a request on the product's own port that is sent in the pause which
+# its server asked for while it connected.
+def test_a_pause_during_the_connect_keeps_a_request_back(
+    host: GateHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    result, received = forward_after(
+        host, monkeypatch, lambda: host.respond(503, ("Retry-After", "3"))
+    )
+    assert received == b""
+    assert isinstance(result, Refusal)
+    assert (result.reason, result.outcome) == (Reason.OVERLOADED, Outcome.NOT_RUN)
+    assert result.retry_after_ms == 3000
+
+
+# Guards against a request to an owner whose grace period ended while it connected.
+def test_a_grace_period_that_ends_during_the_connect_keeps_a_request_back(
+    host: GateHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    host.respond(200, ("X-Server-Leaving", "1"))
+
+    def advance() -> None:
+        """Let the grace period end."""
+        host.now += LEAVING_GRACE_SECONDS + 0.1
+
+    result, received = forward_after(host, monkeypatch, advance)
+    assert received == b""
+    assert isinstance(result, Refusal)
+    assert (result.reason, result.outcome) == (Reason.OWNER_LOST, Outcome.NOT_RUN)
+
+
+# Guards against one more server that a request ends which was put in quarantine while
+# it connected.
+def test_a_quarantine_during_the_connect_keeps_a_request_back(
+    host: GateHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    row = QuarantineRow("f", "", "GET", "/s/k", ("a", "b"), True, 0, 9)
+
+    def quarantine() -> None:
+        """Put the request in quarantine."""
+        host.gate.tables.quarantines["f"] = row
+
+    result, received = forward_after(host, monkeypatch, quarantine)
+    assert received == b""
+    assert isinstance(result, Refusal)
+    assert (result.reason, result.outcome) == (Reason.QUARANTINED, Outcome.NOT_RUN)
