Count a request at its server from the choice on, not from the send

What callers saw: nothing; a server that had asked for a pause was flooded at its end. Cause: the ramp after a pause admits one request, and a request that waits for its connection is not counted, so all that come within that wait are admitted. Class: a count that is read at the decision and raised after a wait.

The place is taken at the choice and given back on each way out (sent, refused, cancelled, no connection). The estimate of a server's backlog counts these requests too.

--- a/src/dragonflyrock/router/decision.py
+++ b/src/dragonflyrock/router/decision.py
@@ -108,7 +108,7 @@
 def _is_open(state: RouterState, stat: ServerStat, now: float) -> bool:
     """Return whether a server may get one more request, as far as it said."""
     ramp = state.pauses.get_ramp_limit(stat.row, now)
-    if ramp is not None and stat.in_flight >= ramp:
+    if ramp is not None and stat.in_flight + stat.connecting >= ramp:
         return False
     return not state.rates.get_denied_seconds(stat.row, now)
 
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -87,6 +87,13 @@
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
 
 
+class ReadyConnection(NamedTuple):
+    """A connection to which a request may be written now; ``reused`` if it was idle."""
+
+    connection: ServerConnection
+    reused: bool
+
+
 class Router:
     """Answer callers' requests by the rows and statistics of this host.
 
@@ -378,10 +385,25 @@
         self, context: RequestContext, stat: ServerStat
     ) -> Response | None:
         """Send a request once; return the response, or None to send it again."""
-        names = self._config.header_names
-        address = stat.row.address
         context.server = stat.row.name
-        connection = self._connections.acquire_idle(address)
+        stat.connecting += 1
+        try:
+            ready = await self._prepare_send(context, stat)
+        finally:
+            stat.connecting -= 1
+        if not isinstance(ready, ReadyConnection):
+            return ready
+        return await self._exchange(context, stat, ready)
+
+    async def _prepare_send(
+        self, context: RequestContext, stat: ServerStat
+    ) -> ReadyConnection | Response | None:
+        """Wait for a connection and a token, and read the decision again.
+
+        Return a response if the request cannot be sent in time, and None to choose a
+        server again.
+        """
+        connection = self._connections.acquire_idle(stat.row.address)
         reused = connection is not None
         if connection is None:
             connection = await self._connect(context, stat)
@@ -389,13 +411,21 @@
                 return self._handle_failed_connect(context, stat)
         may_send = await self._take_token(context, stat)
         now = self._clock()
-        if not may_send or self._is_outdated(context, stat, now):
-            self._connections.release(connection)
-            return None
+        in_time = now < context.deadline
+        if may_send and in_time and not self._is_outdated(context, stat, now):
+            return ReadyConnection(connection, reused)
+        self._connections.release(connection)
+        return None if in_time else self._answer_failure(context)
+
+    async def _exchange(
+        self, context: RequestContext, stat: ServerStat, ready: ReadyConnection
+    ) -> Response | None:
+        """Send a request now; return the response, or None to send it again."""
+        names = self._config.header_names
+        address = stat.row.address
+        connection, reused = ready
+        now = self._clock()
         seconds_left = context.deadline - now
-        if seconds_left <= 0:
-            self._connections.release(connection)
-            return self._answer_failure(context)
         service = self._state.get_service_stat(context.service)
         backlog = estimate_backlog(stat, service, now)
         record_sent(stat, now)
--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -83,7 +83,8 @@
 class ServerStat:
     """Statistics of one server; times are in seconds of this host's clock.
 
-    ``in_flight`` counts requests of this host only; the backlogs count those of all
+    ``in_flight`` counts requests of this host only, and ``connecting`` those that are
+    to be sent and wait for a connection or a token; the backlogs count those of all
     hosts. ``unanswered_since`` is the time of the last response, or of the first
     request sent after the server was idle. Until ``down_until`` the server is paused
     after a failure. ``ended`` is set when another server answers at its address.
@@ -91,6 +92,7 @@
 
     row: ServerRow
     in_flight: int = 0
+    connecting: int = 0
     processing_time: float = 0.0
     processing_time_at: float = NEVER
     reported_backlog: float = 0.0
@@ -137,7 +139,7 @@
             -age / BACKLOG_DECAY_SECONDS
         )
     expected = mean_backlog + (stat.reported_backlog - mean_backlog) * report_weight
-    return max(expected, float(stat.in_flight))
+    return max(expected, float(stat.in_flight)) + stat.connecting
 
 
 def estimate_wait(stat: ServerStat, service: ServiceStat, now: float) -> float:
--- a/tests/router/test_decisions_after_waits.py
+++ b/tests/router/test_decisions_after_waits.py
@@ -160,3 +160,47 @@
         assert harness.received == []
 
     run_scenario(scenario)
+
+
+# Guards against a server that is flooded at the first moment after its pause by all
+# requests that come while the one that it may get waits for its connection.
+@pytest.mark.parametrize("keyed", [True, False])
+def test_one_request_is_admitted_at_the_end_of_a_pause(*, keyed: bool) -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        harness.frozen_at = 100.0
+        row = await harness.add_server("one")
+        harness.apply_update(owner="one" if keyed else "")
+        pause = harness.state.pauses.record(row, 3.0, 100.0)
+        harness.frozen_at = pause.until
+        harness.delay_connections(CONNECT_SECONDS)
+        requests = [harness.send_request() for _ in range(WAITING_COUNT)]
+        responses = await asyncio.gather(*requests)
+        assert sorted(response.status for response in responses) == [
+            200,
+            *[503] * (WAITING_COUNT - 1),
+        ]
+        assert len(harness.received) == 1
+        assert harness.state.stats["one"].connecting == 0
+
+    run_scenario(scenario)
+
+
+# Guards against places that are kept by requests whose callers left while they waited
+# for a connection, or whose server could not be reached.
+def test_a_place_is_given_back_on_each_way_out() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        harness.delay_connections(CONNECT_SECONDS)
+        request = asyncio.create_task(harness.send_request())
+        await asyncio.sleep(CONNECT_SECONDS / 2)
+        assert harness.state.stats["one"].connecting == 1
+        request.cancel()
+        await asyncio.gather(request, return_exceptions=True)
+        assert harness.state.stats["one"].connecting == 0
+        harness.close()
+        assert (await harness.send_request()).status == 503
+        assert harness.state.stats["one"].connecting == 0
+        assert harness.state.stats["one"].in_flight == 0
+
+    run_scenario(scenario)
