Read the headers of a server in need with and without the platform's prefix

Cause: the platform's table had Server-Leaving and Retry-After only without the prefix that its other headers of backend servers have, so a server that uses it would not be heard (DRAIN, BUDGET). Both names count for all three headers. A value for leaving that is neither 0 nor 1 changes nothing and is logged (leaving-unreadable); the soak's servers use both names.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -55,6 +55,8 @@
         self._random = context.make_random(self.label)
         self._instance_count = 0
         limit_headers = wire.HEADER_NAMES.limit
+        leaving_headers = wire.HEADER_NAMES.leaving
+        self._leaving_header = leaving_headers[number % len(leaving_headers)]
         self._limit_header = limit_headers[number % len(limit_headers)]
 
     async def start(self) -> None:
@@ -143,7 +145,7 @@
             response = response._replace(headers=(*response.headers, named))
         if not self._says_leaving:
             return response
-        leaving = (wire.HEADER_NAMES.leaving, b"1")
+        leaving = (self._leaving_header, b"1")
         self._history.add(Told(_read_request_id(request), self.name, "leaving"))
         return response._replace(headers=(*response.headers, leaving))
 
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -33,7 +33,7 @@
     signature=b"x-dragonflyrock-server-stamp",
     not_run=b"x-dragonflyrock-not-executed",
     load=b"x-dragonflyrock-server-load",
-    leaving=b"server-leaving",
+    leaving=(b"server-leaving", b"x-dragonflyrock-server-leaving"),
     limit=(b"server-limit", b"x-dragonflyrock-server-limit"),
     key=b"x-dragonflyrock-shard-key",
 )
--- a/src/dragonflyrock/entry/notices.py
+++ b/src/dragonflyrock/entry/notices.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ..http.retry_after import RequestedPause, read_requested_pause
+from ..http.server_leaving import LeavingNotice, read_leaving
 from ..http.server_limit import NamedLimit, read_named_limit
 from ..models import ServerRow
 from ..observe import EventRing
@@ -32,10 +33,14 @@
 
         ``sent_at`` is when the request was sent, in seconds of the host's clock.
         """
-        leaves = any(
-            name.lower() == LEAVING_HEADER.lower() and value.strip() == "1"
+        leaving = read_leaving(
+            value
             for name, value in response.headers
+            if name.lower() == LEAVING_HEADER.lower()
         )
+        leaves = leaving == LeavingNotice.LEAVES
+        if leaving == LeavingNotice.UNREADABLE:
+            self._events.add("leaving-unreadable", server=server.holder)
         pause = _find_requested_pause(response)
         if leaves or pause is not None:
             self._gate.record_notices(server, leaves=leaves, pause=pause)
--- a/src/dragonflyrock/router/header_names.py
+++ b/src/dragonflyrock/router/header_names.py
@@ -10,7 +10,7 @@
 class HeaderNames(NamedTuple):
     """Header names in lower case; an empty name is neither sent nor read.
 
-    A server may use any of the names in ``limit``.
+    A server may use any of the names in ``leaving``, ``pause`` and ``limit``.
 
     ``key_shift`` is the number of bits by which a key in a header is shifted left to
     give its hash.
@@ -23,7 +23,8 @@
     signature: bytes = b""
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-server-load"
-    leaving: bytes = b"x-server-leaving"
+    leaving: tuple[bytes, ...] = (b"x-server-leaving",)
+    pause: tuple[bytes, ...] = (b"retry-after",)
     limit: tuple[bytes, ...] = (b"x-server-limit",)
     key: bytes = b"x-key"
     key_shift: int = 48
--- a/src/dragonflyrock/router/notices.py
+++ b/src/dragonflyrock/router/notices.py
@@ -4,6 +4,7 @@
 
 from ..http import Response
 from ..http.retry_after import PauseProblem, RequestedPause, read_requested_pause
+from ..http.server_leaving import LeavingNotice, read_leaving
 from ..http.server_limit import NamedLimit, read_named_limit
 from ..observe.lines import LineLog
 from .choice import hash_fraction
@@ -13,29 +14,32 @@
 from .state import RouterState
 
 __all__ = [
+    "find_leaving",
     "find_named_limit",
     "find_requested_pause",
-    "is_leaving_response",
     "record_notices",
 ]
 
 
-def is_leaving_response(response: Response, names: HeaderNames) -> bool:
+def find_leaving(response: Response, names: HeaderNames) -> LeavingNotice:
     """Return whether the server says that it leaves."""
-    return any(
-        name.lower() == names.leaving and value.strip() == b"1"
+    return read_leaving(
+        value.decode("latin-1")
         for name, value in response.headers
+        if name.lower() in names.leaving
     )
 
 
-def find_requested_pause(response: Response) -> RequestedPause | None:
+def find_requested_pause(
+    response: Response, names: HeaderNames
+) -> RequestedPause | None:
     """Return the pause that a server asks for when it turns a request away."""
     if response.status != 503:
         return None
     return read_requested_pause(
         value.decode("latin-1")
         for name, value in response.headers
-        if name.lower() == b"retry-after"
+        if name.lower() in names.pause
     )
 
 
@@ -61,10 +65,13 @@
 
     ``sent_at`` is when the request was sent.
     """
-    if is_leaving_response(response, config.header_names):
+    leaving = find_leaving(response, config.header_names)
+    if leaving == LeavingNotice.LEAVES:
         state.mark_leaving(stat)
+    elif leaving == LeavingNotice.UNREADABLE:
+        lines.add("leaving-unreadable", server=stat.row.holder)
     _record_limit(state, stat, response, config, lines, sent_at)
-    pause = find_requested_pause(response)
+    pause = find_requested_pause(response, config.header_names)
     if pause is None:
         return
     was_paused = state.pauses.get_seconds_left(stat.row, now) > 0
--- a/tests/load/notices_model.py
+++ b/tests/load/notices_model.py
@@ -229,7 +229,7 @@
         """Return how a server answers now, and record the arrival."""
         headers: tuple[tuple[bytes, bytes], ...] = ()
         if self.plan.is_leaving(self.now, server):
-            headers = ((NAMES.leaving, b"1"),)
+            headers = ((NAMES.leaving[0], b"1"),)
         limit = self.plan.get_limit(self.now, server)
         if limit is not None:
             headers = (*headers, (NAMES.limit[0], b"%.3f" % limit))
