Keep what a server said while its row is gone

Cause: pauses, leaving and limits of a server were forgotten with its row, which comes back if the server's heartbeats were late; hosts then sent to a server that leaves or had asked for a pause (DRAIN, BUDGET, LIMIT hold also for machines out of touch). Class: a promise whose life is tied to a row that may be older than it.

The new test of a row that goes and comes back failed before.

--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -154,8 +154,8 @@
     def _apply_server_rows(self, now: float) -> list[LeavingRow]:
         """Take over which servers leave; return those that were not known to."""
         servers = self.tables.servers
-        self._leaving.retain(servers)
-        self._pauses.retain(servers, now)
+        self._leaving.retain(servers, now)
+        self._pauses.pop_ended(now)
         rows = [self._leaving.apply_row(server, now) for server in servers.values()]
         return [row for row in rows if row is not None]
 
--- a/src/dragonflyrock/entry/server_rates.py
+++ b/src/dragonflyrock/entry/server_rates.py
@@ -206,7 +206,7 @@
         """Forget servers and hosts that are gone, and links that are not used."""
         holders = self._tables.holders
         with self._lock:
-            self._named.retain(self._tables.servers)
+            self._named.retain(self._tables.servers, now)
             self._tokens.retain(holders)
             for limiter in (self._limiter, self._standby):
                 limiter.retain(holders, self._tables.hosts)
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -213,7 +213,7 @@
     def _update_server_notices(self, now: float) -> None:
         """Forget pauses that are over, and update the metrics."""
         state, metrics = self.state, self._loop.metrics
-        for holder in state.pauses.retain(state.tables.servers, now):
+        for holder in state.pauses.pop_ended(now):
             self._loop.lines.add("pause-ended", server=holder)
         metrics.servers_limited.set(state.rates.count_limited())
         metrics.servers_paused.set(state.pauses.count(now))
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -89,7 +89,7 @@
         rows = self.tables.servers
         for name in [name for name in self.stats if name not in rows]:
             del self.stats[name]
-        self.leaving.retain(rows)
+        self.leaving.retain(rows, self._clock())
         self.by_service = {}
         for name, row in rows.items():
             stat = self.stats.get(name)
--- a/src/dragonflyrock/tables/leaving.py
+++ b/src/dragonflyrock/tables/leaving.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ..const import NOTICE_KEPT_SECONDS
 from ..models import ServerRow
 
 __all__ = ["LeavingRow", "LeavingSource", "LeavingTable"]
@@ -70,10 +71,11 @@
         self._rows[server.name] = row
         return row
 
-    def retain(self, names: Collection[str]) -> None:
-        """Forget the servers that are not among ``names``."""
+    def retain(self, names: Collection[str], now: float) -> None:
+        """Forget servers that are not among ``names``, some time after they left."""
         for name in self._rows.keys() - set(names):
-            del self._rows[name]
+            if now - self._rows[name].since >= NOTICE_KEPT_SECONDS:
+                del self._rows[name]
 
     def list_unconfirmed(self, servers: Mapping[str, ServerRow]) -> tuple[str, ...]:
         """Return the holders that said that they leave while their rows do not."""
--- a/src/dragonflyrock/tables/named_limits.py
+++ b/src/dragonflyrock/tables/named_limits.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from ..const import NOTICE_KEPT_SECONDS
 from ..models import ServerRow
 
 __all__ = ["NamedLimitRow", "NamedLimitTable"]
@@ -56,7 +57,8 @@
         """Return the number of servers with a limit."""
         return len(self._rows)
 
-    def retain(self, names: Collection[str]) -> None:
-        """Forget the servers that are not among ``names``."""
+    def retain(self, names: Collection[str], now: float) -> None:
+        """Forget the servers that are not among ``names`` and said nothing lately."""
         for name in self._rows.keys() - set(names):
-            del self._rows[name]
+            if now - self._rows[name].said_at >= NOTICE_KEPT_SECONDS:
+                del self._rows[name]
--- a/src/dragonflyrock/tables/pauses.py
+++ b/src/dragonflyrock/tables/pauses.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from typing import Final, NamedTuple
 
 from ..models import ServerRow
@@ -72,19 +71,15 @@
         """Return the number of paused servers."""
         return sum(1 for row in self._rows.values() if row.until > now)
 
-    def retain(self, names: Collection[str], now: float) -> list[str]:
-        """Forget other servers and pauses that are over.
+    def pop_ended(self, now: float) -> list[str]:
+        """Forget pauses whose ramp has ended, and return their holders.
 
-        Return the holders whose pause and ramp have ended.
+        A pause outlasts the loss of the server's row, which may come back.
         """
-        ended: list[str] = []
-        for name, row in list(self._rows.items()):
-            is_over = now - row.until >= RAMP_SECONDS
-            if is_over or name not in names:
-                del self._rows[name]
-            if is_over:
-                ended.append(row.holder)
-        return ended
+        ended = [row for row in self._rows.values() if now - row.until >= RAMP_SECONDS]
+        for row in ended:
+            del self._rows[row.holder.rpartition("@")[0]]
+        return [row.holder for row in ended]
 
     def _find(self, server: ServerRow) -> PauseRow | None:
         """Return the row of this incarnation of a server, or None."""
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -188,6 +188,12 @@
         connection.usable_until = float("inf")
         self.connections.release(connection)
 
+    def tick(self) -> None:
+        """Run the timed work of the state, as a node does."""
+        now = self.clock()
+        self.state.rates.tick(now)
+        self.state.pauses.pop_ended(now)
+
     def read_lines(self, prefix: str) -> list[dict[str, object]]:
         """Return the queued lines whose events begin with a prefix."""
         lines = [json.loads(line) for line in self.lines._lines]
--- a/tests/router/test_notices.py
+++ b/tests/router/test_notices.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from dragonflyrock.http import Request, Response, find_header, make_response
 from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS
 
@@ -175,3 +177,29 @@
         assert harness.metrics.limited_sends.labels("s").value == 2
 
     run_scenario(scenario)
+
+
+# Guards against a server whose row goes and comes back, as if its heartbeats were late,
+# and which then gets requests although it leaves or wants a pause.
+def test_what_a_server_said_outlasts_the_loss_of_its_row() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        harness.frozen_at = 100.0
+        row = await harness.add_server("one")
+        other = await harness.add_server("two")
+        harness.apply_update()
+        harness.state.leaving.record_response(row, 100.0)
+        harness.state.pauses.record(other, 5.0, 100.0)
+        harness.state.rates.record_limit(other, 1.0)
+        rows, harness.rows = harness.rows, {}
+        harness.apply_update()
+        harness.tick()
+        harness.frozen_at = 102.0
+        harness.rows = rows
+        harness.apply_update()
+        assert harness.state.leaving.find(row) is not None
+        assert harness.state.pauses.get_seconds_left(other, 102.0) == pytest.approx(3.0)
+        assert harness.state.rates.find_limit(other) is not None
+        assert (await harness.send_request()).status == 503
+        assert harness.received == []
+
+    run_scenario(scenario)
