Bound response heads, and all bodies that are being read together

Cause: bytes of a server that are no answer were read until the request's deadline if they came in a head (a name, value, reason, extension or trailer without end, interim responses or responses to other requests for ever), and a body of up to 64 MB was read for each of many requests, on hosts with 200 MB of memory. Class: input of a server without a bound.

An exchange may receive 64 KiB besides bodies and their framing; one body may have 32 MiB, all that are being read 48 MiB, above which the largest is given up. The exchange then ends with bad-answer, like other faulty answers, and the connection is reset.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from .buffered_bodies import BufferedBodies
 from .models import (
     ExchangeFault,
     FaultKind,
@@ -30,7 +31,13 @@
 # SO_LINGER enabled with a timeout of 0: closing the socket resets the connection.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 MAX_IDLE_CONNECTIONS_PER_ADDRESS: Final = 32
-MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+MAX_BODY_BYTES: Final = 32 * 1024 * 1024
+# All bodies that are being read; a host has 200 MB of memory or more.
+MAX_BUFFERED_BODY_BYTES: Final = 48 * 1024 * 1024
+# What an exchange may receive besides bodies: heads, interim responses, and the framing
+# of chunks, which is at most so many times the body.
+MAX_HEAD_BYTES: Final = 64 * 1024
+MAX_FRAMING_FACTOR: Final = 8
 
 
 class ServerConnection(asyncio.Protocol):
@@ -39,9 +46,17 @@
     It implements the callbacks of ``asyncio.Protocol`` and of the ``httptools`` parser.
     """
 
-    def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
-        """Initialize a connection that is not yet established."""
+    def __init__(
+        self, address: str, loop: asyncio.AbstractEventLoop, bodies: BufferedBodies
+    ) -> None:
+        """Initialize a connection that is not yet established.
+
+        ``bodies`` bounds the bodies of all connections of a pool.
+        """
         self.address = address
+        self._bodies = bodies
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self.usable_until = float("inf")
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -59,7 +74,6 @@
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
         self._ends_at_close = False
         self._has_begun = False
 
@@ -81,6 +95,7 @@
         self._response_future = self._loop.create_future()
         self._id_header, self._request_id = id_header, request_id
         self._is_head_request = request.method == b"HEAD"
+        self._received_bytes = self._received_body_bytes = 0
         if self._is_closed:
             self._fail(FaultKind.NOT_CONNECTED, "connection was closed while idle")
         else:
@@ -92,6 +107,7 @@
             raise
         finally:
             self._response_future = None
+            self._bodies.remove(self)
 
     def _send(self, request: Request) -> None:
         """Write a request, with a Content-Length header if it has a body."""
@@ -149,11 +165,25 @@
             self._may_reuse = False
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(FaultKind.BAD_ANSWER, str(error))
-            self.abort()
+            self._give_up(str(error))
+            return
+        overhead = self._received_bytes - self._received_body_bytes
+        allowed = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self._received_body_bytes
+        if overhead > allowed and not self._response_future.done():
+            self._give_up(f"response heads exceed {allowed} bytes")
+
+    def give_up_body(self, detail: str) -> None:
+        """End the exchange with a fault and close the connection."""
+        self._give_up(detail)
+
+    def _give_up(self, detail: str) -> None:
+        """End the exchange, as the server sends what is no answer."""
+        self._fail(FaultKind.BAD_ANSWER, detail)
+        self.abort()
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends where the connection is closed."""
@@ -213,14 +243,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and reject a body that is too large."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
-            self._fail(
-                FaultKind.BAD_ANSWER, f"response body exceeds {MAX_BODY_BYTES} bytes"
-            )
-            self.abort()
+        if self._is_closed:
+            return
+        self._received_body_bytes += len(body)
+        if self._received_body_bytes > MAX_BODY_BYTES:
+            self._give_up(f"response body exceeds {MAX_BODY_BYTES} bytes")
             return
         self._body.append(body)
+        self._bodies.add(self, len(body))
 
     def on_message_complete(self) -> None:
         """Complete a response whose end is given by its framing."""
@@ -252,6 +282,7 @@
     def __init__(self) -> None:
         """Initialize an empty pool."""
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
+        self._bodies = BufferedBodies(MAX_BUFFERED_BODY_BYTES)
 
     def acquire_idle(self, address: str) -> ServerConnection | None:
         """Return a reusable idle connection, or None; close those that expired."""
@@ -273,7 +304,9 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ServerConnection(address, loop), host, int(port)
+                    lambda: ServerConnection(address, loop, self._bodies),
+                    host,
+                    int(port),
                 )
         except TimeoutError:
             return ExchangeFault(FaultKind.NOT_CONNECTED, "connection timed out")
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from dragonflyrock.http import (
     ConnectionPool,
     ExchangeFault,
@@ -13,6 +15,7 @@
     Response,
     ServerConnection,
 )
+from dragonflyrock.http.buffered_bodies import BufferedBodies
 from tests.common import free_port
 from tests.paused_clock import PausedClock, run_paused
 
@@ -109,3 +112,93 @@
     # In real time a delayed event loop may not process the close before the second
     # request is sent.
     run_paused(run_scenario)
+
+
+def respond_without_end(start: bytes, part: bytes) -> ConnectionHandler:
+    """Return a handler that writes a part again and again until it is disconnected."""
+
+    async def handle_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        try:
+            while True:
+                writer.write(part)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+    return handle_connection
+
+
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+OTHER_RESPONSE = RESPONSE.replace(b"X-Id: 7", b"X-Id: 6")
+
+
+# Guards against bytes without end in a head, which are kept in memory until the
+# deadline of the request.
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"HTTP/1.1 200 ", b"x" * 1000),
+        (OK_LINE, b"X-Name: value\r\n" * 100),
+        (OK_LINE + b"X-Name: ", b"x" * 1000),
+        (OK_LINE, b"x" * 1000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+        (b"", OTHER_RESPONSE * 100),
+        (CHUNKED + b"1;", b"x" * 1000),
+        (CHUNKED + b"0\r\n", b"X-Name: value\r\n" * 100),
+    ],
+    ids=["reason", "headers", "value", "name", "interim", "other", "chunk", "trailers"],
+)
+def test_a_head_without_end_is_a_fault(start: bytes, part: bytes) -> None:
+    results, connection = asyncio.run(exchange(respond_without_end(start, part)))
+    assert isinstance(results[0], ExchangeFault)
+    assert results[0].kind == FaultKind.BAD_ANSWER
+    assert not connection.is_reusable
+
+
+# Guards against a body without end that fills the memory of the host.
+@pytest.mark.parametrize(
+    "start", [OK_LINE + b"\r\n", CHUNKED], ids=["unframed", "chunked"]
+)
+def test_a_body_without_end_is_a_fault(
+    start: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("dragonflyrock.http.client.MAX_BODY_BYTES", 100_000)
+    part = b"x" * 1000
+    if start == CHUNKED:
+        part = b"3e8\r\n" + part + b"\r\n"
+    results, _ = asyncio.run(exchange(respond_without_end(start, part)))
+    assert isinstance(results[0], ExchangeFault)
+    assert results[0].kind == FaultKind.BAD_ANSWER
+
+
+# Guards against many bodies that fill the memory together, and against the end of a
+# short response because another one has no end.
+def test_bodies_share_a_bound_and_the_largest_is_given_up() -> None:
+    first, second = _Holder(), _Holder()
+    bodies = BufferedBodies(1000)
+    bodies.add(first, 700)
+    bodies.add(second, 200)
+    assert not first.given_up
+    bodies.add(second, 200)
+    assert first.given_up
+    assert not second.given_up
+    bodies.remove(first)
+    bodies.add(second, 500)
+    assert not second.given_up
+    bodies.remove(second)
+    assert bodies.total == 0
+
+
+class _Holder:
+    """A connection that can be given up."""
+
+    given_up = False
+
+    def give_up_body(self, detail: str) -> None:
+        """Record the call."""
+        self.given_up = True
