End an exchange of the product's own port at its deadline

Cause: the forwarder sets the time that is left as the timeout of each read, so a server that sends a byte now and then, in a head or a body, keeps the caller and its thread beyond any deadline. Class: a bound on each step where the whole needs one.

The runtime's tick closes the sockets of exchanges that outlast their deadlines by 0.05 s; the result is a deadline refusal of unknown outcome. Sizes were bounded already, by http.client (a head) and by limits.answer_bytes.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -210,6 +210,7 @@
         self._gate.on_turned_away = self._count_turned_away
         self._gate.share_limits(self._make_rate_agent())
         self._runtime.rates = self._gate.rates
+        self._runtime.on_entry_tick = self._gate.close_overdue
         return agent
 
     def _make_rate_agent(self) -> ServerRateAgent:
--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -160,6 +160,9 @@
             )
         except _BadAnswerError as error:
             connection.close()
+            if self._clock() >= in_flight.deadline:
+                # The answer was cut at the deadline.
+                return _refuse_unknown(Reason.DEADLINE, Step.ANSWER, peer, error.detail)
             return _refuse_unknown(Reason.BAD_ANSWER, Step.ANSWER, peer, error.detail)
         except (OSError, HTTPError, HTTPException, ValueError) as error:
             connection.close()
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -37,6 +37,8 @@
 SLOT_RETRY_MS: Final = 200
 # The owner of a key gets its requests until the range moves, at most this long.
 LEAVING_GRACE_SECONDS: Final = 0.9
+# A server that is alive answers at the deadline, at least with an error.
+OVERDUE_SECONDS: Final = 0.05
 # A range moves in this time if it can; after that, its requests are refused at once.
 MOVE_LIMIT_SECONDS: Final = 2.5
 
@@ -404,6 +406,23 @@
             "the server asked for a pause",
         )
 
+    def close_overdue(self) -> None:
+        """Interrupt the exchanges that outlast their deadlines.
+
+        A server that sends a byte now and then keeps a read from timing out.
+        """
+        now = self._clock()
+        with self._changed:
+            overdue = [
+                in_flight
+                for group in self._requests.by_ref.values()
+                for in_flight in group
+                if now >= in_flight.deadline + OVERDUE_SECONDS
+            ]
+        for in_flight in overdue:
+            if in_flight.close is not None:
+                in_flight.close()
+
     def wait_for_new_owner(
         self, service: str, key_hash: int, epoch: int, until: float
     ) -> None:
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -71,6 +71,7 @@
         self.calls: CallTable | None = None
         self.limits: LimitAgent | None = None
         self.rates: ServerRateAgent | None = None
+        self.on_entry_tick: Callable[[], None] = _do_nothing
         self.on_stall: Callable[[str, float], None] = _ignore_stall
 
     def post(self, task: Callable[[], None]) -> None:
@@ -202,6 +203,7 @@
         """Run the timed work of the calls and the control member."""
         if self.calls is not None:
             self.calls.tick(now)
+        self.on_entry_tick()
         if self.member is not None:
             self.member.tick(now)
 
