--- a/src/dragonflyrock/entry/server_rates.py
+++ b/src/dragonflyrock/entry/server_rates.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from ..const import NEVER
 from ..models import ServerRow
 from ..systems.limits import find_limiter, find_standby
 from ..systems.server_rates import (
@@ -24,6 +25,7 @@
 
 # A link to a host that is not a limiter any more is closed after this time.
 IDLE_LINK_SECONDS: Final = 30.0
+CLEANUP_INTERVAL_SECONDS: Final = 1.0
 # The number of a demand without tokens, whose answer is not awaited.
 ANNOUNCEMENT_NUMBER: Final = 0
 
@@ -60,6 +62,7 @@
         self._limiter = ServerLimiter()
         self._standby = ServerLimiter()
         self._unannounced: set[str] = set()
+        self._cleaned_up_at = NEVER
         self._used_links: dict[str, float] = {}
         self.on_wanted: Callable[[], None] = self.send_demands
         self.on_change: Callable[[], None] = lambda: None
@@ -204,6 +207,9 @@
 
     def _forget_absent(self, now: float) -> None:
         """Forget servers and hosts that are gone, and links that are not used."""
+        if now - self._cleaned_up_at < CLEANUP_INTERVAL_SECONDS:
+            return
+        self._cleaned_up_at = now
         holders = self._tables.holders
         with self._lock:
             self._named.retain(self._tables.servers, now)
