Move keys away from owners that name a limit or pause again and again

Cause: the leader never heard of it. Hosts report limits and pauses with their renewals, control nodes pass on what is new, and the leader counts them as the server's capacity, so the balance by load moves the narrowest parts that carry the excess.

The report is the leader's memory and no command of the log, so nodes of the version before go on.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -16,12 +16,13 @@
     KeyLoads,
     OwnedPart,
     Owner,
+    compute_rates,
     compute_utilization,
     divide_by_capacity,
     plan_balance,
     reassign_part,
 )
-from ..transport.messages import RangeLoad, ServerSpeed
+from ..transport.messages import RangeLoad, ServerNeed, ServerSpeed
 from . import commands as c
 from .directed_models import (
     NEVER,
@@ -39,6 +40,7 @@
     ServerLiveness,
 )
 from .reported_loads import ReportedLoads
+from .server_needs import ServerNeedTable
 from .state import ControlState
 
 __all__ = ["DirectedLeader"]
@@ -85,6 +87,7 @@
         self._pending_grants: list[GrantOrder] = []
         self._handover_tokens: dict[tuple[str, int], str] = {}
         self._loads = ReportedLoads(now)
+        self._needs = ServerNeedTable()
         self._next_balance_at = now + timing.settle_time
         self._next_join_at = now + JOIN_INTERVAL_SECONDS
         self._registered_at = now
@@ -194,6 +197,21 @@
         """Add an entry host's measurements of servers' processing times."""
         self._loads.add_speeds(speeds)
 
+    def add_needs(self, needs: tuple[ServerNeed, ...], now: float) -> None:
+        """Add a host's report of what servers take; of known incarnations only."""
+        for need in needs:
+            row = self._state.servers.get(need.holder.rpartition("@")[0])
+            if row is None or row.holder != need.holder:
+                continue
+            if not self._needs.record(need, now):
+                continue
+            self._report(
+                "server-need",
+                server=need.holder,
+                detail=f"limit {need.per_second}, pause {need.paused_seconds:.3f} s,"
+                f" {need.age:.3f} s ago",
+            )
+
     def tick(self, now: float) -> tuple[list[c.Command], list[Order]]:
         """Update holds and moves; return the commands to commit and orders to send."""
         commands: list[c.Command] = []
@@ -302,7 +320,11 @@
             if silent or self._is_failing(liveness, now):
                 continue
             owners.append(Owner(name, float(max(row.slots, 1))))
-        return self._loads.add_capacities(sorted(owners))
+        owners = self._loads.add_capacities(sorted(owners))
+        if self._needs.is_empty:
+            return owners
+        parts, loads = self._list_parts(service), self._loads.get_loads(service)
+        return self._needs.adjust(owners, compute_rates(parts, loads), now)
 
     def _is_failing(self, liveness: ServerLiveness, now: float) -> bool:
         """Return whether several orders to a server in a row have failed recently."""
@@ -427,6 +449,7 @@
         if now < self._next_balance_at:
             return
         self._next_balance_at = now + self._timing.balance_interval
+        self._needs.retain({row.holder for row in self._state.servers.values()})
         for service in self._list_keyed_services():
             if len(self._moves) > MAX_CONCURRENT_MOVES:
                 continue
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -7,7 +7,13 @@
 from ..errors import Reason, Refusal, Step
 from ..models import HostRecord
 from ..observe import EventRing
-from ..transport.messages import HostRenew, HostsNear, HostUpdate, RangeLoad
+from ..transport.messages import (
+    HostRenew,
+    HostsNear,
+    HostUpdate,
+    RangeLoad,
+    ServerNeed,
+)
 from . import calls
 from . import commands as c
 from .directed import DirectedLeader
@@ -160,6 +166,11 @@
             effects += proposed
         return effects
 
+    def receive_server_needs(self, needs: tuple[ServerNeed, ...], now: float) -> None:
+        """Record a host's report of what servers take."""
+        if self._directed is not None:
+            self._directed.add_needs(needs, now)
+
     def list_live_hosts(self, now: float) -> list[HostRow]:
         """Return the entry hosts whose leases are valid."""
         return self._hosts.list_live(now)
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -23,6 +23,7 @@
     LeavingServers,
     LinkMessage,
     ServeNear,
+    ServerNeeds,
 )
 from ..transport.packing import UpdatePacker
 from . import calls
@@ -43,6 +44,7 @@
 from .move_events import report_moves
 from .near import LEADER_TIMEOUT_SECONDS, NearHosts
 from .pushers import NoPusher, Pusher
+from .server_needs import ServerNeedFilter
 from .state import ControlState
 from .tables import LeaderTiming
 
@@ -106,6 +108,7 @@
         self._send_order = send_order
         self._packer = UpdatePacker()
         self._notices = MemberNotices()
+        self._need_filter = ServerNeedFilter()
         lease_ms = int(config.timing.entry_lease * 1000)
         self._near = NearHosts(config.zone, state, lease_ms)
         self._near_revision = 0
@@ -193,6 +196,21 @@
         if name not in ("", self._config.name) and not message.forwarded:
             self._send(name, message._replace(forwarded=True))
 
+    def receive_server_needs(self, message: ServerNeeds, now: float) -> None:
+        """Record what servers take, or pass the report on to the leader."""
+        leader = self._settled_leader(now)
+        if leader is not None:
+            leader.receive_server_needs(message.needs, now)
+            return
+        name = self._control.replica.leader
+        if name in ("", self._config.name) or message.forwarded:
+            return
+        holders = {row.holder for row in self._state.servers.values()}
+        self._need_filter.retain(holders)
+        needs = self._need_filter.select(message.needs, now)
+        if needs:
+            self._send(name, ServerNeeds(needs, forwarded=True))
+
     def confirm_near_report(self, now: float) -> None:
         """Record that a leader with a quorum has confirmed this member's report."""
         self._confirmed_at = now
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -13,13 +13,15 @@
     LeavingServers,
     NearRenew,
     RangeLoad,
+    ServerNeed,
+    ServerNeeds,
     ServerSpeed,
 )
 from .tables import EntryTables
 
 __all__ = ["AgentConfig", "EntryAgent", "EntryState"]
 
-Send = Callable[[str, HostRenew | NearRenew | LeavingServers], object]
+Send = Callable[[str, HostRenew | NearRenew | LeavingServers | ServerNeeds], object]
 
 LEADER_SILENCE_INTERVALS: Final = 2
 # Fractions of the renewal interval: the time that the near member has to answer a
@@ -69,6 +71,9 @@
     def pop_ended_servers(self) -> tuple[str, ...]:
         """Return the servers that were found to have ended since the last call."""
 
+    def pop_server_needs(self) -> tuple[ServerNeed, ...]:
+        """Return the limits and pauses of servers that are due to be reported."""
+
     def list_leaving_servers(self) -> tuple[str, ...]:
         """Return holders that said that they leave, which the rows do not show yet."""
 
@@ -222,12 +227,10 @@
             self._state.pop_speeds(),
             self._state.pop_ended_servers(),
         )
-        leaving_servers = self._state.list_leaving_servers()
         if self._near_member:
             if not near_member_silent:
                 self._send(self._near_member, NearRenew(message))
-                if leaving_servers:
-                    self._send(self._near_member, LeavingServers(leaving_servers))
+                self._report_servers(self._near_member)
                 return
             self._failed_member = self._near_member
             self._failed_member_until = (
@@ -239,11 +242,19 @@
         silence = LEADER_SILENCE_INTERVALS * config.renew_interval
         if self._leader and now - self._updated_at < silence:
             self._send(self._leader, message)
-            if leaving_servers:
-                self._send(self._leader, LeavingServers(leaving_servers))
+            self._report_servers(self._leader)
             return
         # The voters of the settings are asked too: they may have been changed later
         # than this host was last told of others.
         names = (*self._voters, *config.voters, *self._leaders)
         for voter in dict.fromkeys(names):
             self._send(voter, message)
+
+    def _report_servers(self, node: str) -> None:
+        """Report to a control node what servers said in their responses."""
+        leaving = self._state.list_leaving_servers()
+        if leaving:
+            self._send(node, LeavingServers(leaving))
+        needs = self._state.pop_server_needs()
+        if needs:
+            self._send(node, ServerNeeds(needs))
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -26,7 +26,7 @@
     LeavingTable,
     PauseTable,
 )
-from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
+from ..transport.messages import HostUpdate, RangeLoad, ServerNeed, ServerSpeed
 from .server_rates import ServerRateAgent
 from .tables import EntryTables
 
@@ -231,6 +231,10 @@
         """Return nothing: these servers announce a restart themselves."""
         return ()
 
+    def pop_server_needs(self) -> tuple[ServerNeed, ...]:
+        """Return nothing: no leader moves ranges of this kind of server by load."""
+        return ()
+
     def list_leaving_servers(self) -> tuple[str, ...]:
         """Return holders that said that they leave, which the rows do not show yet."""
         with self._changed:
--- a/src/dragonflyrock/entry/server_rates.py
+++ b/src/dragonflyrock/entry/server_rates.py
@@ -25,6 +25,8 @@
 
 # A link to a host that is not a limiter any more is closed after this time.
 IDLE_LINK_SECONDS: Final = 30.0
+# A limit that a server goes on naming is reported again after this time.
+REPORT_INTERVAL_SECONDS: Final = 5.0
 CLEANUP_INTERVAL_SECONDS: Final = 1.0
 # The number of a demand without tokens, whose answer is not awaited.
 ANNOUNCEMENT_NUMBER: Final = 0
@@ -62,6 +64,7 @@
         self._limiter = ServerLimiter()
         self._standby = ServerLimiter()
         self._unannounced: set[str] = set()
+        self._reported: dict[str, tuple[float | None, float]] = {}
         self._cleaned_up_at = NEVER
         self._used_links: dict[str, float] = {}
         self.on_wanted: Callable[[], None] = self.send_demands
@@ -92,6 +95,25 @@
         with self._lock:
             return self._named.lift(server, sent_at)
 
+    def pop_due_reports(self, now: float) -> tuple[NamedLimitRow, ...]:
+        """Return the limits that the control nodes must hear of, when they are due.
+
+        A limit is reported when it changes, and again while the server names it.
+        """
+        with self._lock:
+            due = [row for row in self._named.list_rows() if self._is_due(row, now)]
+            reported = {row.holder: (row.per_second, now) for row in due}
+            self._reported.update(reported)
+        return tuple(due)
+
+    def _is_due(self, row: NamedLimitRow, now: float) -> bool:
+        """Return whether a limit was not reported as it is, or not lately."""
+        per_second, reported_at = self._reported.get(row.holder, (None, NEVER))
+        if row.per_second != per_second:
+            return True
+        is_fresh = row.said_at > reported_at
+        return is_fresh and now - reported_at >= REPORT_INTERVAL_SECONDS
+
     def count_limited(self) -> int:
         """Return the number of servers with a limit."""
         with self._lock:
@@ -214,6 +236,8 @@
         with self._lock:
             self._named.retain(self._tables.servers, now)
             self._tokens.retain(holders)
+            for holder in self._reported.keys() - set(holders):
+                del self._reported[holder]
             for limiter in (self._limiter, self._standby):
                 limiter.retain(holders, self._tables.hosts)
         for peer, used_at in list(self._used_links.items()):
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -37,6 +37,7 @@
     LeavingServers,
     NearRenew,
     ServeNear,
+    ServerNeeds,
     ServersHeard,
 )
 from .group_lines import GroupLines
@@ -354,6 +355,8 @@
                 self._member.confirm_near_report(now)
             case LeavingServers():
                 self._member.receive_leaving_servers(message, now)
+            case ServerNeeds():
+                self._member.receive_server_needs(message, now)
             case HostsNear():
                 self._member.receive_near_report(sender, message, now)
             case CallRequest():
--- a/src/dragonflyrock/router/notices.py
+++ b/src/dragonflyrock/router/notices.py
@@ -77,6 +77,8 @@
     was_paused = state.pauses.get_seconds_left(stat.row, now) > 0
     fraction = hash_fraction(config.host, stat.row.name)
     row = state.pauses.record(stat.row, pause.seconds, now, fraction)
+    if not was_paused:
+        state.report_pause(row, pause.seconds)
     if not was_paused or pause.problem:
         _log_pause(lines, row.holder, pause)
 
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -9,8 +9,8 @@
 from ..entry.server_rates import ServerRateAgent
 from ..entry.tables import EntryTables
 from ..models import RangeRef, ServerRow
-from ..tables import LeavingRow, LeavingTable, PauseTable
-from ..transport.messages import HostUpdate, RangeLoad, ServerSpeed
+from ..tables import LeavingRow, LeavingTable, PauseRow, PauseTable
+from ..transport.messages import HostUpdate, RangeLoad, ServerNeed, ServerSpeed
 from .budget import BudgetPolicy, ServiceRetryBudget
 from .server_stats import ServerStat, ServiceStat
 
@@ -21,6 +21,7 @@
 # operators set the target to a few times the processing time.
 DEFAULT_PROCESSING_SHARE: Final = 0.3
 MAX_REPORTED_KEY_COUNT: Final = 96
+MAX_REPORTED_NEED_COUNT: Final = 64
 MIN_HOST_COUNT: Final = 8
 MIN_SPEED_SAMPLE_COUNT: Final = 3
 
@@ -51,6 +52,7 @@
         self.longest_deadlines: dict[str, float] = {}
         self.leaving = LeavingTable()
         self.pauses = PauseTable()
+        self._new_pauses: dict[str, tuple[float, float]] = {}
         self.rates = ServerRateAgent("", self.tables, clock)
         self.tokens_changed = asyncio.Event()
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
@@ -117,6 +119,22 @@
         """Return holders that said that they leave, which the rows do not show yet."""
         return self.leaving.list_unconfirmed(self.tables.servers)
 
+    def report_pause(self, row: PauseRow, seconds: float) -> None:
+        """Report a new pause of a server with the next renewal."""
+        self._new_pauses[row.holder] = (self._clock(), seconds)
+
+    def pop_server_needs(self) -> tuple[ServerNeed, ...]:
+        """Return the limits and pauses of servers that are due to be reported."""
+        now = self._clock()
+        pauses, self._new_pauses = self._new_pauses, {}
+        needs = [
+            ServerNeed(holder, None, seconds, now - since)
+            for holder, (since, seconds) in pauses.items()
+        ]
+        for row in self.rates.pop_due_reports(now):
+            needs.append(ServerNeed(row.holder, row.per_second, 0.0, now - row.said_at))
+        return tuple(needs[:MAX_REPORTED_NEED_COUNT])
+
     def find_draining_ranges(self) -> tuple[RangeRef, ...]:
         """Return no ranges: here the servers themselves check who owns a key."""
         return ()
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -14,6 +14,8 @@
     "KeyLoads",
     "OwnedPart",
     "Owner",
+    "assign_span",
+    "compute_rates",
     "compute_utilization",
     "divide_by_capacity",
     "plan_balance",
@@ -167,6 +169,15 @@
     return utilization
 
 
+def compute_rates(parts: Sequence[OwnedPart], loads: KeyLoads) -> dict[str, float]:
+    """Return the requests a second for the keys of each owner."""
+    rates: dict[str, float] = {}
+    for part in parts:
+        load = loads.between(part.low, part.high)
+        rates[part.owner] = rates.get(part.owner, 0.0) + load
+    return rates
+
+
 def reassign_part(
     part: OwnedPart,
     parts: Sequence[OwnedPart],
@@ -223,7 +234,7 @@
     assignments = _reassign_oversized_keys(parts, capacity, utilization, loads, step)
     current = list(parts)
     for low, high, target in assignments:
-        current = _assign_span(current, low, high, target)
+        current = assign_span(current, low, high, target)
     skipped: set[str] = set()
     width = 0.0
     while len(assignments) < MAX_ASSIGNMENTS_PER_ROUND and len(skipped) < len(
@@ -261,7 +272,7 @@
         moved = loads.between(low, high)
         utilization[busiest] -= moved / capacity[busiest]
         utilization[idlest] += moved / capacity[idlest]
-        current = _assign_span(current, low, high, idlest)
+        current = assign_span(current, low, high, idlest)
         assignments.append(Assignment(low, high, idlest))
     return assignments
 
@@ -353,7 +364,7 @@
     return None if best is None else (best[1], best[2])
 
 
-def _assign_span(
+def assign_span(
     parts: Sequence[OwnedPart], low: int, high: int, owner: str
 ) -> list[OwnedPart]:
     """Return the parts after a span of keys was assigned to an owner."""
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -28,6 +28,8 @@
     "RateDemand",
     "RateGrant",
     "ServeNear",
+    "ServerNeed",
+    "ServerNeeds",
     "ServerRateDemand",
     "ServerRateGrant",
     "ServerSpeed",
@@ -211,6 +213,29 @@
     forwarded: bool = False
 
 
+class ServerNeed(NamedTuple):
+    """What a server said to an entry host, ``age`` seconds before the report.
+
+    ``per_second`` is the limit that it named, None without one; ``paused_seconds`` is
+    the pause that it asked for, 0 without one.
+    """
+
+    holder: str
+    per_second: float | None
+    paused_seconds: float
+    age: float
+
+
+class ServerNeeds(NamedTuple):
+    """An entry host's report of servers that named a limit or asked for a pause.
+
+    A control node that does not lead passes it on to the leader once, as ``forwarded``.
+    """
+
+    needs: tuple[ServerNeed, ...]
+    forwarded: bool = False
+
+
 class ServerRateDemand(NamedTuple):
     """A request of an entry host for tokens of a server that named a limit.
 
@@ -275,6 +300,7 @@
     | HostsNear
     | ControlMembers
     | LeavingServers
+    | ServerNeeds
     | ServerRateDemand
     | ServerRateGrant
 )
@@ -296,6 +322,7 @@
         HostsNear,
         ControlMembers,
         LeavingServers,
+        ServerNeeds,
         ServerRateDemand,
         ServerRateGrant,
     ],
--- a/tests/control/test_near.py
+++ b/tests/control/test_near.py
@@ -19,6 +19,7 @@
     LinkMessage,
     NearRenew,
     RangeLoad,
+    ServerNeed,
     ServerSpeed,
 )
 
@@ -53,6 +54,10 @@
         """Return no servers."""
         return ()
 
+    def pop_server_needs(self) -> tuple[ServerNeed, ...]:
+        """Return no needs."""
+        return ()
+
     def list_leaving_servers(self) -> tuple[str, ...]:
         """Return no servers."""
         return ()
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -37,6 +37,7 @@
     HostUpdate,
     LeavingServers,
     NearRenew,
+    ServerNeeds,
 )
 
 SERVICE: Final = "finder"
@@ -269,7 +270,7 @@
                 scheduled.action()
 
     def _send_renewal(
-        self, name: str, renewal: HostRenew | NearRenew | LeavingServers
+        self, name: str, renewal: HostRenew | NearRenew | LeavingServers | ServerNeeds
     ) -> None:
         """Send a host's renewal to the leader, the only member here."""
         assert isinstance(renewal, HostRenew)
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -5,14 +5,16 @@
 from typing import Final
 
 from dragonflyrock.entry.agent import AgentConfig, EntryAgent
-from dragonflyrock.models import Delta, HostRecord
+from dragonflyrock.models import Delta, HostRecord, ServerRow
 from dragonflyrock.router import RouterState
 from dragonflyrock.router.budget import BudgetPolicy
+from dragonflyrock.tables import PauseRow
 from dragonflyrock.transport.messages import (
     HostRenew,
     HostUpdate,
     LeavingServers,
     NearRenew,
+    ServerNeeds,
 )
 
 RENEW_SECONDS: Final = 0.7
@@ -25,7 +27,9 @@
     def __init__(self) -> None:
         """Start without rows."""
         self.now = 100.0
-        self.sent: list[tuple[str, HostRenew | NearRenew | LeavingServers]] = []
+        self.sent: list[
+            tuple[str, HostRenew | NearRenew | LeavingServers | ServerNeeds]
+        ] = []
         self.state = RouterState(BudgetPolicy(0.2, 10.0, 60.0), lambda: self.now)
         record = HostRecord("host", 1, "a", "127.0.0.1:1", "")
         config = AgentConfig(
@@ -81,3 +85,30 @@
     assert host.state.tables.leader == "leader"
     host.run(0.2)
     assert {peer for peer, _ in host.sent} == {"leader"}
+
+
+# Guards against a leader that never hears of a limit, or hears of it with each renewal
+# of each host.
+def test_a_limit_is_reported_when_it_changes_and_now_and_then() -> None:
+    host = AgentHost()
+    server = ServerRow("s", "svc", "127.0.0.1:9", "a", 1, 2, 0, True)
+    delta = Delta(0, 7, full=True, servers=(server,))
+
+    def count_reports(seconds: float) -> list[float | None]:
+        """Run for some time, and return the limits that were reported."""
+        host.sent.clear()
+        for _ in range(round(seconds)):
+            host.agent.receive(HostUpdate(1, "one", 0.0, 0, delta, 0, ()), host.now)
+            host.run(1.0)
+        reports = [m for _, m in host.sent if isinstance(m, ServerNeeds)]
+        return [need.per_second for report in reports for need in report.needs]
+
+    assert count_reports(2) == []
+    host.state.rates.record_limit(server, 3.0)
+    assert count_reports(4) == [3.0]
+    host.state.rates.record_limit(server, 3.0)
+    assert count_reports(4) == [3.0]
+    host.state.rates.record_limit(server, 2.0)
+    assert count_reports(12) == [2.0]
+    host.state.report_pause(PauseRow(server.holder, host.now + 3.0), 3.0)
+    assert count_reports(2) == [None]
--- a/tests/load/notices_model.py
+++ b/tests/load/notices_model.py
@@ -13,6 +13,8 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from dragonflyrock.control.reported_loads import ReportedLoads
+from dragonflyrock.control.server_needs import ServerNeedTable
 from dragonflyrock.entry.server_rates import ServerRateAgent
 from dragonflyrock.hashing import KEY_SPACE
 from dragonflyrock.http import Headers, Request, make_response
@@ -32,6 +34,13 @@
     ServiceShare,
 )
 from dragonflyrock.systems.server_rates import TokenClaim, TokenState
+from dragonflyrock.systems.spreading import (
+    OwnedPart,
+    Owner,
+    assign_span,
+    compute_rates,
+    plan_balance,
+)
 from dragonflyrock.transport.messages import (
     HostUpdate,
     ServerRateDemand,
@@ -40,6 +49,10 @@
 
 WORK_SECONDS: Final = 0.05
 TICK_SECONDS: Final = 0.1
+# What a server can run, and the number of different keys.
+CAPACITY_PER_SECOND: Final = 80.0
+KEY_COUNT: Final = 4096
+KEY_STEP: Final = KEY_SPACE // KEY_COUNT
 # A request that waits for a token claims it again after this time.
 CLAIM_SECONDS: Final = 0.02
 LEASE_MS: Final = 1_000_000
@@ -65,7 +78,8 @@
     ``get_pause`` returns the seconds for which a server turns requests away, or 0,
     ``get_limit`` the requests a second that it names as its limit, or None, and
     ``has_link`` whether a message from one host to another arrives. With ``keyed``
-    the servers own equal parts of the keys, to which requests go evenly.
+    the servers own equal parts of the keys, to which requests go evenly; if the plan
+    ``balances``, a leader moves keys once a second.
     """
 
     hosts: int = 20
@@ -78,6 +92,7 @@
     has_link: Callable[[float, str, str], bool] = lambda now, sender, peer: True
     get_limit: Callable[[float, str], float | None] = lambda now, name: None
     keyed: bool = False
+    balances: bool = False
     rows_at: list[tuple[float, tuple[ServerRow, ...]]] = field(default_factory=list)
 
 
@@ -92,12 +107,17 @@
         self.arrivals: list[Arrival] = []
         self.served = 0
         self.refused = 0
+        self.refused_at: list[float] = []
         self.returns: list[float] = []
         self.hosts = [
             RouterState(BudgetPolicy(), lambda: self.now) for _ in range(plan.hosts)
         ]
         for number, state in enumerate(self.hosts):
             state.share_limits(self._make_rate_agent(number, state))
+        self.parts: list[OwnedPart] = []
+        self.needs = ServerNeedTable()
+        self.loads = ReportedLoads(0.0)
+        self.moved_width = 0.0
         self._lines = LineLog("test", 1, lambda: self.now)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
@@ -110,6 +130,8 @@
             self._schedule(at, partial(self.apply_rows, rows))
         self._schedule(0.0, self._ask)
         self._schedule(0.0, self._tick)
+        if self.plan.balances:
+            self._schedule(1.0, self._balance)
         while self._events and self.now < self.plan.seconds:
             self.now, _, event = heappop(self._events)
             event()
@@ -118,11 +140,14 @@
     def apply_rows(self, rows: tuple[ServerRow, ...]) -> None:
         """Send all hosts the rows of the servers."""
         self._revision += 1
+        self._rows = rows
+        if not self.parts:
+            self.parts = make_parts(rows)
         delta = Delta(
             0,
             self._revision,
             True,
-            make_ranges(rows) if self.plan.keyed else (),
+            make_ranges(self.parts, rows) if self.plan.keyed else (),
             rows,
             routes=(ROUTE,),
             services=(RoutedService("s", "/health", 100, self.plan.keyed, 0.0),),
@@ -158,6 +183,24 @@
             state.rates.tick(self.now)
         self._schedule(self.now + TICK_SECONDS, self._tick)
 
+    def _balance(self) -> None:
+        """Have the leader hear the hosts, and move keys from busy owners."""
+        for state in self.hosts:
+            for need in state.pop_server_needs():
+                self.needs.record(need, self.now)
+            self.loads.add_keys(state.pop_loads())
+            self.loads.add_speeds(state.pop_speeds())
+        self.loads.update_rates(self.now)
+        names = [row.name for row in self._rows]
+        owners = [Owner(name, CAPACITY_PER_SECOND) for name in names]
+        loads = self.loads.get_loads("s")
+        owners = self.needs.adjust(owners, compute_rates(self.parts, loads), self.now)
+        for low, high, target in plan_balance(self.parts, owners, loads, KEY_STEP):
+            self.parts = assign_span(self.parts, low, high, target)
+            self.moved_width += (high - low + 1) / KEY_SPACE
+        self.apply_rows(self._rows)
+        self._schedule(self.now + 1.0, self._balance)
+
     def _ask(self) -> None:
         """Start a caller's request, and schedule the next one."""
         pause = self.random.expovariate(self.plan.rate)
@@ -168,10 +211,14 @@
         """Have a host handle a request."""
         number = self.random.randrange(self.plan.hosts)
         request = Request(b"GET", b"/p/x", (), b"")
-        key = self.random.randrange(KEY_SPACE) if self.plan.keyed else None
+        number_of_key = self.random.randrange(KEY_COUNT)
+        key = number_of_key * KEY_STEP if self.plan.keyed else None
         context = RequestContext(
             request, b"id", ROUTE, "s", key, self.now, self.now + 0.9, self.now + 0.5
         )
+        if key is not None:
+            # Refused requests count too, as in the router.
+            self.hosts[number].count_key_request("s", key)
         self._route(number, context, is_return=is_return)
 
     def _route(self, number: int, context: RequestContext, *, is_return: bool) -> None:
@@ -199,6 +246,7 @@
                     state, chosen, response, config, self._lines, self.now, self.now
                 )
             if status == 200:
+                state.record_processing_time(chosen.row.name, WORK_SECONDS)
                 self._schedule(self.now + WORK_SECONDS, partial(_end, chosen))
                 self.served += 1
                 return
@@ -219,6 +267,7 @@
     def _refuse(self, rejection: Rejection, *, is_return: bool) -> None:
         """Count a refusal, and have the caller come back once when it is told to."""
         self.refused += 1
+        self.refused_at.append(self.now)
         if is_return or rejection.cause != RejectionCause.PAUSED:
             return
         at = self.now + rejection.retry_after + self.random.random() * 0.5
@@ -246,14 +295,25 @@
     stat.in_flight -= 1
 
 
-def make_ranges(rows: tuple[ServerRow, ...]) -> tuple[RangeRow, ...]:
-    """Return ranges of equal size, one for each server."""
-    step = KEY_SPACE // len(rows)
+def make_parts(rows: tuple[ServerRow, ...]) -> list[OwnedPart]:
+    """Return parts of equal size, one for each server."""
+    step = KEY_SPACE // len(rows) // KEY_STEP * KEY_STEP
     lows = [step * number for number in range(len(rows))]
     highs = [*(low - 1 for low in lows[1:]), KEY_SPACE - 1]
-    return tuple(
-        RangeRow("s", low, high, row.holder, 1, RangeState.ACTIVE, "", 1)
+    return [
+        OwnedPart(low, high, row.name)
         for low, high, row in zip(lows, highs, rows, strict=True)
+    ]
+
+
+def make_ranges(
+    parts: list[OwnedPart], rows: tuple[ServerRow, ...]
+) -> tuple[RangeRow, ...]:
+    """Return the ranges of parts and their owners."""
+    holders = {row.name: row.holder for row in rows}
+    return tuple(
+        RangeRow("s", low, high, holders[owner], 1, RangeState.ACTIVE, "", 1)
+        for low, high, owner in sorted(parts)
     )
 
 
