--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -139,7 +139,7 @@
             -age / BACKLOG_DECAY_SECONDS
         )
     expected = mean_backlog + (stat.reported_backlog - mean_backlog) * report_weight
-    return max(expected, float(stat.in_flight)) + stat.connecting
+    return max(expected, float(stat.in_flight + stat.connecting))
 
 
 def estimate_wait(stat: ServerStat, service: ServiceStat, now: float) -> float:
