Ignore what another server at an address says of itself

Cause: a response was recorded under the server that the request was sent to, also where it names another one, as it does after an address was assigned anew. The former server would have been marked as leaving, paused or limited, and reported as such. The new test failed before.

--- a/src/dragonflyrock/router/notices.py
+++ b/src/dragonflyrock/router/notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..http import Response
+from ..http import Response, find_header
 from ..http.retry_after import PauseProblem, RequestedPause, read_requested_pause
 from ..http.server_leaving import LeavingNotice, read_leaving
 from ..http.server_limit import NamedLimit, read_named_limit
@@ -63,8 +63,12 @@
 ) -> None:
     """Record what a response says about its server, and log what is new.
 
-    ``sent_at`` is when the request was sent.
+    ``sent_at`` is when the request was sent. What another server at the address says
+    does not count.
     """
+    name = find_header(response.headers, config.header_names.server_name)
+    if name is not None and name != stat.row.name.encode():
+        return
     leaving = find_leaving(response, config.header_names)
     if leaving == LeavingNotice.LEAVES:
         state.mark_leaving(stat)
--- a/tests/router/test_notices.py
+++ b/tests/router/test_notices.py
@@ -203,3 +203,28 @@
         assert harness.received == []
 
     run_scenario(scenario)
+
+
+# Guards against what the next server at an address says, which would bind the server
+# that had the address before.
+def test_what_another_server_at_the_address_says_does_not_count() -> None:
+    async def answer_as_another(request: Request) -> Response:
+        headers = (
+            (b"X-Not-Run", b"1"),
+            (b"X-Server-Name", b"two"),
+            (b"X-Server-Leaving", b"1"),
+            (b"X-Server-Limit", b"1"),
+            (b"Retry-After", b"5"),
+        )
+        return make_response(503, b"", headers)
+
+    async def scenario(harness: RouterHarness) -> None:
+        row = await harness.add_server("one", answer_as_another)
+        harness.apply_update()
+        assert (await harness.send_request()).status == 503
+        state = harness.state
+        assert state.leaving.find(row) is None
+        assert state.rates.find_limit(row) is None
+        assert state.pauses.get_seconds_left(row, harness.clock()) == 0
+
+    run_scenario(scenario)
