Number a host's demands for tokens from its start on

Cause: a limiter answers a repeated demand with the same grant, by its number, and a restarted host began at 1 again, so its first demands could be taken for repeats. Found by reading; the new test failed with numbers from 1 on.

--- a/src/dragonflyrock/systems/server_rates.py
+++ b/src/dragonflyrock/systems/server_rates.py
@@ -152,12 +152,16 @@
 
 
 class HostTokens:
-    """The tokens of this host for servers that named a limit, by holder."""
+    """The tokens of this host for servers that named a limit, by holder.
 
-    def __init__(self) -> None:
+    Demands are numbered from ``first_number``, which must be above the numbers of an
+    earlier process of this host: a limiter takes the last number again for a repeat.
+    """
+
+    def __init__(self, first_number: int = 1) -> None:
         """Start without tokens."""
         self._rows: dict[str, _TokenRow] = {}
-        self._number = 0
+        self._number = first_number - 1
 
     def claim(
         self,
--- a/tests/systems/test_server_rates.py
+++ b/tests/systems/test_server_rates.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from dragonflyrock.entry.server_rates import ServerRateAgent
+from dragonflyrock.entry.tables import EntryTables
+from dragonflyrock.models import ServerRow
 from dragonflyrock.systems.server_rates import (
     SILENCE_SECONDS,
     HostTokens,
@@ -12,7 +15,8 @@
 )
 from dragonflyrock.transport.messages import ServerRateDemand, ServerRateGrant
 
-HOLDER = "one@1"
+SERVER = ServerRow("one", "s", "127.0.0.1:9", "a", 1, 2, 0, True)
+HOLDER = SERVER.holder
 LIMITERS = ("first", "second")
 
 
@@ -149,3 +153,25 @@
         tokens.drop_silent(at)
     # A quarter of 2 requests/s, divided among ten hosts.
     assert 3 <= granted <= 80 * 2 / 4 / 10
+
+
+def find_first_number(now: float) -> int:
+    """Return the number of the first demand of a host that starts now."""
+    tables = EntryTables(hosts=("me",), servers={SERVER.name: SERVER})
+    sent: list[ServerRateDemand] = []
+
+    def send(peer: str, message: ServerRateDemand | ServerRateGrant) -> None:
+        """Keep a demand."""
+        assert isinstance(message, ServerRateDemand)
+        sent.append(message)
+
+    agent = ServerRateAgent("me", tables, lambda: now, send)
+    agent.record_limit(SERVER, 2.0)
+    agent.claim(SERVER)
+    return sent[-1].number
+
+
+# Guards against a restarted host whose first demand is taken for a repeat of one of its
+# former process, and gets the same tokens once more.
+def test_a_restarted_host_numbers_its_demands_anew() -> None:
+    assert 0 < find_first_number(50.0) < find_first_number(50.5)
