Free the body of a response with its connection

Cause: a connection and its parser refer to each other, so the body of a response that was given up or cut (up to 32 MiB) stayed in memory until the next collection of garbage. The new test failed before for a response that is cut.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -195,6 +195,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the exchange in progress with a fault."""
         self._is_closed = True
+        self._reset_message()
         self._fail(
             FaultKind.CONNECTION_LOST,
             str(error) if error else "connection was closed by the server",
@@ -203,6 +204,8 @@
     def abort(self) -> None:
         """Reset the connection, which discards unsent and unread data."""
         self._is_closed = True
+        # The parser refers to this connection, so both stay in memory for a while.
+        self._reset_message()
         if self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -202,3 +202,17 @@
     def give_up_body(self, detail: str) -> None:
         """Record the call."""
         self.given_up = True
+
+
+# Guards against the body of a response that was given up, or cut, and stays in memory
+# with its connection.
+@pytest.mark.parametrize("length", [100_000, 10_000_000], ids=["given-up", "cut"])
+def test_a_connection_that_is_closed_keeps_no_body(
+    length: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("dragonflyrock.http.client.MAX_BODY_BYTES", length)
+    head = OK_LINE + b"Content-Length: 20000000\r\n\r\n"
+    handler = respond_with(head + b"x" * 200_000)
+    results, connection = asyncio.run(exchange(handler))
+    assert isinstance(results[0], ExchangeFault)
+    assert connection._body == []
