Soak: answers without end, and a check of memory

A server's answers to entry nodes are replaced by a head or a body without end; MEMORY fails if a node's process holds more than 200 MB.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
     Beaten,
     Began,
     Finished,
+    Grown,
     Outcome,
     Put,
     Read,
@@ -190,6 +191,12 @@
     return False
 
 
+def check_memory(index: HistoryIndex) -> Iterator[Violation]:
+    """Find processes that hold more memory than the smallest machine has."""
+    for at, grown in index.list_records(Grown):
+        yield Violation("MEMORY", at, f"{grown.megabytes} MB", (grown.node,))
+
+
 def check_drain(index: HistoryIndex) -> Iterator[Violation]:
     """Find requests sent to a server long after a node acknowledged its draining.
 
@@ -349,8 +356,8 @@
 
 CHECKS: Final = (
     check_owner, check_runs, check_responses, check_lost_requests, check_process_ends,
-    check_drain, check_leaving, check_limits, check_pauses, check_ready, check_recovery,
-    check_config_reads, check_config_changes, check_unknown_routes,
+    check_drain, check_leaving, check_limits, check_pauses, check_memory, check_ready,
+    check_recovery, check_config_reads, check_config_changes, check_unknown_routes,
 )  # fmt: skip
 
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -24,6 +24,8 @@
 LIMIT_WINDOW_SECONDS: Final = 4.0
 LIMIT_FACTOR: Final = 1.5
 LIMIT_EXTRA_COUNT: Final = 5
+# The memory of the smallest machine that our users have.
+MAX_MEMORY_MB: Final = 200
 RECOVERY_SECONDS: Final = 15.0
 READY_VALID_SECONDS: Final = 1.0
 ADDRESS_REUSE_SECONDS: Final = 2.0
--- a/soak/models.py
+++ b/soak/models.py
@@ -144,6 +144,13 @@
     until: float
 
 
+class Grown(NamedTuple):
+    """A node's process holds more memory than before, in megabytes."""
+
+    node: str
+    megabytes: int
+
+
 class Started(NamedTuple):
     """A process was started."""
 
@@ -161,7 +168,7 @@
 
 Record = (
     Sent | Outcome | Unreached | Readied | Began | Finished | Told | Limited | Beaten
-    | Put | Read | Acted | Starved | Started | Ended
+    | Put | Read | Acted | Starved | Grown | Started | Ended
 )  # fmt: skip
 
 
--- a/soak/player.py
+++ b/soak/player.py
@@ -10,7 +10,7 @@
 from .history import History
 from .models import Acted
 from .processes import NodeProcess
-from .proxies import Fault, Proxies
+from .proxies import ENDLESS_ANSWERS, Fault, Proxies
 from .script import Step
 from .servers import StandIn
 
@@ -62,7 +62,7 @@
                 self._nodes[step.target].write_settings(change=True)
                 if step.what == "hup":
                     self._nodes[step.target].send_signal(signal.SIGHUP)
-            case "cut" | "delay" | "half" | "reset":
+            case "cut" | "delay" | "half" | "reset" | "endless":
                 await self._apply_network_fault(step)
             case "leave" | "crash" | "slow" | "pause" | "limit":
                 await self._apply_server_fault(step, self._servers[step.target])
@@ -114,6 +114,10 @@
                 fault = fault._replace(delay=step.value)
             case "half":
                 fault = fault._replace(truncate=True)
+            case "endless":
+                number = int(step.value * len(ENDLESS_ANSWERS))
+                # Grants go on, so that only requests get such answers.
+                fault = Fault("entry", step.target, endless=ENDLESS_ANSWERS[number])
         self._proxies.add(fault)
         await asyncio.sleep(step.length)
         # Half of the cuts end with a reset, as if TCP had given up the connections.
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import shutil
 import signal
 import sys
@@ -58,6 +59,16 @@
         ticks = int(fields[11]) + int(fields[12])
         return fields[0] == "R", ticks / os.sysconf("SC_CLK_TCK")
 
+    def read_memory_mb(self) -> int:
+        """Return the resident memory of the process in megabytes, 0 if it has ended."""
+        if self._process is None or not self.is_running:
+            return 0
+        try:
+            pages = Path(f"/proc/{self._process.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0
+        return int(pages) * resource.getpagesize() // 1_000_000
+
     def write_settings(self, forming: bool = False, change: bool = False) -> None:
         """Write the settings file, with another retry slack if ``change`` is set."""
         self._retry_slack += int(change)
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -15,12 +15,31 @@
 CONTROL_CALL_PATTERN: Final = re.compile(rb"POST /-/|GET /health")
 
 
+class EndlessAnswer(NamedTuple):
+    """The first bytes of an answer, and those that follow without end."""
+
+    start: bytes
+    part: bytes
+
+
+ENDLESS_ANSWERS: Final = (
+    EndlessAnswer(b"HTTP/1.1 200 OK\r\nX-Name: ", b"x" * CHUNK_BYTES),
+    EndlessAnswer(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    EndlessAnswer(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * CHUNK_BYTES),
+    EndlessAnswer(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"ffff\r\n" + b"x" * 0xFFFF + b"\r\n",
+    ),
+)
+
+
 class Fault(NamedTuple):
     """What a proxy does to a target's connections from a source, or from all sources.
 
     ``delay`` is the seconds by which bytes are delayed. Bytes of a held direction wait
     until the fault ends, unless their sender resets the connection. ``truncate`` passes
-    half of the next bytes, and then resets the connection.
+    half of the next bytes, and then resets the connection. ``endless`` is what a target
+    sends again and again, instead of its next response, until the caller closes.
     """
 
     source: str
@@ -29,6 +48,7 @@
     hold_forward: bool = False
     hold_backward: bool = False
     truncate: bool = False
+    endless: EndlessAnswer | None = None
 
 
 class ProxiedConnection:
@@ -170,6 +190,8 @@
                 connection.identify(data, self._node_names)
             for fault in self._list_faults(connection):
                 await asyncio.sleep(fault.delay)
+                if fault.endless is not None and not forward:
+                    await _write_without_end(fault.endless, writer)
                 if fault.truncate:
                     self.remove(fault)
                     writer.write(data[: len(data) // 2])
@@ -179,3 +201,14 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+async def _write_without_end(
+    answer: EndlessAnswer, writer: asyncio.StreamWriter
+) -> None:
+    """Write an endless answer until the peer closes, which raises ``OSError``."""
+    writer.write(answer.start)
+    while not writer.is_closing():
+        writer.write(answer.part)
+        await writer.drain()
+    raise ConnectionResetError("the peer closed an endless answer")
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from .history import History
 from .history_index import SOAK, HistoryIndex
 from .layout import reserve_network
-from .models import Event, Outcome, Starved, Violation
+from .models import Event, Grown, Outcome, Starved, Violation
 from .operators import ConfigView, Operator
 from .player import Player
 from .processes import NodeProcess
@@ -110,6 +110,7 @@
             uses = {
                 name: node.read_processor_use() for name, node in self._nodes.items()
             }
+            self._record_growth()
             starved = [
                 name
                 for name, (is_runnable, processor_seconds) in uses.items()
@@ -123,6 +124,13 @@
                 self._history.events.append(Event(last, Starved(name, now)))
             last = now
 
+    def _record_growth(self) -> None:
+        """Record nodes that hold more memory than the smallest machine has."""
+        for name, node in self._nodes.items():
+            megabytes = node.read_memory_mb()
+            if megabytes > const.MAX_MEMORY_MB:
+                self._history.add(Grown(name, megabytes))
+
     def _start_callers(self) -> None:
         """Start the readiness checks and the callers."""
         balancer = Balancer(self._context)
--- a/soak/script.py
+++ b/soak/script.py
@@ -126,6 +126,12 @@
         FaultSpec("stop", ENTRY, 6),
         FaultSpec("cut", [f"{name}/link" for name in ENTRY], 6, CUT_OR_FREEZE_SECONDS),
     ),
+    # Servers that answer without end, and a stop.
+    (
+        FaultSpec("endless", SERVERS, 0, FAULT_SECONDS),
+        FaultSpec("endless", SERVERS, 1, FAULT_SECONDS),
+        LATER_STOP,
+    ),
     # All control nodes, or all nodes, killed at the same moment.
     (FaultSpec("kill", CONTROL, 0, SHORT_FAULT_SECONDS, NO_GAP),),
     (FaultSpec("kill", NODES, 0, SHORT_FAULT_SECONDS, NO_GAP),),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,6 +13,7 @@
     Ended,
     Event,
     Finished,
+    Grown,
     Limited,
     Outcome,
     Put,
@@ -228,6 +229,10 @@
         *make_response(at + 0.1, name, status=503),
     ]
 BROKEN["more requests to a server than its limit allows"] = (LIMITED, "LIMIT")
+BROKEN["a node that holds more memory than a machine has"] = (
+    [(10.0, Grown(NODE, 201))],
+    "MEMORY",
+)
 BROKEN["a request to a server that told the node that it leaves"] = (
     LEAVING + make_request(12.5, "c-2") + make_response(12.9, "c-2"),
     "DRAIN",
--- a/tests/soak/test_script.py
+++ b/tests/soak/test_script.py
@@ -34,7 +34,18 @@
     kinds = {step.what for seed in range(60) for step in make_script(seed, SECONDS)}
     assert kinds == {
         *("stop", "kill", "freeze", "hup", "change", "wipe", "flip"),
-        *("cut", "delay", "half", "reset", "leave", "crash", "slow", "pause", "limit"),
+        *(
+            "cut",
+            "delay",
+            "half",
+            "reset",
+            "leave",
+            "crash",
+            "slow",
+            "pause",
+            "limit",
+            "endless",
+        ),
     }
 
 
