Look up no denials while no server has named a limit

Each choice among the servers of a service asks for each of them. 62 servers: 216 us a choice with the lock and the look-up, 52 to 58 without, 36 on the code before limits (one run each, on a busy machine).

--- a/src/dragonflyrock/entry/server_rates.py
+++ b/src/dragonflyrock/entry/server_rates.py
@@ -123,6 +123,9 @@
 
     def get_denied_seconds(self, server: ServerRow, now: float) -> float:
         """Return the time for which a server's limit has no room, or 0."""
+        # Asked for each server of a service at each choice; most have no limit.
+        if not self._named.count():
+            return 0.0
         with self._lock:
             if self._named.find(server) is None:
                 return 0.0
