A word of leaving binds the row that came back; bound the choices of one request

Found by reading: a response to a request that was sent before its server's row went and came back marked the former entry of the host's list, so the present one stayed, was chosen, found outdated and chosen again without a wait, until the request's deadline, while the whole loop stood still (2,000 lines of choice-outdated in the test, then the log was full). The entry is found by its incarnation now, and a request whose choice was outdated five times is refused, whatever the reason. Both new tests: the first failed before, the second bounds the class.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -78,6 +78,7 @@
 PAUSE_SPREAD_SECONDS: Final = 0.5
 MAX_SERVER_REJECTION_COUNT: Final = 2
 MAX_CONNECT_FAILURE_COUNT: Final = 4
+MAX_OUTDATED_CHOICE_COUNT: Final = 4
 # A request waits for the first rows of a new host for this share of its time left.
 DOCUMENT_WAIT_SHARE: Final = 0.25
 # Retry-After of a host that still has no rows; the retry may go to any host.
@@ -415,7 +416,12 @@
         if may_send and in_time and not self._is_outdated(context, stat, now):
             return ReadyConnection(connection, reused)
         self._connections.release(connection)
-        return None if in_time else self._answer_failure(context)
+        if not in_time:
+            return self._answer_failure(context)
+        if context.outdated_choices > MAX_OUTDATED_CHOICE_COUNT:
+            detail = "the servers of the service change too often"
+            return self._refuse(context, Rejection(detail, OWNER_WAIT_SECONDS))
+        return None
 
     async def _exchange(
         self, context: RequestContext, stat: ServerStat, ready: ReadyConnection
@@ -479,6 +485,7 @@
             obstacle = Obstacle.QUARANTINED
         if obstacle == Obstacle.NONE:
             return False
+        context.outdated_choices += 1
         self._lines.add(
             "choice-outdated",
             id=context.request_id.decode("latin-1"),
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -28,7 +28,8 @@
     server answered without running the request, ``connect_failures`` those that reached
     no server. ``wrong_owner`` is set while the
     last server has answered that it does not own the key. Servers in ``avoid`` are
-    chosen only if there is no other. ``chosen_at`` is when the last server was chosen.
+    chosen only if there is no other. ``chosen_at`` is when the last server was chosen,
+    and ``outdated_choices`` counts those that were outdated before the send.
     """
 
     request: Request
@@ -49,6 +50,7 @@
     detail: str = ""
     fingerprint: str = ""
     chosen_at: float = 0.0
+    outdated_choices: int = 0
 
 
 class CrashReporter(Protocol):
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -110,9 +110,12 @@
         row = self.leaving.record_response(stat.row, self._clock())
         if row is None:
             return
-        others = self.by_service.get(stat.row.service, [])
-        if stat in others:
-            others.remove(stat)
+        service = stat.row.service
+        self.by_service[service] = [
+            other
+            for other in self.by_service.get(service, [])
+            if other.row.holder != row.holder
+        ]
         self.on_leaving(row)
 
     def list_leaving_servers(self) -> tuple[str, ...]:
--- a/tests/router/test_decisions_after_waits.py
+++ b/tests/router/test_decisions_after_waits.py
@@ -13,7 +13,9 @@
 
 from dragonflyrock.http import Request, Response, make_response
 from dragonflyrock.models import QuarantineRow
+from dragonflyrock.router import exchange
 from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS
+from dragonflyrock.router.obstacles import Obstacle
 
 from .harness import Handler, RouterHarness, answer_ok, run_scenario
 
@@ -204,3 +206,41 @@
         assert harness.state.stats["one"].in_flight == 0
 
     run_scenario(scenario)
+
+
+# Guards against a request that chooses the same server again and again without a wait,
+# which stops the loop until its deadline: a response to a request that was sent before
+# the server's row went and came back says that the server leaves.
+def test_a_late_word_of_leaving_binds_the_row_that_came_back() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        former = harness.state.stats["one"]
+        rows, harness.rows = harness.rows, {}
+        harness.apply_update()
+        harness.rows = rows
+        harness.apply_update()
+        assert harness.state.stats["one"] is not former
+        former.in_flight = 1
+        harness.state.mark_leaving(former)
+        assert (await harness.send_request()).status == 503
+        assert harness.received == []
+        assert harness.read_lines("choice-outdated") == []
+
+    run_scenario(scenario)
+
+
+# Guards against the same for any other reason.
+def test_a_request_is_refused_if_its_choices_are_outdated_again_and_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(exchange, "find_obstacle", lambda *args: Obstacle.LEAVING)
+
+    async def scenario(harness: RouterHarness) -> None:
+        harness.frozen_at = 100.0
+        await harness.add_server("one")
+        harness.apply_update()
+        assert (await harness.send_request()).status == 503
+        assert 1 < len(harness.read_lines("choice-outdated")) < 10
+
+    run_scenario(scenario)
