Log what a new leader may still be held, and results of former epochs

The leader logs the ranges that it takes over, for each release how long the hold is confirmed and possible, and each result of a grant whose range has another epoch. No decision changes.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -92,8 +92,11 @@
         self._next_join_at = now + JOIN_INTERVAL_SECONDS
         self._registered_at = now
         self._synced_revision = -1
-        self._sync_holds(
-            now, inherited=now + timing.order_timeout + timing.hold_with_drift
+        wait = timing.order_timeout + timing.hold_with_drift
+        self._sync_holds(now, inherited=now + wait)
+        report(
+            "holds-inherited",
+            detail=f"{len(self._holds)} ranges, for up to {wait:.2f} s",
         )
 
     def receive_heartbeat(
@@ -542,7 +545,7 @@
         ready: dict[str, list[RangeMove]] = {}
         for move in self._moves:
             if move.stage == MoveStage.PENDING:
-                self._release_part(move)
+                self._release_part(move, now)
             if move.stage == MoveStage.WAITING and now >= move.free_at:
                 move.stage = MoveStage.FREE
             if move.stage == MoveStage.FREE:
@@ -560,7 +563,7 @@
             commands.append(c.AssignRanges(service, parts))
         return commands
 
-    def _release_part(self, move: RangeMove) -> None:
+    def _release_part(self, move: RangeMove, now: float) -> None:
         """Order the release of a part once no grant of it is pending.
 
         A grant that arrives after the release would give the part back.
@@ -574,6 +577,15 @@
         # From now on only the other parts of the hold are renewed.
         move.free_at = hold.held_until
         move.possible_until = hold.possible_until
+        self._report(
+            "hold-released",
+            service=move.service,
+            range_low=move.low,
+            server=move.source,
+            detail=f"to {move.high}, epoch {move.epoch}; confirmed for"
+            f" {max(hold.confirmed_until - now, 0.0):.2f} s, possible for"
+            f" {max(hold.possible_until - now, 0.0):.2f} s",
+        )
         row = self._state.servers.get(move.source, hold.owner)
         if not row.address:
             move.stage = MoveStage.WAITING
@@ -736,6 +748,22 @@
         """Extend the holds that a grant covers, according to its result."""
         until = now + self._timing.hold_with_drift
         command: c.Command | None = None
+        epochs = {
+            hold.epoch
+            for hold in self._holds.values()
+            if hold.service == order.service
+            and hold.low <= order.high
+            and order.low <= hold.high
+        }
+        if epochs - {order.epoch}:
+            self._report(
+                "order-outdated",
+                service=order.service,
+                range_low=order.low,
+                server=order.server.name,
+                detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
+                f" epochs now: {sorted(epochs)}",
+            )
         # The range may have been split while the order was pending.
         for hold in self._holds.values():
             same = (hold.service, hold.owner.name, hold.epoch) == (
