A new leader waits for the former one's grants without an answer

Cause: grants and their results are the leader's alone. A new leader counted a hold that it took over as confirmed until every grant of a former leader has run out, but not as possible by a grant without an answer. An answered release ends what is confirmed, so the part went to another server at once, and the first one applied the former leader's grant seconds later.

Why it works: what is taken over may have been granted without an answer, so it is possible until any such grant has run out; a release does not shorten that.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -258,7 +258,8 @@
     def _sync_holds(self, now: float, inherited: float) -> None:
         """Rebuild the holds from the committed rows.
 
-        A hold with no earlier record counts as confirmed until ``inherited``.
+        A hold with no earlier record counts as confirmed until ``inherited``. Some of
+        the grants for it may have no answer, so a release does not end it sooner.
         """
         old, self._holds = self._holds, {}
         by_service: dict[str, list[HeldRange]] = {}
@@ -286,7 +287,7 @@
         dropped = ServerRow(name, row.service, "", "", 0, 0, 0, True)
         owner = self._state.servers.get(name) or (parts[0].owner if parts else dropped)
         hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
-        hold.confirmed_until = inherited
+        hold.confirmed_until = hold.possible_until = inherited
         hold.renew_at = now
         hold.handover = self._handover_tokens.pop((row.service, row.low), "")
         for part in parts:
