Count the result of a grant whose range has got another epoch since

Cause: a split or a join gives a range another epoch while a grant is without an answer. complete_grant dropped a result whose epoch was not the range's, whether unknown or done, so the owner held the keys for longer than the leader knew.

Why it works: what a server was granted does not depend on what the range is called since; only a newer epoch at the server (409) and the handover token concern the current one.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -765,20 +765,22 @@
                 detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
                 f" epochs now: {sorted(epochs)}",
             )
-        # The range may have been split while the order was pending.
+        # The range may have been split or joined while the order was pending. The server
+        # holds what it was granted, also under an earlier epoch.
         for hold in self._holds.values():
-            same = (hold.service, hold.owner.name, hold.epoch) == (
+            same = (hold.service, hold.owner.name) == (
                 order.service,
                 order.server.name,
-                order.epoch,
             )
             if not same or hold.high < order.low or order.high < hold.low:
                 continue
+            is_current = hold.epoch == order.epoch
             match result.outcome:
                 case OrderOutcome.DONE:
                     hold.confirmed_until = max(hold.confirmed_until, until)
-                    hold.handover = ""
-                case OrderOutcome.NEWER_EPOCH:
+                    if is_current:
+                        hold.handover = ""
+                case OrderOutcome.NEWER_EPOCH if is_current:
                     part = c.RangePart(
                         hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
                     )
