Confirm a newer epoch before a release that would wait for unanswered grants

Change: a part that may be held by a grant without an answer for longer than an order takes is first assigned to its owner again, under a newer epoch, and granted it. A server that has confirmed an epoch rejects grants of earlier ones (409), so the release then frees the part at once. A grant of the newer epoch itself without an answer is waited for as before, and so is a server whose last order failed.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
@@ -249,6 +249,8 @@
                 remaining = []
                 for move in self._moves:
                     key = (move.service, move.low)
+                    if key in done and move.stage == MoveStage.FENCING:
+                        move.stage = MoveStage.FENCED
                     if key in done and move.stage == MoveStage.COMMITTING:
                         self._handover_tokens[key] = move.handover
                     else:
@@ -288,14 +290,18 @@
         owner = self._state.servers.get(name) or (parts[0].owner if parts else dropped)
         hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
         hold.confirmed_until = hold.possible_until = inherited
+        if inherited != NEVER:
+            hold.possible_epoch = row.epoch
         hold.renew_at = now
         hold.handover = self._handover_tokens.pop((row.service, row.low), "")
         for part in parts:
             hold.confirmed_until = max(hold.confirmed_until, part.confirmed_until)
             hold.possible_until = max(hold.possible_until, part.possible_until)
+            hold.possible_epoch = max(hold.possible_epoch, part.possible_epoch)
+        if len(parts) == 1:
+            hold.handover = hold.handover or parts[0].handover
         if len(parts) == 1 and parts[0].epoch == row.epoch:
             hold.renew_at = parts[0].renew_at
-            hold.handover = hold.handover or parts[0].handover
             if (parts[0].low, parts[0].high) != (row.low, row.high):
                 hold.renew_at = min(hold.renew_at, now + self._timing.retry_interval)
         return hold
@@ -543,26 +549,52 @@
 
     def _advance_moves(self, now: float) -> list[c.Command]:
         """Advance moves; commit those whose source no longer holds the part."""
-        ready: dict[str, list[RangeMove]] = {}
+        fences: list[RangeMove] = []
+        ready: list[RangeMove] = []
         for move in self._moves:
+            if move.stage == MoveStage.FENCED:
+                self._grant_fenced_part(move)
             if move.stage == MoveStage.PENDING:
-                self._release_part(move, now)
+                if self._needs_fence(move, now):
+                    move.stage = MoveStage.FENCING
+                    fences.append(move)
+                else:
+                    self._release_part(move, now)
             if move.stage == MoveStage.WAITING and now >= move.free_at:
                 move.stage = MoveStage.FREE
             if move.stage == MoveStage.FREE:
                 self._retarget(move, now)
                 if move.target:
-                    ready.setdefault(move.service, []).append(move)
-        commands: list[c.Command] = []
-        for service, moves in ready.items():
-            for move in moves:
-                move.stage = MoveStage.COMMITTING
-            parts = tuple(
-                c.RangePart(move.low, move.high, move.epoch, f"{move.target}@0")
-                for move in moves
-            )
-            commands.append(c.AssignRanges(service, parts))
-        return commands
+                    move.stage = MoveStage.COMMITTING
+                    ready.append(move)
+        return [
+            *_make_assignments((move, move.source) for move in fences),
+            *_make_assignments((move, move.target) for move in ready),
+        ]
+
+    def _needs_fence(self, move: RangeMove, now: float) -> bool:
+        """Return whether a newer epoch would free a part sooner than waiting would.
+
+        A grant without an answer may be carried out after the release. A server that
+        has confirmed a newer epoch rejects it, so the part need not be waited for.
+        """
+        hold = self._find_hold(move.service, move.low)
+        if move.was_fenced or hold is None or hold.owner.name != move.source:
+            return False
+        liveness = self._liveness.get(move.source)
+        if liveness is None or liveness.failures or self._is_grant_pending(move):
+            return False
+        return hold.possible_until - now > self._timing.order_timeout
+
+    def _grant_fenced_part(self, move: RangeMove) -> None:
+        """Grant a part again, under its newer epoch, before it is released."""
+        move.stage = MoveStage.PENDING
+        move.was_fenced = True
+        hold = self._holds.get((move.service, move.low))
+        if hold is None or (hold.high, hold.owner.name) != (move.high, move.source):
+            return
+        move.epoch = hold.epoch
+        self._orders.append(self._make_grant(hold, hold.low, hold.high))
 
     def _release_part(self, move: RangeMove, now: float) -> None:
         """Order the release of a part once no grant of it is pending.
@@ -765,8 +797,8 @@
                 detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
                 f" epochs now: {sorted(epochs)}",
             )
-        # The range may have been split or joined while the order was pending. The server
-        # holds what it was granted, also under an earlier epoch.
+        # The range may have been split or joined while the order was pending. What the
+        # server was granted it holds, also under an earlier epoch.
         for hold in self._holds.values():
             same = (hold.service, hold.owner.name) == (
                 order.service,
@@ -780,6 +812,7 @@
                     hold.confirmed_until = max(hold.confirmed_until, until)
                     if is_current:
                         hold.handover = ""
+                        self._end_earlier_epochs(hold, order)
                 case OrderOutcome.NEWER_EPOCH if is_current:
                     part = c.RangePart(
                         hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
@@ -788,11 +821,19 @@
                     command = c.AssignRanges(hold.service, (part,))
                 case OrderOutcome.UNKNOWN:
                     hold.possible_until = max(hold.possible_until, until)
+                    hold.possible_epoch = max(hold.possible_epoch, order.epoch)
                     hold.renew_at = now + self._timing.retry_interval
                 case OrderOutcome.NOT_SENT:
                     hold.renew_at = now + self._timing.retry_interval
         return command
 
+    @staticmethod
+    def _end_earlier_epochs(hold: HeldRange, order: GrantOrder) -> None:
+        """Rule out grants of earlier epochs, which the owner rejects from now on."""
+        is_whole = order.low <= hold.low and hold.high <= order.high
+        if is_whole and order.epoch > hold.possible_epoch:
+            hold.possible_until = NEVER
+
     def _complete_release(
         self, order: ReleaseOrder, result: OrderResult, now: float
     ) -> None:
@@ -814,3 +855,14 @@
                 if now >= move.free_at:
                     move.stage = MoveStage.FREE
             return
+
+
+def _make_assignments(
+    owners: Iterable[tuple[RangeMove, str]],
+) -> list[c.Command]:
+    """Return commands, one a service, that assign the parts of moves to owners."""
+    parts: dict[str, list[c.RangePart]] = {}
+    for move, owner in owners:
+        part = c.RangePart(move.low, move.high, move.epoch, f"{owner}@0")
+        parts.setdefault(move.service, []).append(part)
+    return [c.AssignRanges(service, tuple(items)) for service, items in parts.items()]
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -141,8 +141,9 @@
     """A range that its owner may hold; times by the leader's clock.
 
     ``confirmed_until`` follows from an answered grant, and ``possible_until``
-    from a grant without an answer. Such a grant may still be carried out later,
-    so neither a later answer nor a release shortens ``possible_until``.
+    from a grant without an answer, of ``possible_epoch`` at most. Such a grant may
+    still be carried out later, so neither a release nor an answer to a grant of the
+    same epoch shortens ``possible_until``.
     """
 
     service: str
@@ -152,6 +153,7 @@
     epoch: int
     confirmed_until: float = NEVER
     possible_until: float = NEVER
+    possible_epoch: int = 0
     renew_at: float = NEVER
     handover: str = ""
 
@@ -166,10 +168,14 @@
 
     ``PENDING`` waits for grants to end, ``RELEASING`` for the source to release the
     part, and ``WAITING`` for its hold to expire. A ``FREE`` part has no holder; a
-    ``COMMITTING`` one has its new owner proposed.
+    ``COMMITTING`` one has its new owner proposed. A ``FENCING`` part has a newer epoch
+    proposed for its source; a ``FENCED`` one has it, and the source is not granted it
+    yet.
     """
 
     PENDING = "pending"
+    FENCING = "fencing"
+    FENCED = "fenced"
     RELEASING = "releasing"
     WAITING = "waiting"
     FREE = "free"
@@ -191,3 +197,4 @@
     free_at: float = NEVER
     possible_until: float = NEVER
     handover: str = ""
+    was_fenced: bool = False
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -212,6 +212,46 @@
         assert world.unserved() == []
 
 
+# Guards against keys that are unserved for a whole hold after a change of leader: they
+# are released at once, and then a grant of the former leader is waited for.
+@pytest.mark.parametrize("cause", ["leave", "heat"])
+def test_keys_that_move_after_a_change_of_leader_are_served_within_three_seconds(
+    cause: str,
+) -> None:
+    for number in range(8):
+        world = start(number)
+        world.change_leader()
+        world.run(0.5)
+        if cause == "leave":
+            world.instances["s1"].leaving = True
+        else:
+            world.set_hot_keys(4, 5, 6, 7)
+        for _ in range(4):
+            world.run(1.0)
+            assert world.unserved_for(3.0) == []
+        assert world.violations == []
+
+
+# Guards against a hold that ends although a grant of its present epoch has no answer:
+# only the answer to a newer epoch rules out that it is applied later.
+def test_only_a_newer_epoch_ends_grants_without_an_answer() -> None:
+    world = start(9)
+    _, orders = world.leader.tick(world.now + TIMING.renew_interval)
+    order = next(order for order in orders if isinstance(order, GrantOrder))
+    for outcome in (OrderOutcome.UNKNOWN, OrderOutcome.DONE):
+        world.leader.complete_order(OrderResult(order, outcome), world.now)
+    lines: list[tuple[str, str]] = []
+    world.leader._report = lambda kind, **fields: lines.append(
+        (kind, str(fields.get("detail", "")))
+    )
+    world.commit(c.StopServer(order.server.name))
+    world.leader._liveness[order.server.name].failures = 1
+    world.leader.tick(world.now)
+    released = [detail for kind, detail in lines if kind == "hold-released"]
+    assert released
+    assert all("possible for 0.00 s" not in detail for detail in released)
+
+
 # Guards against a result that is ignored because its range has got another epoch since:
 # the server holds the keys for longer than the leader knows.
 @pytest.mark.parametrize("outcome", [OrderOutcome.UNKNOWN, OrderOutcome.DONE])
