Log when a host reaches no server any more, and when it does again

After failures of two servers the host probes three others; if none accepts a connection it logs servers-lost, and servers-regained once most probes succeed. No request is treated differently yet.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -300,6 +300,20 @@
 
     async def connect(
         self, address: str, timeout: float
+    ) -> ServerConnection | ExchangeFault:
+        """Open a connection within ``timeout`` seconds, or return the fault."""
+        return await self._open(address, timeout)
+
+    async def probe(self, address: str, timeout: float) -> bool:
+        """Return whether a server accepts a new connection, and keep it if so."""
+        opened = await self._open(address, timeout)
+        if isinstance(opened, ExchangeFault):
+            return False
+        self.release(opened)
+        return True
+
+    async def _open(
+        self, address: str, timeout: float
     ) -> ServerConnection | ExchangeFault:
         """Open a connection within ``timeout`` seconds, or return the fault."""
         loop = asyncio.get_running_loop()
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -161,6 +161,7 @@
         await self._caller_server.finish(drain.end)
         self._agent.leave(clock(), idle=True)
         self._ready_server.close()
+        self._router.reach.close()
         self._connections.close()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         return self._caller_server.counts._asdict()
@@ -284,6 +285,7 @@
         self._agent.tick(now)
         self._calls.tick(now)
         self.state.rates.tick(now)
+        self._router.reach.tick()
         has_lease = self.state.tables.lease_until > now
         if has_lease != self._had_lease:
             self._had_lease = has_lease
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -47,6 +47,7 @@
 )
 from .notices import record_notices
 from .obstacles import Obstacle, find_obstacle
+from .reach import CONNECT_TIMEOUT_SECONDS, ServerReach
 from .server_stats import (
     LoadReport,
     ServerStat,
@@ -67,7 +68,6 @@
 
 # A server responds at the deadline at the latest; the response takes this long.
 RESPONSE_SLACK_SECONDS: Final = 0.02
-CONNECT_TIMEOUT_SECONDS: Final = 0.3
 # Time for a limiter and its standby to answer.
 TOKEN_WAIT_SECONDS: Final = 0.6
 # Step in which a request waits for newer rows that may name an owner of its key.
@@ -132,6 +132,13 @@
         self._splitter = WeightedSplitter()
         self._split_offset = hash_fraction(config.host, "split")
         self._crash_checks: set[asyncio.Task[None]] = set()
+        self.reach = ServerReach(
+            lambda: [stat.row.address for stat in state.stats.values()],
+            connections,
+            lines,
+            clock,
+            random,
+        )
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -450,6 +457,7 @@
             # A server that is alive answers at the deadline, at least with an error.
             record_unreachable(stat, self._clock())
             record_outcome(stat, self._clock(), failed=True)
+            self.reach.record_failure(address)
             context.may_have_run = True
             context.detail = "no response before the deadline"
             return self._answer_failure(context)
@@ -505,8 +513,10 @@
         if isinstance(opened, ExchangeFault):
             record_unreachable(stat, self._clock())
             self._connections.close_idle(address)
+            self.reach.record_failure(address)
             context.detail = f"connect: {opened.detail}"
             return None
+        self.reach.record_connected()
         return opened
 
     async def _take_token(self, context: RequestContext, stat: ServerStat) -> bool:
--- /dev/null
+++ b/src/dragonflyrock/router/reach.py
@@ -0,0 +1,127 @@
+"""Whether this host reaches backend servers at all, by its new connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Final
+
+from ..http import ConnectionPool
+from ..observe.lines import LineLog
+
+__all__ = ["ServerReach"]
+
+CONNECT_TIMEOUT_SECONDS: Final = 0.3
+# A failure counts for this long. A request that hangs fails at its deadline.
+FAILURE_WINDOW_SECONDS: Final = 1.5
+# Servers that failed within the window before others are probed.
+MIN_FAILED_SERVERS: Final = 2
+PROBE_COUNT: Final = 3
+# Probes that must succeed before a host counts as reaching servers again.
+MIN_REACHED_SERVERS: Final = 2
+PROBE_INTERVAL_SECONDS: Final = 0.4
+
+
+class ServerReach:
+    """Record failures to reach servers, and probe servers when several have failed.
+
+    A host that reaches none of the probed servers is cut off from the servers until
+    most probes succeed. Connections that live on while new ones fail do not count.
+    """
+
+    def __init__(
+        self,
+        list_addresses: Callable[[], Sequence[str]],
+        connections: ConnectionPool,
+        lines: LineLog,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        """Start in reach; ``list_addresses`` returns the servers' ``ip:port``."""
+        self.is_cut_off = False
+        self._list_addresses = list_addresses
+        self._connections = connections
+        self._lines = lines
+        self._clock = clock
+        self._random = random
+        self._failed_at: dict[str, float] = {}
+        self._probed_at = float("-inf")
+        self._probe: asyncio.Task[None] | None = None
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether several servers failed and no new connection has succeeded."""
+        return self.is_cut_off or len(self._failed_at) >= MIN_FAILED_SERVERS
+
+    def record_failure(self, address: str) -> None:
+        """Record a server that could not be reached, or did not answer."""
+        now = self._clock()
+        since = now - FAILURE_WINDOW_SECONDS
+        self._failed_at[address] = now
+        self._failed_at = {a: at for a, at in self._failed_at.items() if at > since}
+        if len(self._failed_at) >= MIN_FAILED_SERVERS:
+            self._start_probe()
+
+    def record_connected(self) -> None:
+        """Record that a server accepted a new connection."""
+        if not self.is_cut_off:
+            self._failed_at.clear()
+
+    def tick(self) -> None:
+        """Probe servers at an interval while the host is cut off from them."""
+        if self.is_cut_off:
+            self._start_probe()
+
+    def close(self) -> None:
+        """Cancel a probe in progress."""
+        if self._probe is not None:
+            self._probe.cancel()
+
+    def _start_probe(self) -> None:
+        """Start a probe, unless one is in progress or was made just now."""
+        now = self._clock()
+        if self._probe is not None or now - self._probed_at < PROBE_INTERVAL_SECONDS:
+            return
+        self._probed_at = now
+        self._probe = asyncio.create_task(self._run_probe())
+
+    async def _run_probe(self) -> None:
+        """Connect to some servers, first to those that have not failed lately."""
+        try:
+            addresses = self._choose_addresses()
+            probes = [
+                self._connections.probe(address, CONNECT_TIMEOUT_SECONDS)
+                for address in addresses
+            ]
+            results = await asyncio.gather(*probes)
+        finally:
+            self._probe = None
+        self._update(len(addresses), sum(results))
+
+    def _choose_addresses(self) -> list[str]:
+        """Return random servers to probe."""
+        addresses = sorted(set(self._list_addresses()))
+        self._random.shuffle(addresses)
+        if not self.is_cut_off:
+            addresses.sort(key=lambda address: address in self._failed_at)
+        return addresses[:PROBE_COUNT]
+
+    def _update(self, probed: int, reached: int) -> None:
+        """Decide by the probes whether the host is cut off, and log a change."""
+        if not probed:
+            return
+        was_cut_off = self.is_cut_off
+        if reached >= min(MIN_REACHED_SERVERS, probed):
+            self.is_cut_off = False
+            self._failed_at.clear()
+        elif not reached:
+            self.is_cut_off = True
+        if self.is_cut_off == was_cut_off:
+            return
+        event = "servers-lost" if self.is_cut_off else "servers-regained"
+        self._lines.add(
+            event, probed=probed, reached=reached, failed=sorted(self._failed_at)
+        )
+        if self.is_cut_off:
+            self._failed_at.clear()
