--- /dev/null
+++ b/tests/router/cut_off_hosts.py
@@ -0,0 +1,87 @@
+"""Two hosts with the same servers, one of which can be cut off from all of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+from dragonflyrock.http import ExchangeFault, FaultKind, Response, ServerConnection
+
+from .harness import RouterHarness
+
+# How long a host may take to find out that it is cut off.
+DETECTION_SECONDS: Final = 3.0
+SERVER_NAMES: Final = ("one", "two", "three", "four")
+# Ways of a cut, by what becomes of new connections and of open ones.
+HANG: Final = "hang"
+RESET: Final = "reset"
+REFUSE: Final = "refuse"
+WAYS: Final = (HANG, RESET, REFUSE)
+
+
+class Hosts(NamedTuple):
+    """A host that is cut off, and another one that is not."""
+
+    cut: RouterHarness
+    other: RouterHarness
+
+    async def send_requests(self, count: int, left_ms: int = 800) -> list[Response]:
+        """Send requests to the host that is cut off, a few at a time."""
+        responses: list[Response] = []
+        while len(responses) < count:
+            batch = [self.cut.send_request(left_ms=left_ms) for _ in range(5)]
+            responses += await asyncio.gather(*batch)
+        return responses
+
+    async def wait_until_noticed(self) -> None:
+        """Send requests until the time to notice the cut is over."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + DETECTION_SECONDS
+        while loop.time() < until and not self.cut.router.reach.is_cut_off:
+            await self.send_requests(5, left_ms=400)
+            await asyncio.sleep(0.05)
+
+
+def cut_off(harness: RouterHarness, way: str) -> None:
+    """Cut a host off from all servers."""
+    pool = harness.connections
+
+    async def open_nothing(
+        address: str, timeout: float
+    ) -> ServerConnection | ExchangeFault:
+        if way == HANG:
+            await asyncio.sleep(timeout)
+        return ExchangeFault(FaultKind.NOT_CONNECTED, way)
+
+    pool._open = open_nothing  # type: ignore[method-assign]
+    for connection in [c for idle in pool._idle.values() for c in idle]:
+        if way == HANG:
+            connection._send = lambda request: None  # type: ignore[method-assign]
+        if way == RESET:
+            connection.abort()
+
+
+def run_hosts(
+    scenario: Callable[[Hosts], Awaitable[None]], owner: str = "", attempts: int = 2
+) -> None:
+    """Run a scenario with two hosts that have idle connections to their servers."""
+
+    async def run() -> None:
+        hosts = Hosts(RouterHarness("127.0.0.1"), RouterHarness("127.0.0.2"))
+        try:
+            for name in SERVER_NAMES:
+                await hosts.other.add_server(name)
+            hosts.cut.rows = hosts.other.rows
+            for harness in hosts:
+                harness.hosts = tuple(host.name for host in hosts)
+                await harness.start_relay()
+                harness.apply_update(owner=owner, attempts=attempts)
+            await hosts.send_requests(10)
+            async with asyncio.timeout(15):
+                await scenario(hosts)
+        finally:
+            for harness in hosts:
+                harness.close()
+
+    asyncio.run(run())
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -67,8 +67,10 @@
 class RouterHarness:
     """A router, its rows, and test servers that record the requests they receive."""
 
-    def __init__(self) -> None:
-        """Create a router without servers."""
+    def __init__(self, name: str = "host") -> None:
+        """Create a router without servers, on a host with this name."""
+        self.name = name
+        self.hosts: tuple[str, ...] = (name,)
         self.frozen_at: float | None = None
         self.state = RouterState(BudgetPolicy(), self.clock)
         self.state.share_limits(self._make_rate_agent())
@@ -77,7 +79,7 @@
         self.lines = LineLog("test", 1, time.monotonic)
         self.metrics = Metrics()
         self.router = Router(
-            RouterConfig("host", "a", HEADER_NAMES),
+            RouterConfig(name, "a", HEADER_NAMES),
             self.state,
             self.connections,
             self.lines,
@@ -96,13 +98,13 @@
         """Return the agent of the only host, which sends to itself."""
 
         def send(peer: str, message: ServerRateDemand | ServerRateGrant) -> None:
-            assert peer == "host"
+            assert peer == self.name
             if isinstance(message, ServerRateDemand):
                 rates.receive_demand(peer, message)
             else:
                 rates.receive_grant(peer, message)
 
-        rates = ServerRateAgent("host", self.state.tables, self.clock, send)
+        rates = ServerRateAgent(self.name, self.state.tables, self.clock, send)
         return rates
 
     def clock(self) -> float:
@@ -153,7 +155,7 @@
             document=DocumentHead(1, ClientLimits()),
         )
         self.state.apply(
-            HostUpdate(1, "leader", self.clock(), 60_000, delta, 1, ("host",))
+            HostUpdate(1, "leader", self.clock(), 60_000, delta, 1, self.hosts)
         )
 
     async def send_request(self, path: bytes = b"/p/x", left_ms: int = 800) -> Response:
@@ -188,6 +190,9 @@
         connection.usable_until = float("inf")
         self.connections.release(connection)
 
+    async def start_relay(self) -> None:
+        """Accept requests of other hosts."""
+
     def tick(self) -> None:
         """Run the timed work of the state, as a node does."""
         now = self.clock()
