Relay requests to other hosts while this one reaches no backend server

Cause: a host had no way to a server but its own links. It knew within 0.3 s that they failed, refused truly and at once, and kept its callers for the length of the cut, although the other hosts reached the servers.

Change: a host that reaches none of the servers that it probes sends its requests to other hosts, at a port of their own, until most probes succeed again. The other host decides by its own rows, limits and pauses. It relays to none, takes 128 such requests at most, and refuses them while it stops or reaches no server; the first host then tries two others. Deadline, sends so far and a caller that leaves are passed on. What was sent to a host that did not answer counts as run.

No library sets a TCP_USER_TIMEOUT on our connections or links: a test reads the options.

--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -48,6 +48,7 @@
 CLEANUP_INTERVAL_SECONDS: Final = 1.0
 DRAIN_POLL_INTERVAL_SECONDS: Final = 0.05
 REPORT_TIMEOUT_SECONDS: Final = 2.0
+RELAY_HEADER_BYTES: Final = 256
 
 
 class EntryNode:
@@ -67,7 +68,12 @@
         self._connections = ConnectionPool()
         name = settings.node.name
         self._router = Router(
-            RouterConfig(name, settings.node.availability_zone, header_names),
+            RouterConfig(
+                name,
+                settings.node.availability_zone,
+                header_names,
+                settings.relay_port,
+            ),
             self.state,
             self._connections,
             self._loop.lines,
@@ -78,6 +84,7 @@
         )
         self._calls = CallTable(settings.seed_names, self._loop.send)
         self._caller_server = HttpServer(self._router.handle, WireLimits())
+        self._relay_server = HttpServer(self._router.handle_relayed, WireLimits())
         self._ready_server = HttpServer(self._answer_ready, WireLimits())
         self._metrics_server = make_metrics_server(settings, self._loop.metrics)
         record = HostRecord(
@@ -125,6 +132,8 @@
         listen = self._settings.listen
         self._loop.start(self._receive, self._tick, _do_nothing)
         await self._caller_server.start(listen.callers)
+        if listen.relay:
+            await self._relay_server.start(listen.relay)
         if listen.ready:
             await self._ready_server.start(listen.ready)
         if self._metrics_server is not None:
@@ -158,10 +167,13 @@
         self._router.drain = drain = plan_drain(self._stop_requested_at, grace)
         while clock() < drain.last_arrival:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
-        await self._caller_server.finish(drain.end)
+        await asyncio.gather(
+            self._caller_server.finish(drain.end), self._relay_server.finish(drain.end)
+        )
         self._agent.leave(clock(), idle=True)
         self._ready_server.close()
         self._router.reach.close()
+        self._router.relayer.close()
         self._connections.close()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         return self._caller_server.counts._asdict()
@@ -267,12 +279,16 @@
             return
         self._applied_version = tables.document_version
         limits = tables.client_limits
-        self._caller_server.limits = WireLimits(
+        self._caller_server.limits = caller_limits = WireLimits(
             limits.header_bytes,
             limits.body_bytes,
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         )
+        # A relayed request has a few bytes of headers more.
+        self._relay_server.limits = WireLimits(
+            caller_limits.header_bytes + RELAY_HEADER_BYTES, caller_limits.body_bytes
+        )
         self._loop.lines.add(
             "document-applied",
             version=tables.document_version,
@@ -294,6 +310,7 @@
         if now - self._cleaned_up_at > CLEANUP_INTERVAL_SECONDS:
             self._cleaned_up_at = now
             self._connections.close_expired(now)
+            self._router.relayer.close_expired(now)
             self._update_server_notices(now)
             self._loop.metrics.revision.set(self.state.tables.revision)
 
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -45,13 +45,17 @@
 
 
 class ListenAddresses(_Table, frozen=True, kw_only=True):
-    """Listen addresses, each ``ip:port``; all nodes have the same link port."""
+    """Listen addresses, each ``ip:port``; all nodes have the same link and relay port.
+
+    Entry nodes send each other requests at ``relay``; without it they relay none.
+    """
 
     link: str
     callers: str = ""
     ready: str = ""
     control: str = ""
     metrics: str = ""
+    relay: str = ""
 
 
 class BoundSettings(_Table, frozen=True, kw_only=True):
@@ -101,6 +105,11 @@
         """Return the link port, which is the same on all nodes."""
         return self.listen.link.rpartition(":")[2]
 
+    @property
+    def relay_port(self) -> int:
+        """Return the relay port, which is the same on all entry nodes; 0 for none."""
+        return int(self.listen.relay.rpartition(":")[2] or 0)
+
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Read and validate a settings file, or raise ``SettingsError``."""
@@ -144,7 +153,7 @@
         problems.append(f"node.role: found {role!r}; allowed: entry or control")
     if not settings.seeds:
         problems.append("seeds: found none; allowed: at least one ip:port")
-    for name in ("link", "callers", "ready", "control", "metrics"):
+    for name in ("link", "callers", "ready", "control", "metrics", "relay"):
         address = getattr(settings.listen, name)
         if address and not address.rpartition(":")[2].isdecimal():
             problems.append(f"listen.{name}: found {address!r}; allowed: ip:port")
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -136,6 +136,13 @@
             "reason",
             is_counter=True,
         )
+        self.relayed = Family(
+            Value,
+            "dragonflyrock_relayed_requests",
+            "Requests sent to other hosts because this one reaches no server",
+            "service",
+            is_counter=True,
+        )
         self.servers_leaving = Family(
             Value,
             "dragonflyrock_servers_leaving",
@@ -260,6 +267,7 @@
             self.requests,
             self.retries,
             self.turned_away,
+            self.relayed,
             self.servers_leaving,
             self._servers_paused,
             self._servers_limited,
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -48,6 +48,13 @@
 from .notices import record_notices
 from .obstacles import Obstacle, find_obstacle
 from .reach import CONNECT_TIMEOUT_SECONDS, ServerReach
+from .relay import (
+    Relayer,
+    make_relay_refusal,
+    read_earlier_sends,
+    strip_refusal,
+    strip_relay_headers,
+)
 from .server_stats import (
     LoadReport,
     ServerStat,
@@ -79,6 +86,8 @@
 MAX_SERVER_REJECTION_COUNT: Final = 2
 MAX_CONNECT_FAILURE_COUNT: Final = 4
 MAX_OUTDATED_CHOICE_COUNT: Final = 4
+# Requests of other hosts that a host answers at a time; it refuses more.
+MAX_RELAYED_REQUESTS: Final = 128
 # A request waits for the first rows of a new host for this share of its time left.
 DOCUMENT_WAIT_SHARE: Final = 0.25
 # Retry-After of a host that still has no rows; the retry may go to any host.
@@ -139,9 +148,34 @@
             clock,
             random,
         )
+        self.relayer = Relayer(config, lambda: state.tables.hosts, clock, random)
+        self._relayed_count = 0
 
     async def handle(self, request: Request) -> Response:
-        """Answer one request."""
+        """Answer one request of a caller."""
+        return await self._handle(request, None)
+
+    async def handle_relayed(self, request: Request) -> Response:
+        """Answer a request that another host could not send to any server.
+
+        It is refused if this host is stopping, reaches no server itself, or answers
+        too many of these requests already.
+        """
+        if self.drain is not None:
+            return make_relay_refusal(b"the host is stopping")
+        if self.reach.is_cut_off:
+            return make_relay_refusal(b"the host reaches no server")
+        if self._relayed_count >= MAX_RELAYED_REQUESTS:
+            return make_relay_refusal(b"the host answers too many relayed requests")
+        self._relayed_count += 1
+        try:
+            earlier_sends = read_earlier_sends(request)
+            return await self._handle(strip_relay_headers(request), earlier_sends)
+        finally:
+            self._relayed_count -= 1
+
+    async def _handle(self, request: Request, earlier_sends: int | None) -> Response:
+        """Answer one request; ``earlier_sends`` is set if another host relayed it."""
         now = self._clock()
         names = self._config.header_names
         request_id = find_header(request.headers, names.request_id) or b""
@@ -159,7 +193,7 @@
         if self._has_invalid_key(request, route):
             detail = "the key is not a number of the key space"
             return self._answer_unrouted(request_id, 400, detail)
-        context = self._start_request(request, request_id, route, now)
+        context = self._start_request(request, request_id, route, now, earlier_sends)
         if self.drain is not None and not self.drain.accepts(now, context.deadline):
             response = self._refuse(context, Rejection("the host is stopping", 0.0))
             self._log_request(context, response.status, context.detail)
@@ -230,9 +264,14 @@
         return make_response(status, body, headers)
 
     def _start_request(
-        self, request: Request, request_id: bytes, route: Route, now: float
+        self,
+        request: Request,
+        request_id: bytes,
+        route: Route,
+        now: float,
+        earlier_sends: int | None,
     ) -> RequestContext:
-        """Create the context of a request, and count the request."""
+        """Create the context of a request, and count it unless it was relayed."""
         names = self._config.header_names
         value = find_header(request.headers, names.time_left_ms)
         seconds_left = DEFAULT_DEADLINE_SECONDS
@@ -254,8 +293,10 @@
         if routed is not None and routed.keyed:
             key_hash = parse_key(request, names) or 0
             # Refused requests count too: keys are moved by the demand for them.
-            self._state.count_key_request(service, key_hash)
-        self._state.get_budget(service).count_request(now)
+            if earlier_sends is None:
+                self._state.count_key_request(service, key_hash)
+        if earlier_sends is None:
+            self._state.get_budget(service).count_request(now)
         return RequestContext(
             request,
             request_id,
@@ -265,6 +306,7 @@
             now,
             now + min(seconds_left, route.timeout_ms / 1000),
             now + route.target_ms / 1000 - since_first_attempt,
+            earlier_sends=earlier_sends,
         )
 
     async def _send_until_answered(self, context: RequestContext) -> Response:
@@ -276,6 +318,14 @@
             now = self._clock()
             if now >= context.deadline:
                 return self._answer_failure(context)
+            if self._should_relay(context):
+                response = await self._relay(context)
+                if response is not None:
+                    return response
+                continue
+            if context.relay_refused and self.reach.is_cut_off:
+                detail = "no server can be reached, nor a host that reaches one"
+                return self._refuse(context, Rejection(detail, OWNER_WAIT_SECONDS))
             chosen = self._choose_server(context, now)
             if isinstance(chosen, Rejection):
                 if await self._wait_for_owner(context, chosen):
@@ -289,6 +339,40 @@
                 context.wrong_owner = False
                 await _wait_for_change(changed, OWNER_POLL_SECONDS)
 
+    def _should_relay(self, context: RequestContext) -> bool:
+        """Return whether another host is to answer a request.
+
+        A relayed request is not relayed again, and one that may have run only if it is
+        idempotent.
+        """
+        if not self._config.relay_port or context.is_relayed or context.relay_refused:
+            return False
+        if context.may_have_run and not context.route.is_idempotent:
+            return False
+        if self.reach.is_cut_off:
+            return True
+        return context.connect_failures > 0 and self.reach.is_doubtful
+
+    async def _relay(self, context: RequestContext) -> Response | None:
+        """Have another host answer a request; return None to go on with it here."""
+        self._metrics.relayed.labels(context.service).inc()
+        try:
+            result = await self.relayer.relay(context)
+        except asyncio.CancelledError:
+            context.may_have_run = True
+            raise
+        if isinstance(result, Response):
+            return result
+        context.detail = f"relay: {result.detail}"
+        if not result.may_have_run:
+            context.relay_refused = True
+            return None
+        context.may_have_run = True
+        context.sends += 1
+        if context.route.is_idempotent and self._claim_retry(context):
+            return None
+        return self._answer_failure(context)
+
     def _refuse_quarantined(self, context: RequestContext) -> Response:
         """Answer a request that ended the servers that ran it."""
         if context.may_have_run:
@@ -482,6 +566,7 @@
                 self._connections.close_idle(address)
                 return self._handle_dropped_connection(context, stat, result)
             return self._handle_fault(context, stat, result, ended - now)
+        self.reach.record_answer()
         return self._handle_response(context, stat, result, backlog, ended - now)
 
     def _is_outdated(
@@ -648,7 +733,10 @@
         quarantines = self._state.tables.quarantines
         if quarantines and self._get_fingerprint(context) in quarantines:
             self._crash_reporter.clear_suspect(context.fingerprint)
-        return response._replace(headers=drop_hop_by_hop_headers(response.headers))
+        headers = drop_hop_by_hop_headers(response.headers)
+        if context.is_relayed:
+            headers = strip_refusal(headers)
+        return response._replace(headers=headers)
 
     def _handle_not_run(
         self,
@@ -691,7 +779,8 @@
 
     def _claim_retry(self, context: RequestContext) -> bool:
         """Return whether another send is allowed; if so, count it as a retry."""
-        if context.sends >= max(context.route.max_attempts, 1) and not (
+        sends = context.sends + (context.earlier_sends or 0)
+        if sends >= max(context.route.max_attempts, 1) and not (
             context.server_rejections and not context.may_have_run
         ):
             return False
@@ -708,6 +797,9 @@
         """Answer that a request has not run, with a randomized Retry-After."""
         if context.may_have_run:
             return self._answer_failure(context)
+        if context.is_relayed and context.connect_failures:
+            # The host that relayed it may find one that reaches the server.
+            return make_relay_refusal(b"the server cannot be reached")
         context.detail = context.detail or rejection.detail
         seconds_left = context.deadline - self._clock()
         wait = max(MIN_RETRY_AFTER_SECONDS, rejection.retry_after)
@@ -754,6 +846,8 @@
             service=context.service,
             server=context.server,
             sends=context.sends,
+            relay=context.relay,
+            relayed=context.is_relayed or "",
             status=status,
             ms=round(elapsed * 1000, 1),
             detail=detail,
--- a/src/dragonflyrock/router/models.py
+++ b/src/dragonflyrock/router/models.py
@@ -30,6 +30,10 @@
     last server has answered that it does not own the key. Servers in ``avoid`` are
     chosen only if there is no other. ``chosen_at`` is when the last server was chosen,
     and ``outdated_choices`` counts those that were outdated before the send.
+
+    ``earlier_sends`` is set if another host relayed the request; it counts the sends
+    of that host. ``relay`` is the last host to which this one relayed it, and
+    ``relay_refused`` is set once no host took it.
     """
 
     request: Request
@@ -51,6 +55,14 @@
     fingerprint: str = ""
     chosen_at: float = 0.0
     outdated_choices: int = 0
+    earlier_sends: int | None = None
+    relay: str = ""
+    relay_refused: bool = False
+
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another host relayed the request to this one."""
+        return self.earlier_sends is not None
 
 
 class CrashReporter(Protocol):
@@ -88,8 +100,13 @@
 
 
 class RouterConfig(NamedTuple):
-    """The name and availability zone of this host, and the header names it uses."""
+    """The name and availability zone of this host, and the header names it uses.
+
+    ``relay_port`` is the port at which every host takes requests of other hosts; 0 if
+    hosts relay none.
+    """
 
     host: str
     zone: str
     header_names: HeaderNames
+    relay_port: int = 0
--- a/src/dragonflyrock/router/reach.py
+++ b/src/dragonflyrock/router/reach.py
@@ -15,8 +15,10 @@
 CONNECT_TIMEOUT_SECONDS: Final = 0.3
 # A failure counts for this long. A request that hangs fails at its deadline.
 FAILURE_WINDOW_SECONDS: Final = 1.5
-# Servers that failed within the window before others are probed.
+# Servers that failed within the window before others are probed. One is enough if no
+# server has answered for the time of silence since.
 MIN_FAILED_SERVERS: Final = 2
+SILENCE_SECONDS: Final = 0.2
 PROBE_COUNT: Final = 3
 # Probes that must succeed before a host counts as reaching servers again.
 MIN_REACHED_SERVERS: Final = 2
@@ -46,23 +48,36 @@
         self._clock = clock
         self._random = random
         self._failed_at: dict[str, float] = {}
+        # When a server failed first since the last answer.
+        self._first_failed_at = float("inf")
         self._probed_at = float("-inf")
         self._probe: asyncio.Task[None] | None = None
 
     @property
     def is_doubtful(self) -> bool:
         """Return whether several servers failed and no new connection has succeeded."""
-        return self.is_cut_off or len(self._failed_at) >= MIN_FAILED_SERVERS
+        since = self._clock() - FAILURE_WINDOW_SECONDS
+        failed = sum(at > since for at in self._failed_at.values())
+        return self.is_cut_off or failed >= MIN_FAILED_SERVERS
 
     def record_failure(self, address: str) -> None:
         """Record a server that could not be reached, or did not answer."""
         now = self._clock()
         since = now - FAILURE_WINDOW_SECONDS
         self._failed_at[address] = now
+        self._first_failed_at = min(self._first_failed_at, now)
         self._failed_at = {a: at for a, at in self._failed_at.items() if at > since}
-        if len(self._failed_at) >= MIN_FAILED_SERVERS:
+        if len(self._failed_at) >= MIN_FAILED_SERVERS or self._is_silent(now):
             self._start_probe()
 
+    def _is_silent(self, now: float) -> bool:
+        """Return whether no server has answered since one failed a while ago."""
+        return now - self._first_failed_at >= SILENCE_SECONDS
+
+    def record_answer(self) -> None:
+        """Record that a server has answered a request."""
+        self._first_failed_at = float("inf")
+
     def record_connected(self) -> None:
         """Record that a server accepted a new connection."""
         if not self.is_cut_off:
--- /dev/null
+++ b/src/dragonflyrock/router/relay.py
@@ -0,0 +1,195 @@
+"""Relay of requests to other hosts while this one reaches no backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final, NamedTuple
+
+from ..http import (
+    ConnectionPool,
+    ExchangeFault,
+    FaultKind,
+    Headers,
+    Request,
+    Response,
+    ServerConnection,
+    find_header,
+    make_response,
+)
+from .headers import drop_hop_by_hop_headers
+from .models import RequestContext, RouterConfig
+
+__all__ = [
+    "EARLIER_SENDS",
+    "RelayFault",
+    "Relayer",
+    "make_relay_refusal",
+    "read_earlier_sends",
+    "strip_refusal",
+    "strip_relay_headers",
+]
+
+# Headers between hosts: how often a request was sent to servers before, and that a
+# host did not take it.
+EARLIER_SENDS: Final = b"relay-earlier-sends"
+REFUSED: Final = b"relay-refused"
+MAX_EARLIER_SENDS: Final = 99
+CONNECT_TIMEOUT_SECONDS: Final = 0.3
+RESPONSE_SLACK_SECONDS: Final = 0.02
+# A host that refused a request, or could not be reached, is left out for this long.
+UNFIT_SECONDS: Final = 1.0
+MAX_TRIED_HOSTS: Final = 3
+
+
+class RelayFault(NamedTuple):
+    """Why no host answered; ``may_have_run`` unless every host refused."""
+
+    detail: str
+    may_have_run: bool
+
+
+class Relayer:
+    """Send requests to other hosts, those with the fewest requests of this host first.
+
+    A host answers a relayed request itself and does not relay it on.
+    """
+
+    def __init__(
+        self,
+        config: RouterConfig,
+        list_hosts: Callable[[], tuple[str, ...]],
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        """Relay to the hosts of ``list_hosts``, at ``config.relay_port`` of each."""
+        self._config = config
+        self._list_hosts = list_hosts
+        self._clock = clock
+        self._random = random
+        self._connections = ConnectionPool()
+        self._in_flight: dict[str, int] = {}
+        self._unfit_until: dict[str, float] = {}
+
+    async def relay(self, context: RequestContext) -> Response | RelayFault:
+        """Have another host answer a request, within its deadline."""
+        tried: list[str] = []
+        detail = "no other host"
+        while len(tried) < MAX_TRIED_HOSTS and self._clock() < context.deadline:
+            host = self._choose_host(tried)
+            if host is None:
+                break
+            tried.append(host)
+            context.relay = host
+            result = await self._send(context, host)
+            if isinstance(result, Response):
+                if find_header(result.headers, REFUSED) is None:
+                    headers = drop_hop_by_hop_headers(result.headers)
+                    return result._replace(headers=headers)
+                detail = f"host {host} refused it"
+            elif result.kind != FaultKind.NOT_CONNECTED:
+                return RelayFault(f"host {host}: {result.detail}", may_have_run=True)
+            else:
+                detail = f"host {host}: {result.detail}"
+            self._unfit_until[host] = self._clock() + UNFIT_SECONDS
+        return RelayFault(detail, may_have_run=False)
+
+    def close_expired(self, now: float) -> None:
+        """Close connections to hosts that are no longer reusable, and forget hosts."""
+        self._connections.close_expired(now)
+        self._unfit_until = {h: at for h, at in self._unfit_until.items() if at > now}
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._connections.close()
+
+    def _choose_host(self, tried: list[str]) -> str | None:
+        """Return the fitter of two random hosts, or None."""
+        now = self._clock()
+        hosts = [
+            host
+            for host in self._list_hosts()
+            if host != self._config.host
+            and host not in tried
+            and self._unfit_until.get(host, 0.0) <= now
+        ]
+        if not hosts:
+            return None
+        some = self._random.sample(hosts, min(2, len(hosts)))
+        return min(some, key=lambda host: self._in_flight.get(host, 0))
+
+    async def _send(
+        self, context: RequestContext, host: str
+    ) -> Response | ExchangeFault:
+        """Send a request to a host and return its response."""
+        seconds_left = context.deadline - self._clock()
+        connection = await self._connect(host, seconds_left)
+        if isinstance(connection, ExchangeFault):
+            return connection
+        self._in_flight[host] = self._in_flight.get(host, 0) + 1
+        names = self._config.header_names
+        seconds_left = context.deadline - self._clock()
+        try:
+            async with asyncio.timeout(seconds_left + RESPONSE_SLACK_SECONDS):
+                result = await connection.exchange(
+                    self._make_request(context, seconds_left),
+                    names.request_id,
+                    context.request_id,
+                )
+        except TimeoutError:
+            return ExchangeFault(FaultKind.CONNECTION_LOST, "no response in time")
+        finally:
+            self._in_flight[host] -= 1
+            if not self._in_flight[host]:
+                del self._in_flight[host]
+        self._connections.release(connection)
+        return result
+
+    async def _connect(
+        self, host: str, seconds_left: float
+    ) -> ServerConnection | ExchangeFault:
+        """Return an idle connection to a host, or a new one."""
+        address = f"{host}:{self._config.relay_port}"
+        connection = self._connections.acquire_idle(address)
+        if connection is not None:
+            return connection
+        timeout = min(CONNECT_TIMEOUT_SECONDS, max(seconds_left, 0.0))
+        return await self._connections.connect(address, timeout)
+
+    def _make_request(self, context: RequestContext, seconds_left: float) -> Request:
+        """Return the request with the time left, and the sends to servers so far."""
+        names = self._config.header_names
+        request = strip_relay_headers(context.request)
+        headers = [
+            (name, value)
+            for name, value in drop_hop_by_hop_headers(request.headers)
+            if name.lower() != names.time_left_ms
+        ]
+        headers.append((names.time_left_ms, b"%d" % max(1, int(seconds_left * 1000))))
+        headers.append((EARLIER_SENDS, b"%d" % context.sends))
+        return request._replace(headers=tuple(headers))
+
+
+def strip_relay_headers(request: Request) -> Request:
+    """Return a request without the headers that only hosts send each other."""
+    headers: Headers = tuple(
+        header for header in request.headers if header[0].lower() != EARLIER_SENDS
+    )
+    return request._replace(headers=headers)
+
+
+def read_earlier_sends(request: Request) -> int:
+    """Return how often a relayed request was sent to servers before."""
+    value = find_header(request.headers, EARLIER_SENDS) or b""
+    return min(int(value), MAX_EARLIER_SENDS) if value.isdigit() else 0
+
+
+def strip_refusal(headers: Headers) -> Headers:
+    """Return a server's headers without one that only a host may set."""
+    return tuple(header for header in headers if header[0].lower() != REFUSED)
+
+
+def make_relay_refusal(detail: bytes) -> Response:
+    """Return the answer that this host does not take a relayed request."""
+    return make_response(503, detail + b"\n", ((REFUSED, b"1"),))
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -11,9 +12,12 @@
     ConnectionPool,
     ExchangeFault,
     FaultKind,
+    HttpServer,
     Request,
     Response,
     ServerConnection,
+    WireLimits,
+    make_response,
 )
 from dragonflyrock.http.buffered_bodies import BufferedBodies
 from tests.common import free_port
@@ -216,3 +220,36 @@
     results, connection = asyncio.run(exchange(handler))
     assert isinstance(results[0], ExchangeFault)
     assert connection._body == []
+
+
+# Guards against a TCP_USER_TIMEOUT that a library sets: it would end connections whose
+# peer does not read for a while, and decide when keep-alive probes give up. A host that
+# is cut off is found by the timeouts of connects and requests instead.
+def test_no_connection_has_a_tcp_user_timeout() -> None:
+    async def run() -> list[int]:
+        port = free_port()
+        server = HttpServer(_answer_nothing, WireLimits())
+        await server.start(f"127.0.0.1:{port}")
+        pool = ConnectionPool()
+        connection = await pool.connect(f"127.0.0.1:{port}", 1.0)
+        assert isinstance(connection, ServerConnection)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        transports = [
+            connection._transport,
+            *(c._transport for c in server.connections),
+        ]
+        sockets = [t.get_extra_info("socket") for t in transports if t is not None]
+        options = socket.TCP_USER_TIMEOUT, socket.SO_KEEPALIVE
+        timeouts = [sock.getsockopt(socket.IPPROTO_TCP, options[0]) for sock in sockets]
+        timeouts += [sock.getsockopt(socket.SOL_SOCKET, options[1]) for sock in sockets]
+        connection.close()
+        server.close()
+        return timeouts
+
+    assert asyncio.run(run()) == [0, 0, 0, 0]
+
+
+async def _answer_nothing(request: Request) -> Response:
+    """Answer with an empty response."""
+    return make_response(200)
--- a/tests/router/cut_off_hosts.py
+++ b/tests/router/cut_off_hosts.py
@@ -7,6 +7,7 @@
 from typing import Final, NamedTuple
 
 from dragonflyrock.http import ExchangeFault, FaultKind, Response, ServerConnection
+from dragonflyrock.routes import RouteKind
 
 from .harness import RouterHarness
 
@@ -63,7 +64,9 @@
 
 
 def run_hosts(
-    scenario: Callable[[Hosts], Awaitable[None]], owner: str = "", attempts: int = 2
+    scenario: Callable[[Hosts], Awaitable[None]],
+    owner: str = "",
+    kind: RouteKind = RouteKind.IDEMPOTENT,
 ) -> None:
     """Run a scenario with two hosts that have idle connections to their servers."""
 
@@ -76,7 +79,7 @@
             for harness in hosts:
                 harness.hosts = tuple(host.name for host in hosts)
                 await harness.start_relay()
-                harness.apply_update(owner=owner, attempts=attempts)
+                harness.apply_update(kind, owner)
             await hosts.send_requests(10)
             async with asyncio.timeout(15):
                 await scenario(hosts)
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -40,6 +40,7 @@
 )
 from tests.common import free_port
 
+RELAY_PORT = free_port()
 HEADER_NAMES = HeaderNames(signature=b"x-signature")
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -79,7 +80,7 @@
         self.lines = LineLog("test", 1, time.monotonic)
         self.metrics = Metrics()
         self.router = Router(
-            RouterConfig(name, "a", HEADER_NAMES),
+            RouterConfig(name, "a", HEADER_NAMES, RELAY_PORT),
             self.state,
             self.connections,
             self.lines,
@@ -192,11 +193,15 @@
 
     async def start_relay(self) -> None:
         """Accept requests of other hosts."""
+        server = HttpServer(self.router.handle_relayed, WireLimits())
+        await server.start(f"{self.name}:{RELAY_PORT}")
+        self.servers.append(server)
 
     def tick(self) -> None:
         """Run the timed work of the state, as a node does."""
         now = self.clock()
         self.state.rates.tick(now)
+        self.router.reach.tick()
         self.state.pauses.pop_ended(now)
 
     def read_lines(self, prefix: str) -> list[dict[str, object]]:
@@ -206,6 +211,8 @@
 
     def close(self) -> None:
         """Stop every server."""
+        self.router.reach.close()
+        self.router.relayer.close()
         self.connections.close()
         for server in self.servers:
             server.close()
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from .cut_off_hosts import WAYS, Hosts, cut_off, run_hosts
+from dragonflyrock.http import Request, Response, find_header, make_response
+from dragonflyrock.router.exchange import MAX_RELAYED_REQUESTS
+from dragonflyrock.routes import RouteKind
+
+from .cut_off_hosts import (
+    DETECTION_SECONDS,
+    REFUSE,
+    SERVER_NAMES,
+    WAYS,
+    Hosts,
+    cut_off,
+    run_hosts,
+)
 
 # Of the first tries at the other hosts, all of which are served here.
 MIN_SERVED_SHARE = 2 / 3
@@ -23,3 +37,138 @@
         assert served >= MIN_SERVED_SHARE * len(responses)
 
     run_hosts(scenario, owner)
+
+
+# Guards against a request that goes round between hosts that all reach no server, and
+# against a caller that waits for its deadline to hear that it has not run.
+def test_hosts_that_all_reach_no_server_refuse_at_once() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        for harness in hosts:
+            cut_off(harness, REFUSE)
+            harness.connections.close()
+            harness.router.reach.is_cut_off = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        responses = await hosts.send_requests(5)
+        assert {response.status for response in responses} == {503}
+        for response in responses:
+            assert find_header(response.headers, b"retry-after") is not None
+            assert find_header(response.headers, b"relay-refused") is None
+        assert loop.time() - began < 0.4
+
+    run_hosts(scenario)
+
+
+# Guards against a booking that runs twice, or is said not to have run, as the host that
+# had taken it was lost before it answered.
+def test_a_relayed_booking_whose_answer_is_lost_is_not_sent_again() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        cut_off(hosts.cut, REFUSE)
+        hosts.cut.connections.close()
+        hosts.cut.router.reach.is_cut_off = True
+        relay = hosts.other.servers[-1]
+
+        async def run_and_end(request: Request) -> Response:
+            await hosts.other.router.handle_relayed(request)
+            for connection in list(relay.connections):
+                assert connection._transport is not None
+                connection._transport.abort()
+            return make_response(200)
+
+        relay.handler = run_and_end
+        runs = len(hosts.other.received)
+        response = await hosts.cut.send_request()
+        assert response.status == 502
+        assert len(hosts.other.received) == runs + 1
+
+    run_hosts(scenario, kind=RouteKind.ONCE)
+
+
+# Guards against a server that goes on with a relayed request after its caller has left.
+def test_a_caller_that_leaves_ends_its_relayed_request() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        cut_off(hosts.cut, REFUSE)
+        hosts.cut.connections.close()
+        hosts.cut.router.reach.is_cut_off = True
+        relay = hosts.other.servers[-1]
+        ended = asyncio.Event()
+
+        async def wait_for_end(request: Request) -> Response:
+            try:
+                await asyncio.sleep(5)
+            finally:
+                ended.set()
+            return make_response(200)
+
+        relay.handler = wait_for_end
+        caller = asyncio.create_task(hosts.cut.send_request())
+        await asyncio.sleep(0.1)
+        caller.cancel()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+
+    run_hosts(scenario)
+
+
+# Guards against a host that is overwhelmed by the requests of those that are cut off.
+def test_a_host_takes_a_bounded_number_of_relayed_requests() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        router = hosts.other.router
+        router._relayed_count = MAX_RELAYED_REQUESTS
+        refused = await router.handle_relayed(Request(b"GET", b"/p/x", (), b""))
+        assert refused.status == 503
+        assert find_header(refused.headers, b"relay-refused") is not None
+        assert router._relayed_count == MAX_RELAYED_REQUESTS
+
+    run_hosts(scenario)
+
+
+# Guards against more sends to servers than the route allows, counted over both hosts,
+# and against a deadline that begins anew at the second host.
+def test_sends_and_time_left_are_counted_over_both_hosts() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        for server in hosts.other.servers[: len(SERVER_NAMES)]:
+            server.handler = _answer_garbage
+        headers = (
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"id-1"),
+            (b"X-Request-Timeout-Ms", b"250"),
+            (b"Relay-Earlier-Sends", b"1"),
+        )
+        request = Request(b"GET", b"/p/x", headers, b"")
+        response = await hosts.other.router.handle_relayed(request)
+        assert response.status == 502
+        (sent,) = _SENT
+        assert find_header(sent.headers, b"relay-earlier-sends") is None
+        assert int(find_header(sent.headers, b"x-request-timeout-ms") or b"") <= 250
+
+    _SENT.clear()
+    run_hosts(scenario)
+
+
+_SENT: list[Request] = []
+
+
+async def _answer_garbage(request: Request) -> Response:
+    """Answer without a signature, which is no valid answer."""
+    _SENT.append(request)
+    return make_response(200, b"?")
+
+
+# Guards against a host that goes on relaying, or refusing, once it reaches servers.
+def test_a_host_that_reaches_servers_again_sends_to_them() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        connect = hosts.cut.connections._open
+        cut_off(hosts.cut, REFUSE)
+        hosts.cut.connections.close()
+        await hosts.wait_until_noticed()
+        assert hosts.cut.router.reach.is_cut_off
+        hosts.cut.connections._open = connect  # type: ignore[method-assign]
+        async with asyncio.timeout(DETECTION_SECONDS):
+            while hosts.cut.router.reach.is_cut_off:
+                hosts.cut.tick()
+                await asyncio.sleep(0.02)
+        kinds = {str(line["event"]) for line in hosts.cut.read_lines("servers-")}
+        assert kinds == {"servers-lost", "servers-regained"}
+
+    run_hosts(scenario)
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -30,3 +30,16 @@
         assert not links.has_peer("peer")
     finally:
         links.close()
+
+
+# Guards against a link whose library ends it by a TCP_USER_TIMEOUT while its peer does
+# not read.
+def test_links_have_no_tcp_user_timeout() -> None:
+    links = Links("me", f"127.0.0.1:{free_port()}", HybridClock(), Metrics(), None)
+    try:
+        links.connect("peer", f"127.0.0.1:{free_port()}")
+        for link in (links._senders["peer"], links.receiver):
+            assert link.getsockopt(zmq.TCP_MAXRT) == 0
+            assert link.getsockopt(zmq.TCP_KEEPALIVE) == -1
+    finally:
+        links.close()
