Blame no request for a server that this host alone has lost

What callers could see: a request that is sent often is quarantined on all hosts, as a host that lost its links to the servers reported each request that it lost as one that ended its server.

Change: a crash is reported only if probes of other servers succeed. test_a_host_that_lost_its_links_blames_no_request failed before (5 reports). A host that knows one server only reports as before.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -427,6 +427,8 @@
             return
         record_unreachable(stat, self._clock())
         self._connections.close_idle(stat.row.address)
+        self.reach.record_failure(stat.row.address)
+        is_reported = await self.reach.check(stat.row.address)
         fingerprint = self._get_fingerprint(context)
         self._lines.add(
             "server-lost",
@@ -434,7 +436,11 @@
             server=stat.row.name,
             fingerprint=fingerprint[:16],
             detail=opened.detail,
+            reported=is_reported,
         )
+        if not is_reported:
+            # It may be this host's links that were lost, and not the server.
+            return
         request = context.request
         self._crash_reporter.report_crash(
             fingerprint,
--- a/src/dragonflyrock/router/reach.py
+++ b/src/dragonflyrock/router/reach.py
@@ -83,6 +83,20 @@
         if not self.is_cut_off:
             self._failed_at.clear()
 
+    async def check(self, address: str) -> bool:
+        """Return whether the host reaches servers, by probes of the last moments.
+
+        Without a server at another address than ``address`` there is no sign that it
+        does not.
+        """
+        if set(self._list_addresses()) <= {address}:
+            return True
+        if not self.is_cut_off:
+            self._start_probe()
+        if self._probe is not None:
+            await asyncio.shield(self._probe)
+        return not self.is_cut_off
+
     def tick(self) -> None:
         """Probe servers at an interval while the host is cut off from them."""
         if self.is_cut_off:
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -172,3 +172,25 @@
         assert kinds == {"servers-lost", "servers-regained"}
 
     run_hosts(scenario)
+
+
+# Guards against requests that are quarantined on all hosts, although it was this host
+# that lost its links to the servers that ran them.
+def test_a_host_that_lost_its_links_blames_no_request() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        async def lose_link(request: Request) -> Response:
+            await asyncio.sleep(0.05)
+            cut_off(hosts.cut, REFUSE)
+            for server in hosts.other.servers:
+                for connection in server.connections:
+                    assert connection._transport is not None
+                    connection._transport.abort()
+            return make_response(200)
+
+        for server in hosts.other.servers[: len(SERVER_NAMES)]:
+            server.handler = lose_link
+        await hosts.send_requests(5)
+        await asyncio.sleep(1.0)
+        assert hosts.cut.crash_reports.crashed_servers == []
+
+    run_hosts(scenario)
