--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -624,9 +624,8 @@
             move.stage = MoveStage.WAITING
             return
         move.stage = MoveStage.RELEASING
-        self._orders.append(
-            ReleaseOrder(row, move.service, move.low, move.high, move.epoch)
-        )
+        move.release = ReleaseOrder(row, move.service, move.low, move.high, move.epoch)
+        self._orders.append(move.release)
 
     def _retarget(self, move: RangeMove, now: float) -> None:
         """Choose another target for a move if its target can no longer own ranges."""
@@ -839,11 +838,8 @@
     ) -> None:
         """Continue a move after its release, or wait until the hold expires."""
         for move in self._moves:
-            if (move.service, move.low, move.high) != (
-                order.service,
-                order.low,
-                order.high,
-            ):
+            # A former term of this node may have released the same part.
+            if move.release is not order:
                 continue
             if move.stage != MoveStage.RELEASING:
                 return
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -198,3 +198,4 @@
     possible_until: float = NEVER
     handover: str = ""
     was_fenced: bool = False
+    release: ReleaseOrder | None = None
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -252,6 +252,27 @@
     assert all("possible for 0.00 s" not in detail for detail in released)
 
 
+# Guards against the answer to a former term's release that is taken for the answer to
+# this leader's release, while the server still works on the keys.
+def test_only_the_leaders_own_release_frees_a_part() -> None:
+    world = start(10)
+    world.commit(c.StopServer("s1"))
+    sent: list[ReleaseOrder] = []
+    for _ in range(30):
+        world.now += TICK_SECONDS
+        _, orders = world.leader.tick(world.now)
+        sent += [order for order in orders if isinstance(order, ReleaseOrder)]
+        for order in orders:
+            if not isinstance(order, ReleaseOrder):
+                result = OrderResult(order, OrderOutcome.DONE)
+                world.leader.complete_order(result, world.now)
+    former = OrderResult(ReleaseOrder(*sent[0]), OrderOutcome.DONE)
+    world.leader.complete_order(former, world.now)
+    commands, _ = world.leader.tick(world.now + TICK_SECONDS)
+    parts = [part for command in commands for part in _list_parts(command)]
+    assert not any(part.low <= sent[0].low <= part.high for part in parts)
+
+
 # Guards against a result that is ignored because its range has got another epoch since:
 # the server holds the keys for longer than the leader knows.
 @pytest.mark.parametrize("outcome", [OrderOutcome.UNKNOWN, OrderOutcome.DONE])
