Propose assignments of other parts beside one with the same first part

Found by review: a command that assigns ranges was named by its first part, and a second one of the same name was dropped in silence.

--- a/src/dragonflyrock/control/proposals.py
+++ b/src/dragonflyrock/control/proposals.py
@@ -44,7 +44,8 @@
         case c.StopServer(server) | c.DropServer(server):
             return f"{kind}:{server}"
         case c.AssignRanges(service, parts):
-            return f"{kind}:{service}:{parts[0].low}"
+            lows = ",".join(f"{part.low}={part.owner}" for part in parts)
+            return f"{kind}:{service}:{lows}"
         case c.JoinRanges(service, low):
             return f"{kind}:{service}:{low}"
         case c.BeginMoves(moves):
