End a move with its own command only

The former owner was renewed, and the part then went to the new one. A move remembers its command. test_a_move_ends_with_its_own_command_only failed before.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
@@ -244,14 +244,16 @@
     def complete_proposal(self, command: c.Command) -> None:
         """Record that a proposed command was applied or has failed."""
         match command:
-            case c.AssignRanges(service, parts):
-                done = {(service, part.low) for part in parts}
+            case c.AssignRanges():
                 remaining = []
                 for move in self._moves:
-                    key = (move.service, move.low)
-                    if key in done and move.stage == MoveStage.FENCING:
+                    if move.command is not command:
+                        remaining.append(move)
+                    elif move.stage == MoveStage.FENCING:
                         move.stage = MoveStage.FENCED
-                    if key in done and move.stage == MoveStage.COMMITTING:
+                        remaining.append(move)
+                    elif move.stage == MoveStage.COMMITTING:
+                        key = (move.service, move.low)
                         self._handover_tokens[key] = move.handover
                     else:
                         remaining.append(move)
@@ -568,8 +570,8 @@
                     move.stage = MoveStage.COMMITTING
                     ready.append(move)
         return [
-            *_make_assignments((move, move.source) for move in fences),
-            *_make_assignments((move, move.target) for move in ready),
+            *_make_assignments([(move, move.source) for move in fences]),
+            *_make_assignments([(move, move.target) for move in ready]),
         ]
 
     def _needs_fence(self, move: RangeMove, now: float) -> bool:
@@ -582,7 +584,9 @@
         if move.was_fenced or hold is None or hold.owner.name != move.source:
             return False
         liveness = self._liveness.get(move.source)
-        if liveness is None or liveness.failures or self._is_grant_pending(move):
+        if liveness is None:
+            return False
+        if liveness.failures or self._is_grant_pending(move):
             return False
         return hold.possible_until - now > self._timing.order_timeout
 
@@ -853,12 +857,22 @@
             return
 
 
-def _make_assignments(
-    owners: Iterable[tuple[RangeMove, str]],
-) -> list[c.Command]:
-    """Return commands, one a service, that assign the parts of moves to owners."""
-    parts: dict[str, list[c.RangePart]] = {}
-    for move, owner in owners:
-        part = c.RangePart(move.low, move.high, move.epoch, f"{owner}@0")
-        parts.setdefault(move.service, []).append(part)
-    return [c.AssignRanges(service, tuple(items)) for service, items in parts.items()]
+def _make_assignments(owners: list[tuple[RangeMove, str]]) -> list[c.Command]:
+    """Return commands, one a service, that assign the parts of moves to owners.
+
+    Each move records its command.
+    """
+    commands: list[c.Command] = []
+    for service in dict.fromkeys(move.service for move, _ in owners):
+        chosen = [item for item in owners if item[0].service == service]
+        command = c.AssignRanges(
+            service,
+            tuple(
+                c.RangePart(move.low, move.high, move.epoch, f"{owner}@0")
+                for move, owner in chosen
+            ),
+        )
+        for move, _ in chosen:
+            move.command = command
+        commands.append(command)
+    return commands
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -10,6 +10,7 @@
 from ..const import NEVER
 from ..hashing import KEY_SPACE
 from ..models import ServerRow
+from .commands import AssignRanges
 
 __all__ = [
     "NEVER",
@@ -199,3 +200,4 @@
     handover: str = ""
     was_fenced: bool = False
     release: ReleaseOrder | None = None
+    command: AssignRanges | None = None
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -273,6 +273,28 @@
     assert not any(part.low <= sent[0].low <= part.high for part in parts)
 
 
+# Guards against a move that ends with the commit of another command for the same part:
+# the former owner is then renewed while the part goes to the new one.
+def test_a_move_ends_with_its_own_command_only() -> None:
+    world = start(11)
+    world.commit(c.StopServer("s1"))
+    command: c.AssignRanges | None = None
+    for _ in range(30):
+        world.now += TICK_SECONDS
+        commands, orders = world.leader.tick(world.now)
+        for order in orders:
+            result = OrderResult(order, OrderOutcome.DONE)
+            world.leader.complete_order(result, world.now)
+        command = next((x for x in commands if isinstance(x, c.AssignRanges)), command)
+    assert command is not None
+    moves = list(world.leader._moves)
+    other = c.AssignRanges(SERVICE, (command.parts[0],))
+    world.leader.complete_proposal(other)
+    assert world.leader._moves == moves
+    world.leader.complete_proposal(command)
+    assert len(world.leader._moves) < len(moves)
+
+
 # Guards against a result that is ignored because its range has got another epoch since:
 # the server holds the keys for longer than the leader knows.
 @pytest.mark.parametrize("outcome", [OrderOutcome.UNKNOWN, OrderOutcome.DONE])
