Send no grant to a server without an address

Found by review: a part of a dropped server was granted a newer epoch at an empty address; the order never ended, so the part was never given out. test_a_part_of_a_dropped_server_is_not_granted_again failed before.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -584,7 +584,7 @@
         if move.was_fenced or hold is None or hold.owner.name != move.source:
             return False
         liveness = self._liveness.get(move.source)
-        if liveness is None:
+        if liveness is None or move.source not in self._state.servers:
             return False
         if liveness.failures or self._is_grant_pending(move):
             return False
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -273,6 +273,27 @@
     assert not any(part.low <= sent[0].low <= part.high for part in parts)
 
 
+# Guards against an order to a server whose address is not known any more: its grant stays
+# pending, and the keys are not given out.
+def test_a_part_of_a_dropped_server_is_not_granted_again() -> None:
+    world = start(12)
+    world.commit(c.DropServer("s1"))
+    world.change_leader()
+    hold = next(h for h in world.leader._holds.values() if h.owner.name == "s1")
+    former_owner = hold.owner._replace(address="10.0.0.0:80")
+    order = GrantOrder(
+        former_owner, SERVICE, hold.low, hold.high, hold.epoch, 6_000, ""
+    )
+    world.leader.complete_order(OrderResult(order, OrderOutcome.DONE), world.now)
+    for _ in range(20):
+        world.now += TICK_SECONDS
+        commands, orders = world.leader.tick(world.now)
+        for command in commands:
+            world.commit(command)
+            world.leader.complete_proposal(command)
+        assert all(order.server.address for order in orders)
+
+
 # Guards against a move that ends with the commit of another command for the same part:
 # the former owner is then renewed while the part goes to the new one.
 def test_a_move_ends_with_its_own_command_only() -> None:
