Soak: connect nodes from their own addresses, so that servers' proxies know them

All nodes' connections to the servers came from 127.0.0.1 (measured: a socket without a bind that connects to 127.21.3.1), so the proxies could tell "control" from "entry" by the first bytes, but not one entry node from another. A launcher now gives asyncio's create_connection the node's address; the product is unchanged. The source is known when the proxy accepts, so the pattern of control calls goes. A cut of a role acts from then on, not from the first bytes. Links (ZeroMQ) are still known by their first message.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -18,6 +18,7 @@
 from .models import Ended, Started
 
 PROGRAM: Final = Path(__file__).resolve().parents[1] / "deploy" / "node.py"
+LAUNCHER: Final = Path(__file__).resolve().with_name("bound_node.py")
 FIRST_RETRY_SLACK: Final = 60
 FLIPPED_BIT_MASK: Final = 0x10
 
@@ -84,7 +85,7 @@
         self._sigterm_at, self._killed = -1.0, False
         environment = {wire.names.SETTINGS_VARIABLE: str(self._settings)}
         environment["PATH"] = os.environ.get("PATH", "")
-        command = (sys.executable, str(PROGRAM))
+        command = (sys.executable, str(LAUNCHER), self.spec.node_ip, str(PROGRAM))
         self._process = await start_process(command, environment, self._log)
         self._history.add(Started(self.spec.name))
         self._exit_task = asyncio.create_task(self._record_end(self._process))
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -12,7 +12,6 @@
 ANY_SOURCE: Final = ""
 # A node's name is its proxy's IP address; a link's first bytes contain it.
 NODE_NAME_PATTERN: Final = re.compile(rb"127\.\d+\.1\.\d+")
-CONTROL_CALL_PATTERN: Final = re.compile(rb"POST /-/|GET /health")
 
 
 class EndlessAnswer(NamedTuple):
@@ -52,32 +51,35 @@
 
 
 class ProxiedConnection:
-    """A connection through a proxy; its first bytes identify its source."""
+    """A connection through a proxy.
 
-    def __init__(self, target: str) -> None:
-        """Start with an unknown source."""
+    Its source is the node with its peer's address; on a link, its first bytes name it.
+    """
+
+    def __init__(self, target: str, source: str) -> None:
+        """Start with a source, which may be unknown."""
         self.target = target
-        self.source = ANY_SOURCE
+        self.source = source
 
     def identify(self, data: bytes, node_names: dict[bytes, str]) -> None:
-        """Set the source from the first bytes that it sent.
-
-        It is a node's name on a link, and "control" or "entry" at a backend server.
-        """
+        """Set the source of a link from the first bytes that it sent."""
         if self.target.endswith("/link"):
             match = NODE_NAME_PATTERN.search(data)
             self.source = (
                 node_names.get(match.group(), ANY_SOURCE) if match else ANY_SOURCE
             )
-        elif self.target.startswith("server"):
-            self.source = "control" if CONTROL_CALL_PATTERN.match(data) else "entry"
+
+    def comes_from(self, source: str) -> bool:
+        """Return whether the source is this node, this role, or any."""
+        role = self.source.partition("-")[0]
+        return source in (ANY_SOURCE, self.source, role)
 
 
 class Proxies:
     """All proxies of a run; a target is the name of the component behind a proxy."""
 
     def __init__(self, node_names: dict[bytes, str]) -> None:
-        """Start without proxies; ``node_names`` are keyed by proxy IP address."""
+        """Start without proxies; ``node_names`` are keyed by IP address."""
         self._node_names = node_names
         self._faults: list[Fault] = []
         self._servers: list[asyncio.Server] = []
@@ -93,7 +95,9 @@
         ) -> None:
             task = asyncio.current_task()
             assert task is not None
-            connection = self._connections[task] = ProxiedConnection(target)
+            ip = writer.get_extra_info("peername")[0]
+            source = self._node_names.get(ip.encode(), ANY_SOURCE)
+            connection = self._connections[task] = ProxiedConnection(target, source)
             # A reset by either side or by a fault closes both sides.
             with suppress(OSError, asyncio.CancelledError):
                 await self._relay(connection, target_address, reader, writer)
@@ -118,10 +122,7 @@
     def reset(self, source: str, target: str) -> None:
         """Reset the connections from a source to a target."""
         for task, connection in list(self._connections.items()):
-            if connection.target == target and source in (
-                ANY_SOURCE,
-                connection.source,
-            ):
+            if connection.target == target and connection.comes_from(source):
                 task.cancel()
 
     async def close(self) -> None:
@@ -134,9 +135,8 @@
 
     def _list_faults(self, connection: ProxiedConnection) -> list[Fault]:
         """Return the faults that apply to a connection."""
-        sources = (ANY_SOURCE, connection.source)
         faults = [fault for fault in self._faults if fault.target == connection.target]
-        return [fault for fault in faults if fault.source in sources]
+        return [fault for fault in faults if connection.comes_from(fault.source)]
 
     async def _wait_while_held(
         self, connection: ProxiedConnection, forward: bool, reader: asyncio.StreamReader
--- a/soak/run.py
+++ b/soak/run.py
@@ -62,7 +62,11 @@
         servers = [StandIn(context, number + 1) for number in range(const.SERVER_COUNT)]
         self._servers = {server.label: server for server in servers}
         self._proxies = Proxies(
-            {spec.proxy_ip.encode(): spec.name for spec in self._specs}
+            {
+                ip.encode(): spec.name
+                for spec in self._specs
+                for ip in (spec.proxy_ip, spec.node_ip)
+            }
         )
         self._config_view = ConfigView()
         self._operators = [
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -21,15 +21,15 @@
     writer.close()
 
 
-def run_exchange(exchange: Exchange) -> None:
+def run_exchange(exchange: Exchange, target: str = "entry-1") -> None:
     """Run an exchange through a proxy to an echo server."""
 
     async def run() -> None:
         port = find_free_port_block()
         server_address, proxy_address = f"127.0.0.1:{port}", f"127.0.0.1:{port + 1}"
         server = await asyncio.start_server(echo, "127.0.0.1", port)
-        proxies = Proxies({})
-        await proxies.listen("entry-1", proxy_address, server_address)
+        proxies = Proxies({b"127.0.0.1": "entry-1"})
+        await proxies.listen(target, proxy_address, server_address)
         try:
             await exchange(proxies, proxy_address)
         finally:
@@ -89,3 +89,21 @@
         writer.close()
 
     run_exchange(exchange)
+
+
+# Guards against a fault of one node's connections that acts on another node's.
+@pytest.mark.parametrize(
+    ("source", "is_reset"), [("entry-1", True), ("entry-2", False)]
+)
+def test_source_of_connection_is_known_from_its_address(
+    source: str, is_reset: bool
+) -> None:
+    async def exchange(proxies: Proxies, proxy_address: str) -> None:
+        reader, writer = await connect_and_send(proxy_address)
+        await reader.readexactly(10)
+        proxies.reset(source, "server-1")
+        writer.write(b"0")
+        assert (await reader.read(1) == b"") is is_reset
+        writer.close()
+
+    run_exchange(exchange, "server-1")
