Soak: cut entry nodes off from all servers, which others still reach

`hang` holds bytes, also those of new connections, `drop` resets open and new connections, `refuse` only new ones; for 8 s, at one to all but one of the entry nodes. The proxy accepts before it resets or holds: a connect() that fails or hangs is not played.

An isolation excuses no lost request, except for a node's own error after SIGTERM while the server still ran the request: there the fault itself cut the run.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -129,7 +129,10 @@
     for began_at, run in runs:
         _, how = index.finished.get((run.request, run.server), (0.0, ""))
         label = run.server.partition(".")[0]
-        if how == "cut" and not index.has_fault_near(label, began_at, at):
+        is_excused = index.has_fault_near(label, began_at, at) or index.was_isolated(
+            sent.node, began_at, at
+        )
+        if how == "cut" and not is_excused:
             return f"answered {outcome.status} while {run.server} was running it"
     return ""
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -70,6 +70,9 @@
 # Response times of a process that waited this long for a processor are not checked.
 STARVATION_SECONDS: Final = 0.1
 
+# Kinds of the faults that cut an entry node off from all servers.
+ISOLATIONS: Final = ("hang", "drop", "refuse")
+
 LINK_PORT: Final = 7540
 CALLERS_PORT: Final = 8548
 READY_PORT: Final = 8542
--- a/soak/history_index.py
+++ b/soak/history_index.py
@@ -22,6 +22,7 @@
 # These faults excuse no lost request: the process is notified, or is hardly slowed.
 HARMLESS_FAULTS: Final = (
     *("stop", "hup", "change", "delay", "leave", "slow", "pause", "limit"),
+    *const.ISOLATIONS,
 )
 # Name of the test program itself in ``Starved`` records.
 SOAK: Final = "soak"
@@ -119,6 +120,16 @@
             for at, act in self.acted
         )
 
+    def was_isolated(self, node: str, start: float, end: float) -> bool:
+        """Return whether a node was cut off from all servers between two times."""
+        return any(
+            act.target == node
+            and act.what in const.ISOLATIONS
+            and at <= end
+            and start <= act.until
+            for at, act in self.acted
+        )
+
     def find_sigterm(self, node: str, at: float) -> float | None:
         """Return the time of the SIGTERM that a node was handling, or None."""
         stops = [
--- a/soak/player.py
+++ b/soak/player.py
@@ -64,6 +64,8 @@
                     self._nodes[step.target].send_signal(signal.SIGHUP)
             case "cut" | "delay" | "half" | "reset" | "endless":
                 await self._apply_network_fault(step)
+            case "hang" | "drop" | "refuse":
+                await self._isolate(step)
             case "leave" | "crash" | "slow" | "pause" | "limit":
                 await self._apply_server_fault(step, self._servers[step.target])
 
@@ -124,6 +126,28 @@
         is_reset = step.what == "cut" and int(step.length * 1000) % 2 == 0
         self._proxies.remove(fault, is_reset)
 
+    async def _isolate(self, step: Step) -> None:
+        """Cut an entry node off from all servers, which others still reach."""
+        self._record(step, step.length)
+        is_held, is_refused = step.what == "hang", step.what != "hang"
+        faults = [
+            Fault(
+                step.target,
+                server,
+                hold_forward=is_held,
+                hold_backward=is_held,
+                refuse=is_refused,
+            )
+            for server in self._servers
+        ]
+        for fault in faults:
+            self._proxies.add(fault)
+            if step.what == "drop":
+                self._proxies.reset(fault.source, fault.target)
+        await asyncio.sleep(step.length)
+        for fault in faults:
+            self._proxies.remove(fault)
+
     async def _apply_server_fault(self, step: Step, server: StandIn) -> None:
         """Make a server leave, crash, slow down, ask for a pause or name a limit."""
         if step.target in self._stopped_servers:
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import re
+import socket
+import struct
 from contextlib import suppress
 from typing import Final, NamedTuple
 
 CHUNK_BYTES: Final = 65536
 POLL_SECONDS: Final = 0.02
 ANY_SOURCE: Final = ""
+# Makes a socket send a reset when it is closed.
+LINGER_NONE: Final = struct.pack("ii", 1, 0)
 # A node's name is its proxy's IP address; a link's first bytes contain it.
 NODE_NAME_PATTERN: Final = re.compile(rb"127\.\d+\.1\.\d+")
 
@@ -39,6 +43,7 @@
     until the fault ends, unless their sender resets the connection. ``truncate`` passes
     half of the next bytes, and then resets the connection. ``endless`` is what a target
     sends again and again, instead of its next response, until the caller closes.
+    ``refuse`` resets new connections.
     """
 
     source: str
@@ -48,6 +53,7 @@
     hold_backward: bool = False
     truncate: bool = False
     endless: EndlessAnswer | None = None
+    refuse: bool = False
 
 
 class ProxiedConnection:
@@ -97,7 +103,13 @@
             assert task is not None
             ip = writer.get_extra_info("peername")[0]
             source = self._node_names.get(ip.encode(), ANY_SOURCE)
-            connection = self._connections[task] = ProxiedConnection(target, source)
+            connection = ProxiedConnection(target, source)
+            if any(fault.refuse for fault in self._list_faults(connection)):
+                client = writer.get_extra_info("socket")
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+                writer.transport.abort()
+                return
+            self._connections[task] = connection
             # A reset by either side or by a fault closes both sides.
             with suppress(OSError, asyncio.CancelledError):
                 await self._relay(connection, target_address, reader, writer)
--- a/soak/script.py
+++ b/soak/script.py
@@ -12,6 +12,7 @@
 
 GROUP_INTERVAL_SECONDS: Final[Range] = (1.5, 3.0)
 CUT_OR_FREEZE_SECONDS: Final[Range] = (0.3, 3.0)
+ISOLATION_SECONDS: Final[Range] = (8.0, 8.0)
 FAULT_SECONDS: Final[Range] = (0.2, 2.0)
 SHORT_FAULT_SECONDS: Final[Range] = (0.2, 0.8)
 ADDED_DELAY_SECONDS: Final[Range] = (0.02, 0.3)
@@ -47,6 +48,7 @@
 
     Its target is one of the candidates, or the previous fault's target if there are
     none. With a ``gap`` it affects all candidates in turn, this many seconds apart.
+    "isolate" stands for a random kind of isolation, of one to all but one candidates.
     """
 
     what: str
@@ -60,6 +62,7 @@
     FaultSpec("stop", ENTRY, gap=(0.8, 2.0)),
     FaultSpec("cut", PROXY_TARGETS, 5.0, CUT_OR_FREEZE_SECONDS),
 )
+ISOLATION: Final = (FaultSpec("isolate", ENTRY, 0, ISOLATION_SECONDS, NO_GAP),)
 LATER_STOP: Final = FaultSpec("stop", ENTRY, 2.0)
 FAULT_GROUPS: Final[tuple[tuple[FaultSpec, ...], ...]] = (
     # A rolling restart of all entry nodes during a cut, and one of the control nodes.
@@ -94,6 +97,9 @@
         FaultSpec("freeze", NODES, 0, CUT_OR_FREEZE_SECONDS),
         FaultSpec("kill", NODES, 1, FAULT_SECONDS),
     ),
+    # Entry nodes that are cut off from all servers.
+    ISOLATION,
+    ISOLATION,
     # Several network faults at the same time.
     (
         *(FaultSpec("cut", PROXY_TARGETS, 2, CUT_OR_FREEZE_SECONDS),) * 3,
@@ -166,6 +172,10 @@
         targets = [random.choice(candidates)] if candidates else [target]
         if gap is not None:
             targets = random.sample(candidates, len(candidates))
+        kind = what
+        if what == "isolate":
+            kind = random.choice(const.ISOLATIONS)
+            targets = targets[: random.randint(1, len(targets) - 1)]
         first, spacing = (
             at + random.uniform(0, max_delay),
             random.uniform(*gap or NO_GAP),
@@ -178,7 +188,7 @@
             elif what == "delay":
                 value = random.uniform(*ADDED_DELAY_SECONDS)
             yield Step(
-                start, what, target, duration, source if what == "cut" else "", value
+                start, kind, target, duration, source if what == "cut" else "", value
             )
 
 
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -107,3 +107,19 @@
         writer.close()
 
     run_exchange(exchange, "server-1")
+
+
+# Guards against a refusing fault that closes open connections or accepts new ones.
+def test_refusing_fault_resets_only_new_connections() -> None:
+    async def exchange(proxies: Proxies, proxy_address: str) -> None:
+        reader, writer = await connect_and_send(proxy_address)
+        assert await reader.readexactly(10) == b"0123456789"
+        proxies.add(Fault("entry-1", "server-1", refuse=True))
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            new_reader, _ = await connect_and_send(proxy_address)
+            await new_reader.readexactly(1)
+        writer.write(b"0")
+        assert await reader.readexactly(1) == b"0"
+        writer.close()
+
+    run_exchange(exchange, "server-1")
--- a/tests/soak/test_script.py
+++ b/tests/soak/test_script.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from soak.__main__ import list_regressions, main, parse_arguments
+from soak.const import ENTRY_NODE_COUNT, ISOLATIONS
 from soak.script import make_script
 
 SECONDS = 12.0
@@ -45,6 +46,9 @@
             "pause",
             "limit",
             "endless",
+            "hang",
+            "drop",
+            "refuse",
         ),
     }
 
@@ -60,3 +64,12 @@
 def test_command_line_accepts_seed_range() -> None:
     assert parse_arguments(["--seeds", "3-9"]).seeds == "3-9"
     assert callable(main)
+
+
+# Guards against an isolation of all entry nodes, or one that no seed plays on several.
+def test_isolation_leaves_one_entry_node_connected() -> None:
+    counts = set()
+    for seed in range(200):
+        steps = [s for s in make_script(seed, SECONDS) if s.what in ISOLATIONS]
+        counts |= {sum(s.at == step.at for s in steps) for step in steps}
+    assert counts == set(range(1, ENTRY_NODE_COUNT))
