Soak: check RECOVER of entry nodes that are cut off from all servers

From 3 s after the cut, first tries there must be served two thirds as often as at the other nodes, unless no more than 10 + 1 in 50 of all first tries fail there. Refused connections and those closed unread are failed tries; a caller that gives up before its deadline is not counted. Only faults of the node other than the isolation, and restarts, take its tries out.

The tests hold three histories broken on purpose, which fail without the check (3 of 3), and five allowed ones.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -142,9 +142,9 @@
     async def _call(self, request: CallerRequest) -> None:
         """Send a request and retry it as the rules allow."""
         node = self._node if self._is_open() else None
-        for _ in range(const.MAX_RETRY_COUNT + 1):
+        for number in range(const.MAX_RETRY_COUNT + 1):
             node = node or self._balancer.pick(self._node)
-            status, retry_delay = await self._attempt(request, node)
+            status, retry_delay = await self._attempt(request, node, number > 0)
             may_retry = status in const.NOT_RUN_STATUSES or (
                 request.route.safe and status in (0, *range(500, 600))
             )
@@ -163,7 +163,7 @@
         self._connection = None
 
     async def _attempt(
-        self, request: CallerRequest, node: NodeSpec
+        self, request: CallerRequest, node: NodeSpec, again: bool = False
     ) -> tuple[int, float]:
         """Send a request once; return its status, or 0, and the retry delay."""
         self._node = node
@@ -173,7 +173,7 @@
                 node.address, const.CALL_TIMEOUT_SECONDS
             )
             if isinstance(connection, ExchangeFault):
-                self._history.add(Unreached(node.name))
+                self._history.add(Unreached(node.name, again))
                 return 0, 0.0
             self._connection = connection
         if self._history.now() >= request.until:
@@ -187,6 +187,7 @@
             request.route.safe,
             request.until,
             fresh,
+            again,
         )
         self._history.add(sent)
         outcome, retry_delay = await self._exchange(request, node, request_id)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -295,6 +295,62 @@
             yield Violation("RECOVER", index.now, detail, (node,))
 
 
+def check_isolation(index: HistoryIndex) -> Iterator[Violation]:
+    """Find entry nodes, cut off from all servers, that serve far worse than others."""
+    notice = const.ISOLATION_NOTICE_SECONDS
+    cuts = [(at, act) for at, act in index.acted if act.what in const.ISOLATIONS]
+    tries = list(_list_first_tries(index)) if cuts else []
+    for since, act in cuts:
+        here: list[bool] = []
+        others: list[bool] = []
+        for at, node, is_served in tries:
+            if not since + notice <= at <= act.until:
+                continue
+            if any(
+                cut.target == node and start + notice <= at <= cut.until
+                for start, cut in cuts
+            ):
+                here.append(is_served)
+            elif not index.was_isolated(node, at - notice, at):
+                others.append(is_served)
+        if _is_far_worse(here, others):
+            detail = (
+                f"isolated nodes served {sum(here)} of {len(here)} first tries, "
+                f"the others {sum(others)} of {len(others)}"
+            )
+            yield Violation("RECOVER", index.now, detail, (act.target,))
+            return
+
+
+def _list_first_tries(index: HistoryIndex) -> Iterator[tuple[float, str, bool]]:
+    """Return each first try at a node in touch: its time, the node, whether served."""
+    for at, record in index.events:
+        tried_at, is_served = at, False
+        match record:
+            case Unreached(node, again=False):
+                pass
+            case Outcome(request, node, how, status):
+                tried_at, sent = index.sent[request]
+                has_given_up_early = how == "left" and at < sent.until
+                if sent.again or has_given_up_early:
+                    continue
+                is_served = status == 200
+            case _:
+                continue
+        if index.was_in_touch(node, tried_at, at):
+            yield tried_at, node, is_served
+
+
+def _is_far_worse(here: list[bool], others: list[bool]) -> bool:
+    """Return whether tries here are served too rarely, and too many of all fail."""
+    failed = len(here) - sum(here)
+    allowed_share = const.MAX_ISOLATED_FAILED_SHARE * (len(here) + len(others))
+    if failed <= const.MAX_ISOLATED_FAILED_COUNT + allowed_share or not others:
+        return False
+    ratio = sum(here) / len(here)
+    return ratio < const.MIN_ISOLATED_SERVED_RATIO * sum(others) / len(others)
+
+
 def check_config_reads(index: HistoryIndex) -> Iterator[Violation]:
     """Find reads of an outdated, altered or refused configuration."""
     for at, read in index.events:
@@ -360,7 +416,8 @@
 CHECKS: Final = (
     check_owner, check_runs, check_responses, check_lost_requests, check_process_ends,
     check_drain, check_leaving, check_limits, check_pauses, check_memory, check_ready,
-    check_recovery, check_config_reads, check_config_changes, check_unknown_routes,
+    check_recovery, check_isolation, check_config_reads, check_config_changes,
+    check_unknown_routes,
 )  # fmt: skip
 
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -36,6 +36,13 @@
 # A missing response is a failure this long after the request's deadline.
 LATE_RESPONSE_SECONDS: Final = 0.5
 
+# From this time after an entry node was cut off from all servers, it must serve first
+# tries this many times as often as others, unless few of all first tries fail there.
+ISOLATION_NOTICE_SECONDS: Final = 3.0
+MIN_ISOLATED_SERVED_RATIO: Final = 2 / 3
+MAX_ISOLATED_FAILED_COUNT: Final = 10
+MAX_ISOLATED_FAILED_SHARE: Final = 1 / 50
+
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 
--- a/soak/history_index.py
+++ b/soak/history_index.py
@@ -130,6 +130,22 @@
             for at, act in self.acted
         )
 
+    def was_in_touch(self, node: str, start: float, end: float) -> bool:
+        """Return whether a node ran between two times without a fault of its own.
+
+        An isolation from the servers is none.
+        """
+        since = start - const.AFTER_FAULT_SECONDS
+        return not any(
+            act.target.startswith(node)
+            and act.what not in (*const.ISOLATIONS, "hup", "change")
+            and at <= end
+            and since <= act.until
+            for at, act in self.acted
+        ) and not any(
+            record.node == node and since <= at <= end for at, record in self.started
+        )
+
     def find_sigterm(self, node: str, at: float) -> float | None:
         """Return the time of the SIGTERM that a node was handling, or None."""
         stops = [
--- a/soak/models.py
+++ b/soak/models.py
@@ -8,7 +8,8 @@
 class Sent(NamedTuple):
     """A caller sends a request.
 
-    ``until`` is its deadline; ``fresh`` is set for the first one on a connection.
+    ``until`` is its deadline; ``fresh`` is set for the first one on a connection, and
+    ``again`` if its caller has tried it before.
     """
 
     request: str
@@ -17,6 +18,7 @@
     safe: bool
     until: float
     fresh: bool = False
+    again: bool = False
 
 
 class Outcome(NamedTuple):
@@ -35,9 +37,13 @@
 
 
 class Unreached(NamedTuple):
-    """A caller's connection attempt was refused or timed out."""
+    """A caller's connection attempt was refused or timed out.
+
+    ``again`` is set if its caller has tried the request before.
+    """
 
     node: str
+    again: bool = False
 
 
 class Readied(NamedTuple):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -242,7 +242,63 @@
     "BUDGET",
 )
 
+ISOLATED: RecordList = [(6.9, Acted(NODE, "hang", 15.0))]
+
+
+def make_tries(how: str, failed_count: int, since: float = 10.0) -> RecordList:
+    """Return 100 first tries, half of them at another node, while one is isolated.
+
+    The first ones at the isolated node fail: "answered" (503), "broken" or "refused".
+    """
+    records = list(ISOLATED)
+    for number in range(50):
+        at, other = since + number / 50, f"o-{number}"
+        records += [
+            (at, Sent(other, "entry-2", "book", True, at + 1.5)),
+            (at + 0.3, Outcome(other, "entry-2", "answered", 200, True)),
+        ]
+        request = make_request(at, f"c-{number}", safe=True)
+        if number >= failed_count:
+            records += [*request, *make_response(at + 0.35, f"c-{number}")]
+        elif how == "refused":
+            records.append((at, Unreached(NODE)))
+        else:
+            outcome = Outcome(f"c-{number}", NODE, how, 503 if how == "answered" else 0)
+            records += [request[0], (at + 0.1, outcome)]
+    return records
+
+
+BROKEN["tries turned away by a node that is cut off from all servers"] = (
+    make_tries("answered", 20),
+    "RECOVER",
+)
+BROKEN["connections closed unread by a node that is cut off from all servers"] = (
+    make_tries("broken", 20),
+    "RECOVER",
+)
+BROKEN["connections refused by a node that is cut off from all servers"] = (
+    make_tries("refused", 20),
+    "RECOVER",
+)
+
 ALLOWED: dict[str, RecordList] = {
+    "a third of the tries failed by a node that is cut off from all servers": (
+        make_tries("answered", 16)
+    ),
+    "tries turned away by a node that has just been cut off from all servers": (
+        make_tries("answered", 50, since=8.8)
+    ),
+    "tries turned away by a node that was cut off until then": (
+        make_tries("answered", 50, since=15.1)
+    ),
+    "tries turned away by a node that was killed, and cut off from all servers": [
+        (9.5, Acted(NODE, "kill", 11.0)),
+        *make_tries("answered", 50),
+    ],
+    "repeats turned away by a node that is cut off from all servers": [
+        (at, record._replace(again=True) if isinstance(record, Sent) else record)
+        for at, record in make_tries("answered", 50)
+    ],
     "as many requests to a server as its limit allows": LIMITED[:-3],
     "requests to a server beyond its limit, of a node that was cut from others": [
         (9.5, Acted(f"{NODE}/link", "cut", 17.0)),
