Soak: give entry nodes a relay address, with a proxy before it

Entry nodes will send each other requests through `relay`, the same port on all of them. No fault acts on the relay connections yet.

--- a/soak/const.py
+++ b/soak/const.py
@@ -82,6 +82,8 @@
 
 LINK_PORT: Final = 7540
 CALLERS_PORT: Final = 8548
+# Through which entry nodes send each other requests.
+RELAY_PORT: Final = 8549
 READY_PORT: Final = 8542
 CONTROL_PORT: Final = 8544
 SERVER_PORT: Final = 8080
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -92,6 +92,7 @@
         listen["control"] = f"{node.node_ip}:{node.port}"
     else:
         listen["callers"] = f"{node.node_ip}:{node.port}"
+        listen["relay"] = f"{node.node_ip}:{const.RELAY_PORT}"
         listen["ready"] = f"{node.node_ip}:{const.READY_PORT}"
     bounds = {"stop_grace_s": const.GRACE_SECONDS, "retry_slack": retry_slack}
     seeds = [seed.address for seed in layout.list_role("control")]
--- a/soak/run.py
+++ b/soak/run.py
@@ -85,8 +85,12 @@
             await self._proxies.listen(
                 spec.name, spec.address, f"{spec.node_ip}:{spec.port}"
             )
-            link = (f"{ip}:{const.LINK_PORT}" for ip in (spec.proxy_ip, spec.node_ip))
-            await self._proxies.listen(f"{spec.name}/link", *link)
+            ports = {"link": const.LINK_PORT}
+            if spec.role == "entry":
+                ports["relay"] = const.RELAY_PORT
+            for name, port in ports.items():
+                addresses = (f"{ip}:{port}" for ip in (spec.proxy_ip, spec.node_ip))
+                await self._proxies.listen(f"{spec.name}/{name}", *addresses)
         await asyncio.gather(
             *(node.start(forming=True) for node in self._nodes.values())
         )
