--- a/soak/const.py
+++ b/soak/const.py
@@ -36,6 +36,13 @@
 # A missing response is a failure this long after the request's deadline.
 LATE_RESPONSE_SECONDS: Final = 0.5
 
+# From this time after an entry node was cut off from all servers, it must serve first
+# tries this many times as often as others, unless few of all first tries fail there.
+ISOLATION_NOTICE_SECONDS: Final = 3.0
+MIN_ISOLATED_SERVED_RATIO: Final = 2 / 3
+MAX_ISOLATED_FAILED_COUNT: Final = 10
+MAX_ISOLATED_FAILED_SHARE: Final = 1 / 50
+
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 
@@ -70,8 +77,13 @@
 # Response times of a process that waited this long for a processor are not checked.
 STARVATION_SECONDS: Final = 0.1
 
+# Kinds of the faults that cut an entry node off from all servers.
+ISOLATIONS: Final = ("hang", "drop", "refuse")
+
 LINK_PORT: Final = 7540
 CALLERS_PORT: Final = 8548
+# Through which entry nodes send each other requests.
+RELAY_PORT: Final = 8549
 READY_PORT: Final = 8542
 CONTROL_PORT: Final = 8544
 SERVER_PORT: Final = 8080
--- a/soak/run.py
+++ b/soak/run.py
@@ -62,7 +62,11 @@
         servers = [StandIn(context, number + 1) for number in range(const.SERVER_COUNT)]
         self._servers = {server.label: server for server in servers}
         self._proxies = Proxies(
-            {spec.proxy_ip.encode(): spec.name for spec in self._specs}
+            {
+                ip.encode(): spec.name
+                for spec in self._specs
+                for ip in (spec.proxy_ip, spec.node_ip)
+            }
         )
         self._config_view = ConfigView()
         self._operators = [
@@ -81,8 +85,12 @@
             await self._proxies.listen(
                 spec.name, spec.address, f"{spec.node_ip}:{spec.port}"
             )
-            link = (f"{ip}:{const.LINK_PORT}" for ip in (spec.proxy_ip, spec.node_ip))
-            await self._proxies.listen(f"{spec.name}/link", *link)
+            ports = {"link": const.LINK_PORT}
+            if spec.role == "entry":
+                ports["relay"] = const.RELAY_PORT
+            for name, port in ports.items():
+                addresses = (f"{ip}:{port}" for ip in (spec.proxy_ip, spec.node_ip))
+                await self._proxies.listen(f"{spec.name}/{name}", *addresses)
         await asyncio.gather(
             *(node.start(forming=True) for node in self._nodes.values())
         )
