Probe servers by a health check, as an accepted connection proves nothing

A probe asks for the server's health on a new connection now, and a new connection that is lost or a request that is not answered starts one, at most each second while servers are reached.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -304,13 +304,21 @@
         """Open a connection within ``timeout`` seconds, or return the fault."""
         return await self._open(address, timeout)
 
-    async def probe(self, address: str, timeout: float) -> bool:
-        """Return whether a server accepts a new connection, and keep it if so."""
+    async def probe(self, address: str, path: str, timeout: float) -> bool:
+        """Return whether a server answers a GET of ``path`` on a new connection."""
         opened = await self._open(address, timeout)
         if isinstance(opened, ExchangeFault):
             return False
-        self.release(opened)
-        return True
+        headers = ((b"Host", address.encode()),)
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await opened.exchange(
+                    Request(b"GET", path.encode(), headers, b"")
+                )
+        except TimeoutError:
+            return False
+        opened.close()
+        return isinstance(answer, Response)
 
     async def _open(
         self, address: str, timeout: float
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -47,7 +47,7 @@
 )
 from .notices import record_notices
 from .obstacles import Obstacle, find_obstacle
-from .reach import CONNECT_TIMEOUT_SECONDS, ServerReach
+from .reach import CONNECT_TIMEOUT_SECONDS, ProbeTarget, ServerReach
 from .relay import (
     Relayer,
     make_relay_refusal,
@@ -142,7 +142,7 @@
         self._split_offset = hash_fraction(config.host, "split")
         self._crash_checks: set[asyncio.Task[None]] = set()
         self.reach = ServerReach(
-            lambda: [stat.row.address for stat in state.stats.values()],
+            self._list_probe_targets,
             connections,
             lines,
             clock,
@@ -151,6 +151,15 @@
         self.relayer = Relayer(config, lambda: state.tables.hosts, clock, random)
         self._relayed_count = 0
 
+    def _list_probe_targets(self) -> list[ProbeTarget]:
+        """Return every server with the path at which it reports its health."""
+        services = self._state.tables.routed_services
+        return [
+            ProbeTarget(stat.row.address, services[stat.row.service].health_path)
+            for stat in self._state.stats.values()
+            if stat.row.service in services
+        ]
+
     async def handle(self, request: Request) -> Response:
         """Answer one request of a caller."""
         return await self._handle(request, None)
@@ -559,6 +568,8 @@
         self._count_server_bytes(context.service, stat, outgoing, result)
         if isinstance(result, ExchangeFault):
             lost = result.kind == FaultKind.CONNECTION_LOST
+            if lost and not reused:
+                self.reach.record_failure(address)
             if lost and ended - now >= OVERLOAD_RESET_SECONDS:
                 # The request does not wait for this check: a server without power
                 # never responds, so the check may last until its timeout.
@@ -607,7 +618,6 @@
             self.reach.record_failure(address)
             context.detail = f"connect: {opened.detail}"
             return None
-        self.reach.record_connected()
         return opened
 
     async def _take_token(self, context: RequestContext, stat: ServerStat) -> bool:
--- a/src/dragonflyrock/router/reach.py
+++ b/src/dragonflyrock/router/reach.py
@@ -1,16 +1,16 @@
-"""Whether this host reaches backend servers at all, by its new connections."""
+"""Whether this host reaches backend servers at all, on new connections."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..http import ConnectionPool
 from ..observe.lines import LineLog
 
-__all__ = ["ServerReach"]
+__all__ = ["ProbeTarget", "ServerReach"]
 
 CONNECT_TIMEOUT_SECONDS: Final = 0.3
 # A failure counts for this long. A request that hangs fails at its deadline.
@@ -22,27 +22,37 @@
 PROBE_COUNT: Final = 3
 # Probes that must succeed before a host counts as reaching servers again.
 MIN_REACHED_SERVERS: Final = 2
+PROBE_TIMEOUT_SECONDS: Final = 0.4
 PROBE_INTERVAL_SECONDS: Final = 0.4
+# While servers were reached by the last probe.
+LONG_PROBE_INTERVAL_SECONDS: Final = 1.0
+
+
+class ProbeTarget(NamedTuple):
+    """A server's ``ip:port``, and the path at which it reports its health."""
+
+    address: str
+    path: str
 
 
 class ServerReach:
     """Record failures to reach servers, and probe servers when several have failed.
 
-    A host that reaches none of the probed servers is cut off from the servers until
-    most probes succeed. Connections that live on while new ones fail do not count.
+    A host is cut off from the servers once no probed one answers on a new connection,
+    until most do. Connections that live on while new ones fail do not count.
     """
 
     def __init__(
         self,
-        list_addresses: Callable[[], Sequence[str]],
+        list_targets: Callable[[], Sequence[ProbeTarget]],
         connections: ConnectionPool,
         lines: LineLog,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
-        """Start in reach; ``list_addresses`` returns the servers' ``ip:port``."""
+        """Start in reach; ``list_targets`` returns the servers to probe."""
         self.is_cut_off = False
-        self._list_addresses = list_addresses
+        self._list_targets = list_targets
         self._connections = connections
         self._lines = lines
         self._clock = clock
@@ -51,11 +61,12 @@
         # When a server failed first since the last answer.
         self._first_failed_at = float("inf")
         self._probed_at = float("-inf")
+        self._is_reached = False
         self._probe: asyncio.Task[None] | None = None
 
     @property
     def is_doubtful(self) -> bool:
-        """Return whether several servers failed and no new connection has succeeded."""
+        """Return whether several servers failed within the window."""
         since = self._clock() - FAILURE_WINDOW_SECONDS
         failed = sum(at > since for at in self._failed_at.values())
         return self.is_cut_off or failed >= MIN_FAILED_SERVERS
@@ -78,18 +89,13 @@
         """Record that a server has answered a request."""
         self._first_failed_at = float("inf")
 
-    def record_connected(self) -> None:
-        """Record that a server accepted a new connection."""
-        if not self.is_cut_off:
-            self._failed_at.clear()
-
     async def check(self, address: str) -> bool:
         """Return whether the host reaches servers, by probes of the last moments.
 
         Without a server at another address than ``address`` there is no sign that it
         does not.
         """
-        if set(self._list_addresses()) <= {address}:
+        if {target.address for target in self._list_targets()} <= {address}:
             return True
         if not self.is_cut_off:
             self._start_probe()
@@ -110,37 +116,41 @@
     def _start_probe(self) -> None:
         """Start a probe, unless one is in progress or was made just now."""
         now = self._clock()
-        if self._probe is not None or now - self._probed_at < PROBE_INTERVAL_SECONDS:
+        interval = LONG_PROBE_INTERVAL_SECONDS
+        if self.is_cut_off or not self._is_reached:
+            interval = PROBE_INTERVAL_SECONDS
+        if self._probe is not None or now - self._probed_at < interval:
             return
         self._probed_at = now
         self._probe = asyncio.create_task(self._run_probe())
 
     async def _run_probe(self) -> None:
-        """Connect to some servers, first to those that have not failed lately."""
+        """Probe some servers, and decide by their answers."""
         try:
-            addresses = self._choose_addresses()
+            targets = self._choose_targets()
             probes = [
-                self._connections.probe(address, CONNECT_TIMEOUT_SECONDS)
-                for address in addresses
+                self._connections.probe(*target, PROBE_TIMEOUT_SECONDS)
+                for target in targets
             ]
             results = await asyncio.gather(*probes)
         finally:
             self._probe = None
-        self._update(len(addresses), sum(results))
+        self._update(len(targets), sum(results))
 
-    def _choose_addresses(self) -> list[str]:
-        """Return random servers to probe."""
-        addresses = sorted(set(self._list_addresses()))
-        self._random.shuffle(addresses)
+    def _choose_targets(self) -> list[ProbeTarget]:
+        """Return random servers to probe, first those that have not failed lately."""
+        targets = sorted(set(self._list_targets()))
+        self._random.shuffle(targets)
         if not self.is_cut_off:
-            addresses.sort(key=lambda address: address in self._failed_at)
-        return addresses[:PROBE_COUNT]
+            targets.sort(key=lambda target: target.address in self._failed_at)
+        return targets[:PROBE_COUNT]
 
     def _update(self, probed: int, reached: int) -> None:
         """Decide by the probes whether the host is cut off, and log a change."""
         if not probed:
             return
         was_cut_off = self.is_cut_off
+        self._is_reached = reached > 0
         if reached >= min(MIN_REACHED_SERVERS, probed):
             self.is_cut_off = False
             self._failed_at.clear()
--- a/tests/router/cut_off_hosts.py
+++ b/tests/router/cut_off_hosts.py
@@ -8,6 +8,7 @@
 
 from dragonflyrock.http import ExchangeFault, FaultKind, Response, ServerConnection
 from dragonflyrock.routes import RouteKind
+from tests.common import free_port
 
 from .harness import RouterHarness
 
@@ -18,7 +19,10 @@
 HANG: Final = "hang"
 RESET: Final = "reset"
 REFUSE: Final = "refuse"
-WAYS: Final = (HANG, RESET, REFUSE)
+# New connections are accepted on the way, and hang or are reset after that.
+HOLD: Final = "hold"
+DROP: Final = "drop"
+WAYS: Final = (HANG, RESET, REFUSE, HOLD, DROP)
 
 
 class Hosts(NamedTuple):
@@ -47,20 +51,33 @@
 def cut_off(harness: RouterHarness, way: str) -> None:
     """Cut a host off from all servers."""
     pool = harness.connections
+    open_connection = pool._open
 
     async def open_nothing(
         address: str, timeout: float
     ) -> ServerConnection | ExchangeFault:
+        if way in (HOLD, DROP):
+            opened = await open_connection(address, timeout)
+            if isinstance(opened, ServerConnection):
+                _cut_connection(opened, way)
+            return opened
         if way == HANG:
             await asyncio.sleep(timeout)
         return ExchangeFault(FaultKind.NOT_CONNECTED, way)
 
     pool._open = open_nothing  # type: ignore[method-assign]
     for connection in [c for idle in pool._idle.values() for c in idle]:
-        if way == HANG:
-            connection._send = lambda request: None  # type: ignore[method-assign]
-        if way == RESET:
-            connection.abort()
+        _cut_connection(connection, way)
+
+
+def _cut_connection(connection: ServerConnection, way: str) -> None:
+    """Have an open connection hang or be reset; with ``REFUSE`` it lives on."""
+    if way in (HANG, HOLD):
+        connection._send = lambda request: None  # type: ignore[method-assign]
+    if way == DROP:
+        connection._send = lambda request: connection.abort()  # type: ignore[method-assign]
+    if way == RESET:
+        connection.abort()
 
 
 def run_hosts(
@@ -71,7 +88,8 @@
     """Run a scenario with two hosts that have idle connections to their servers."""
 
     async def run() -> None:
-        hosts = Hosts(RouterHarness("127.0.0.1"), RouterHarness("127.0.0.2"))
+        names, port = ("127.0.0.1", "127.0.0.2"), free_port()
+        hosts = Hosts(*(RouterHarness(name, port) for name in names))
         try:
             for name in SERVER_NAMES:
                 await hosts.other.add_server(name)
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -40,7 +40,6 @@
 )
 from tests.common import free_port
 
-RELAY_PORT = free_port()
 HEADER_NAMES = HeaderNames(signature=b"x-signature")
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -68,9 +67,10 @@
 class RouterHarness:
     """A router, its rows, and test servers that record the requests they receive."""
 
-    def __init__(self, name: str = "host") -> None:
+    def __init__(self, name: str = "host", relay_port: int = 0) -> None:
         """Create a router without servers, on a host with this name."""
         self.name = name
+        self._relay_port = relay_port
         self.hosts: tuple[str, ...] = (name,)
         self.frozen_at: float | None = None
         self.state = RouterState(BudgetPolicy(), self.clock)
@@ -80,7 +80,7 @@
         self.lines = LineLog("test", 1, time.monotonic)
         self.metrics = Metrics()
         self.router = Router(
-            RouterConfig(name, "a", HEADER_NAMES, RELAY_PORT),
+            RouterConfig(name, "a", HEADER_NAMES, relay_port),
             self.state,
             self.connections,
             self.lines,
@@ -194,7 +194,7 @@
     async def start_relay(self) -> None:
         """Accept requests of other hosts."""
         server = HttpServer(self.router.handle_relayed, WireLimits())
-        await server.start(f"{self.name}:{RELAY_PORT}")
+        await server.start(f"{self.name}:{self._relay_port}")
         self.servers.append(server)
 
     def tick(self) -> None:
