Answer 502 if a relayed request was sent to a server before

A host whose send was lost, and then found itself cut off, passed on the 503 of the host that it relayed the request to, which says that it has not run. Found by reading; test_a_refusal_of_another_host_does_not_hide an_earlier_send failed before (503).

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -86,6 +86,8 @@
 MAX_SERVER_REJECTION_COUNT: Final = 2
 MAX_CONNECT_FAILURE_COUNT: Final = 4
 MAX_OUTDATED_CHOICE_COUNT: Final = 4
+# A caller takes these as the word that its request has not run.
+NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 # Requests of other hosts that a host answers at a time; it refuses more.
 MAX_RELAYED_REQUESTS: Final = 128
 # A request waits for the first rows of a new host for this share of its time left.
@@ -371,6 +373,9 @@
             context.may_have_run = True
             raise
         if isinstance(result, Response):
+            if context.may_have_run and result.status in NOT_RUN_STATUSES:
+                context.detail = f"relay: status {result.status}"
+                return self._answer_failure(context)
             return result
         context.detail = f"relay: {result.detail}"
         if not result.may_have_run:
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -84,6 +84,32 @@
     run_hosts(scenario, kind=RouteKind.ONCE)
 
 
+# Guards against an answer that a request has not run, from a host that refused it,
+# after this host had sent it to a server that may have run it.
+def test_a_refusal_of_another_host_does_not_hide_an_earlier_send() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        relay = hosts.other.servers[-1]
+
+        async def refuse(request: Request) -> Response:
+            return make_response(503, b"busy", ((b"Retry-After", b"1"),))
+
+        async def lose_link(request: Request) -> Response:
+            hosts.cut.router.reach.is_cut_off = True
+            for server in hosts.other.servers[:-1]:
+                for connection in server.connections:
+                    assert connection._transport is not None
+                    connection._transport.abort()
+            return make_response(200)
+
+        relay.handler = refuse
+        for server in hosts.other.servers[: len(SERVER_NAMES)]:
+            server.handler = lose_link
+        response = await hosts.cut.send_request()
+        assert response.status == 502
+
+    run_hosts(scenario)
+
+
 # Guards against a server that goes on with a relayed request after its caller has left.
 def test_a_caller_that_leaves_ends_its_relayed_request() -> None:
     async def scenario(hosts: Hosts) -> None:
