--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -49,6 +49,7 @@
 from .obstacles import Obstacle, find_obstacle
 from .reach import CONNECT_TIMEOUT_SECONDS, ProbeTarget, ServerReach
 from .relay import (
+    RESPONSE_SLACK_SECONDS,
     Relayer,
     make_relay_refusal,
     read_earlier_sends,
@@ -73,8 +74,6 @@
 
 __all__ = ["Router"]
 
-# A server responds at the deadline at the latest; the response takes this long.
-RESPONSE_SLACK_SECONDS: Final = 0.02
 # Time for a limiter and its standby to answer.
 TOKEN_WAIT_SECONDS: Final = 0.6
 # Step in which a request waits for newer rows that may name an owner of its key.
--- a/src/dragonflyrock/router/reach.py
+++ b/src/dragonflyrock/router/reach.py
@@ -10,7 +10,7 @@
 from ..http import ConnectionPool
 from ..observe.lines import LineLog
 
-__all__ = ["ProbeTarget", "ServerReach"]
+__all__ = ["CONNECT_TIMEOUT_SECONDS", "ProbeTarget", "ServerReach"]
 
 CONNECT_TIMEOUT_SECONDS: Final = 0.3
 # A failure counts for this long. A request that hangs fails at its deadline.
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -20,9 +20,11 @@
 )
 from .headers import drop_hop_by_hop_headers
 from .models import RequestContext, RouterConfig
+from .reach import CONNECT_TIMEOUT_SECONDS
 
 __all__ = [
     "EARLIER_SENDS",
+    "RESPONSE_SLACK_SECONDS",
     "RelayFault",
     "Relayer",
     "make_relay_refusal",
@@ -36,7 +38,7 @@
 EARLIER_SENDS: Final = b"relay-earlier-sends"
 REFUSED: Final = b"relay-refused"
 MAX_EARLIER_SENDS: Final = 99
-CONNECT_TIMEOUT_SECONDS: Final = 0.3
+# A server responds at the deadline at the latest; the response takes this long.
 RESPONSE_SLACK_SECONDS: Final = 0.02
 # A host that refused a request, or could not be reached, is left out for this long.
 UNFIT_SECONDS: Final = 1.0
--- a/tests/router/cut_off_hosts.py
+++ b/tests/router/cut_off_hosts.py
@@ -70,6 +70,13 @@
         _cut_connection(connection, way)
 
 
+def cut_off_at_once(harness: RouterHarness) -> None:
+    """Cut a host off from all servers; it knows that already."""
+    cut_off(harness, REFUSE)
+    harness.connections.close()
+    harness.router.reach.is_cut_off = True
+
+
 def _cut_connection(connection: ServerConnection, way: str) -> None:
     """Have an open connection hang or be reset; with ``REFUSE`` it lives on."""
     if way in (HANG, HOLD):
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -17,6 +17,7 @@
     WAYS,
     Hosts,
     cut_off,
+    cut_off_at_once,
     run_hosts,
 )
 
@@ -44,9 +45,7 @@
 def test_hosts_that_all_reach_no_server_refuse_at_once() -> None:
     async def scenario(hosts: Hosts) -> None:
         for harness in hosts:
-            cut_off(harness, REFUSE)
-            harness.connections.close()
-            harness.router.reach.is_cut_off = True
+            cut_off_at_once(harness)
         loop = asyncio.get_running_loop()
         began = loop.time()
         responses = await hosts.send_requests(5)
@@ -63,9 +62,7 @@
 # had taken it was lost before it answered.
 def test_a_relayed_booking_whose_answer_is_lost_is_not_sent_again() -> None:
     async def scenario(hosts: Hosts) -> None:
-        cut_off(hosts.cut, REFUSE)
-        hosts.cut.connections.close()
-        hosts.cut.router.reach.is_cut_off = True
+        cut_off_at_once(hosts.cut)
         relay = hosts.other.servers[-1]
 
         async def run_and_end(request: Request) -> Response:
@@ -113,9 +110,7 @@
 # Guards against a server that goes on with a relayed request after its caller has left.
 def test_a_caller_that_leaves_ends_its_relayed_request() -> None:
     async def scenario(hosts: Hosts) -> None:
-        cut_off(hosts.cut, REFUSE)
-        hosts.cut.connections.close()
-        hosts.cut.router.reach.is_cut_off = True
+        cut_off_at_once(hosts.cut)
         relay = hosts.other.servers[-1]
         ended = asyncio.Event()
 
