Leave a host out for a second after it lost a relayed request

A host is left out now after a lost connection as after a refused one. test_a_host_that_was_lost_gets_no_more... failed before (5 requests taken instead of 1).

--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -90,11 +90,11 @@
                     headers = drop_hop_by_hop_headers(result.headers)
                     return result._replace(headers=headers)
                 detail = f"host {host} refused it"
-            elif result.kind != FaultKind.NOT_CONNECTED:
-                return RelayFault(f"host {host}: {result.detail}", may_have_run=True)
             else:
                 detail = f"host {host}: {result.detail}"
             self._unfit_until[host] = self._clock() + UNFIT_SECONDS
+            if not isinstance(result, Response) and _may_have_arrived(result):
+                return RelayFault(detail, may_have_run=True)
         return RelayFault(detail, may_have_run=False)
 
     def close_expired(self, now: float) -> None:
@@ -173,6 +173,11 @@
         return request._replace(headers=tuple(headers))
 
 
+def _may_have_arrived(fault: ExchangeFault) -> bool:
+    """Return whether the other host may have got the request."""
+    return fault.kind != FaultKind.NOT_CONNECTED
+
+
 def strip_relay_headers(request: Request) -> Request:
     """Return a request without the headers that only hosts send each other."""
     headers: Headers = tuple(
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -81,6 +81,29 @@
     run_hosts(scenario, kind=RouteKind.ONCE)
 
 
+# Guards against requests that go on to a host that was lost, one after the other,
+# though each is answered 502.
+def test_a_host_that_was_lost_gets_no_more_relayed_requests_for_a_while() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        cut_off_at_once(hosts.cut)
+        relay = hosts.other.servers[-1]
+        taken: list[Request] = []
+
+        async def end(request: Request) -> Response:
+            taken.append(request)
+            for connection in list(relay.connections):
+                assert connection._transport is not None
+                connection._transport.abort()
+            return make_response(200)
+
+        relay.handler = end
+        statuses = [(await hosts.cut.send_request()).status for _ in range(5)]
+        assert len(taken) == 1
+        assert statuses == [502, 503, 503, 503, 503]
+
+    run_hosts(scenario, kind=RouteKind.ONCE)
+
+
 # Guards against an answer that a request has not run, from a host that refused it,
 # after this host had sent it to a server that may have run it.
 def test_a_refusal_of_another_host_does_not_hide_an_earlier_send() -> None:
