Drop the headers of the caller's connection before a relay

A header that the caller's Connection header names was sent to the other host and from there to a server. One function makes both kinds of forwarded request now.

--- a/src/dragonflyrock/router/headers.py
+++ b/src/dragonflyrock/router/headers.py
@@ -13,6 +13,7 @@
     "estimate_wire_bytes",
     "drop_hop_by_hop_headers",
     "find_response_error",
+    "make_forwarded_request",
     "make_server_request",
     "parse_key",
     "parse_load_report",
@@ -57,7 +58,21 @@
 
     The headers named in the caller's Connection header are dropped.
     """
-    skipped = {names.time_left_ms, names.expected_server}
+    added = (names.expected_server, server.encode())
+    return make_forwarded_request(request, names, seconds_left, added)
+
+
+def make_forwarded_request(
+    request: Request,
+    names: HeaderNames,
+    seconds_left: float,
+    added: tuple[bytes, bytes],
+) -> Request:
+    """Return the request to send on, with the time left and one more header.
+
+    The headers that concern the caller's connection are dropped.
+    """
+    skipped = {names.time_left_ms, added[0]}
     named = find_header(request.headers, b"connection")
     if named:
         skipped.update(part.strip().lower() for part in named.split(b","))
@@ -67,7 +82,7 @@
         if name.lower() not in skipped
     ]
     headers.append((names.time_left_ms, b"%d" % max(1, int(seconds_left * 1000))))
-    headers.append((names.expected_server, server.encode()))
+    headers.append(added)
     return request._replace(headers=tuple(headers))
 
 
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -18,7 +18,7 @@
     find_header,
     make_response,
 )
-from .headers import drop_hop_by_hop_headers
+from .headers import drop_hop_by_hop_headers, make_forwarded_request
 from .models import RequestContext, RouterConfig
 from .reach import CONNECT_TIMEOUT_SECONDS
 
@@ -161,16 +161,12 @@
 
     def _make_request(self, context: RequestContext, seconds_left: float) -> Request:
         """Return the request with the time left, and the sends to servers so far."""
-        names = self._config.header_names
-        request = strip_relay_headers(context.request)
-        headers = [
-            (name, value)
-            for name, value in drop_hop_by_hop_headers(request.headers)
-            if name.lower() != names.time_left_ms
-        ]
-        headers.append((names.time_left_ms, b"%d" % max(1, int(seconds_left * 1000))))
-        headers.append((EARLIER_SENDS, b"%d" % context.sends))
-        return request._replace(headers=tuple(headers))
+        return make_forwarded_request(
+            context.request,
+            self._config.header_names,
+            seconds_left,
+            (EARLIER_SENDS, b"%d" % context.sends),
+        )
 
 
 def _may_have_arrived(fault: ExchangeFault) -> bool:
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -81,6 +81,20 @@
     run_hosts(scenario, kind=RouteKind.ONCE)
 
 
+# Guards against headers that concern only the caller's connection and reach a server by
+# way of another host.
+def test_a_relayed_request_has_no_headers_of_the_callers_connection() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        cut_off_at_once(hosts.cut)
+        assert (await hosts.cut.send_request()).status == 200
+        _, request = hosts.other.received[-1]
+        names = {name.lower() for name, _ in request.headers}
+        assert b"x-other" in names
+        assert not names & {b"x-secret", b"connection", b"relay-earlier-sends"}
+
+    run_hosts(scenario)
+
+
 # Guards against requests that go on to a host that was lost, one after the other,
 # though each is answered 502.
 def test_a_host_that_was_lost_gets_no_more_relayed_requests_for_a_while() -> None:
