--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -784,22 +784,7 @@
         """Extend the holds that a grant covers, according to its result."""
         until = now + self._timing.hold_with_drift
         command: c.Command | None = None
-        epochs = {
-            hold.epoch
-            for hold in self._holds.values()
-            if hold.service == order.service
-            and hold.low <= order.high
-            and order.low <= hold.high
-        }
-        if epochs - {order.epoch}:
-            self._report(
-                "order-outdated",
-                service=order.service,
-                range_low=order.low,
-                server=order.server.name,
-                detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
-                f" epochs now: {sorted(epochs)}",
-            )
+        self._report_outdated(order, result)
         # The range may have been split or joined while the order was pending. What the
         # server was granted it holds, also under an earlier epoch.
         for hold in self._holds.values():
@@ -830,6 +815,26 @@
                     hold.renew_at = now + self._timing.retry_interval
         return command
 
+    def _report_outdated(self, order: GrantOrder, result: OrderResult) -> None:
+        """Report the result of a grant whose range has another epoch by now."""
+        epochs = {
+            hold.epoch
+            for hold in self._holds.values()
+            if hold.service == order.service
+            and hold.low <= order.high
+            and order.low <= hold.high
+        }
+        if not epochs - {order.epoch}:
+            return
+        self._report(
+            "order-outdated",
+            service=order.service,
+            range_low=order.low,
+            server=order.server.name,
+            detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
+            f" epochs now: {sorted(epochs)}",
+        )
+
     @staticmethod
     def _end_earlier_epochs(hold: HeldRange, order: GrantOrder) -> None:
         """Rule out grants of earlier epochs, which the owner rejects from now on."""
