Split granting by order off the decisions about ranges; no change of behaviour

Cause: servers that hear of their keys in answers to heartbeats need the same placement, moves and evacuation, and another way to be told. The decisions stay in control/directed.py, the leader's tables are in directed_tables.py, orders and their results in by_order.py.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
-from ..models import RangeRow, ServerRow
+from ..models import ServerRow
 from ..systems.spreading import (
     KeyLoads,
     OwnedPart,
@@ -24,10 +23,10 @@
 )
 from ..transport.messages import RangeLoad, ServerNeed, ServerSpeed
 from . import commands as c
+from .by_order import GrantingByOrder
 from .directed_models import (
     NEVER,
     DirectedTiming,
-    GrantOrder,
     HeldRange,
     MoveStage,
     Order,
@@ -35,10 +34,10 @@
     OrderResult,
     ProbeOrder,
     RangeMove,
-    ReleaseOrder,
     ServerHeartbeat,
     ServerLiveness,
 )
+from .directed_tables import DirectedTables, Report
 from .reported_loads import ReportedLoads
 from .server_needs import ServerNeedTable
 from .state import ControlState
@@ -49,7 +48,6 @@
 MAX_ENDED_INSTANCES: Final = 10_000
 JOIN_INTERVAL_SECONDS: Final = 5.0
 UTILIZATION_REPORT_SECONDS: Final = 2.0
-TOLERATED_FAILURES: Final = 2
 # Each move costs a release, a commit and a grant.
 MAX_CONCURRENT_MOVES: Final = 64
 # An order costs a leader about half a millisecond. A new leader has to renew every
@@ -57,8 +55,6 @@
 ORDERS_PER_SECOND: Final = 500.0
 ORDER_BURST: Final = 25.0
 
-Report = Callable[..., None]
-
 
 class DirectedLeader:
     """The leader's state of directed servers, their holds and moves of ranges.
@@ -74,18 +70,13 @@
         self._state = state
         self._timing = timing
         self._report = report
-        self._liveness: dict[str, ServerLiveness] = {
-            name: ServerLiveness(now) for name in state.servers
-        }
+        liveness = {name: ServerLiveness(now) for name in state.servers}
+        self._tables = DirectedTables(state, timing, report, liveness)
+        self._granting = GrantingByOrder(self._tables)
         self._ended_instances: dict[str, None] = {}
-        self._holds: dict[tuple[str, int], HeldRange] = {}
-        self._moves: list[RangeMove] = []
-        self._orders: list[Order] = []
         self._order_credit = ORDER_BURST
         self._credited_at = now
         self._utilization_reported_at: dict[str, float] = {}
-        self._pending_grants: list[GrantOrder] = []
-        self._handover_tokens: dict[tuple[str, int], str] = {}
         self._loads = ReportedLoads(now)
         self._needs = ServerNeedTable()
         self._next_balance_at = now + timing.settle_time
@@ -93,10 +84,10 @@
         self._registered_at = now
         self._synced_revision = -1
         wait = timing.order_timeout + timing.hold_with_drift
-        self._sync_holds(now, inherited=now + wait)
+        self._tables.sync_holds(now, inherited=now + wait)
         report(
             "holds-inherited",
-            detail=f"{len(self._holds)} ranges, for up to {wait:.2f} s",
+            detail=f"{len(self._tables.holds)} ranges, for up to {wait:.2f} s",
         )
 
     def receive_heartbeat(
@@ -116,7 +107,7 @@
         ):
             detail = f"{heartbeat.name} is {row.service} at {row.address}"
             return Refusal(Reason.NOT_ALLOWED, Step.ANNOUNCE, heartbeat.name, detail)
-        liveness = self._liveness.setdefault(heartbeat.name, ServerLiveness(now))
+        liveness = self._tables.get_liveness(heartbeat.name, now)
         liveness.announced_at = now
         if not heartbeat.ended and heartbeat.sequence < liveness.sequence:
             return None
@@ -130,7 +121,7 @@
     ) -> None:
         """Record servers that announced themselves to a follower, with sequences."""
         for name, sequence in sequences:
-            liveness = self._liveness.get(name)
+            liveness = self._tables.liveness.get(name)
             if liveness is not None and name in self._state.servers:
                 liveness.announced_at = now
                 liveness.sequence = max(liveness.sequence, sequence)
@@ -149,7 +140,7 @@
         for other in self._state.servers.values():
             if other.address != heartbeat.address:
                 continue
-            liveness = self._liveness.get(other.name)
+            liveness = self._tables.liveness.get(other.name)
             if (
                 liveness is not None
                 and now - liveness.announced_at < self._timing.settle_time
@@ -158,11 +149,11 @@
                 return Refusal(
                     Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
                 )
-            self._orders.append(
-                ProbeOrder(other, self._find_health_path(other.service))
+            self._tables.orders.append(
+                ProbeOrder(other, self._tables.find_health_path(other.service))
             )
         self._registered_at = now
-        self._liveness[heartbeat.name] = ServerLiveness(now, heartbeat.sequence)
+        self._tables.liveness[heartbeat.name] = ServerLiveness(now, heartbeat.sequence)
         return c.RegisterServer(
             ServerRow(
                 heartbeat.name,
@@ -177,13 +168,6 @@
             )
         )
 
-    def _find_health_path(self, service: str) -> str:
-        """Return the path at which servers of a service report their instance."""
-        for routed in self._state.route_store.document.services:
-            if routed.name == service:
-                return routed.health_path
-        return "/"
-
     def drop_ended_servers(self, names: tuple[str, ...]) -> list[c.Command]:
         """Drop servers at whose addresses entry hosts found another instance."""
         return [
@@ -220,7 +204,7 @@
         commands: list[c.Command] = []
         if self._state.revision != self._synced_revision:
             self._synced_revision = self._state.revision
-            self._sync_holds(now, inherited=NEVER)
+            self._tables.sync_holds(now, inherited=NEVER)
         self._loads.update_rates(now)
         commands += self._drop_silent_servers(now)
         self._divide_new_services(now)
@@ -228,7 +212,7 @@
         self._balance(now)
         commands += self._advance_moves(now)
         commands += self._join_ranges(now)
-        self._renew_holds(now)
+        self._granting.renew(now)
         return commands, self._dequeue_orders(now)
 
     def _dequeue_orders(self, now: float) -> list[Order]:
@@ -236,9 +220,10 @@
         gained = (now - self._credited_at) * ORDERS_PER_SECOND
         self._credited_at = now
         self._order_credit = min(ORDER_BURST, self._order_credit + gained)
-        count = min(int(self._order_credit), len(self._orders))
+        count = min(int(self._order_credit), len(self._tables.orders))
         self._order_credit -= count
-        orders, self._orders = self._orders[:count], self._orders[count:]
+        orders = self._tables.orders[:count]
+        del self._tables.orders[:count]
         return orders
 
     def complete_proposal(self, command: c.Command) -> None:
@@ -246,7 +231,7 @@
         match command:
             case c.AssignRanges():
                 remaining = []
-                for move in self._moves:
+                for move in self._tables.moves:
                     if move.command is not command:
                         remaining.append(move)
                     elif move.stage == MoveStage.FENCING:
@@ -254,65 +239,16 @@
                         remaining.append(move)
                     elif move.stage == MoveStage.COMMITTING:
                         key = (move.service, move.low)
-                        self._handover_tokens[key] = move.handover
+                        self._tables.handover_tokens[key] = move.handover
                     else:
                         remaining.append(move)
-                self._moves = remaining
-
-    def _sync_holds(self, now: float, inherited: float) -> None:
-        """Rebuild the holds from the committed rows.
-
-        A hold with no earlier record counts as confirmed until ``inherited``. Some of
-        the grants for it may have no answer, so a release does not end it sooner.
-        """
-        old, self._holds = self._holds, {}
-        by_service: dict[str, list[HeldRange]] = {}
-        for hold in old.values():
-            by_service.setdefault(hold.service, []).append(hold)
-        for row in self._state.ranges:
-            if row.owner:
-                previous = by_service.get(row.service, [])
-                hold = self._carry_over_hold(row, previous, now, inherited)
-                self._holds[row.service, row.low] = hold
-
-    def _carry_over_hold(
-        self, row: RangeRow, previous: list[HeldRange], now: float, inherited: float
-    ) -> HeldRange:
-        """Return the hold of a row, with the times of its owner's previous holds.
-
-        The row may be a part of a previous hold, or a join of several.
-        """
-        name = row.owner.rpartition("@")[0]
-        parts = [
-            hold
-            for hold in previous
-            if hold.owner.name == name and hold.low <= row.high and row.low <= hold.high
-        ]
-        dropped = ServerRow(name, row.service, "", "", 0, 0, 0, True)
-        owner = self._state.servers.get(name) or (parts[0].owner if parts else dropped)
-        hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
-        hold.confirmed_until = hold.possible_until = inherited
-        if inherited != NEVER:
-            hold.possible_epoch = row.epoch
-        hold.renew_at = now
-        hold.handover = self._handover_tokens.pop((row.service, row.low), "")
-        for part in parts:
-            hold.confirmed_until = max(hold.confirmed_until, part.confirmed_until)
-            hold.possible_until = max(hold.possible_until, part.possible_until)
-            hold.possible_epoch = max(hold.possible_epoch, part.possible_epoch)
-        if len(parts) == 1:
-            hold.handover = hold.handover or parts[0].handover
-        if len(parts) == 1 and parts[0].epoch == row.epoch:
-            hold.renew_at = parts[0].renew_at
-            if (parts[0].low, parts[0].high) != (row.low, row.high):
-                hold.renew_at = min(hold.renew_at, now + self._timing.retry_interval)
-        return hold
+                self._tables.moves = remaining
 
     def _drop_silent_servers(self, now: float) -> list[c.Command]:
         """Drop servers without a recent announcement, stopping ones sooner."""
         commands: list[c.Command] = []
         for name, row in self._state.servers.items():
-            liveness = self._liveness.setdefault(name, ServerLiveness(now))
+            liveness = self._tables.get_liveness(name, now)
             silent = now - liveness.announced_at
             limit = self._timing.removal_timeout
             if row.stopping:
@@ -325,11 +261,11 @@
         """Return the servers that may get ranges of a service."""
         owners = []
         for name, row in self._state.servers.items():
-            liveness = self._liveness.get(name)
+            liveness = self._tables.liveness.get(name)
             if row.service != service or row.stopping or liveness is None:
                 continue
             silent = now - liveness.announced_at > self._timing.silence_timeout
-            if silent or self._is_failing(liveness, now):
+            if silent or self._tables.is_failing(liveness, now):
                 continue
             owners.append(Owner(name, float(max(row.slots, 1))))
         owners = self._loads.add_capacities(sorted(owners))
@@ -338,11 +274,6 @@
         parts, loads = self._list_parts(service), self._loads.get_loads(service)
         return self._needs.adjust(owners, compute_rates(parts, loads), now)
 
-    def _is_failing(self, liveness: ServerLiveness, now: float) -> bool:
-        """Return whether several orders to a server in a row have failed recently."""
-        recent = now - liveness.failed_at < self._timing.silence_timeout
-        return recent and liveness.failures > TOLERATED_FAILURES
-
     def _list_keyed_services(self) -> list[str]:
         """Return the services whose keys are divided among their servers."""
         document = self._state.route_store.document
@@ -372,29 +303,18 @@
 
     def _has_moves(self, service: str) -> bool:
         """Return whether any part of a service is being moved."""
-        return any(move.service == service for move in self._moves)
-
-    def _is_part_moving(self, hold: HeldRange) -> bool:
-        """Return whether any part of a hold is being moved."""
-        return self._is_span_moving(hold.service, hold.low, hold.high)
-
-    def _is_span_moving(self, service: str, low: int, high: int) -> bool:
-        """Return whether any part of a span of keys is being moved."""
-        return any(
-            move.service == service and move.low <= high and low <= move.high
-            for move in self._moves
-        )
+        return any(move.service == service for move in self._tables.moves)
 
     def _evacuate_servers(self, now: float) -> None:
         """Move ranges away from servers that leave, have ended or cannot be reached."""
         for service in self._list_keyed_services():
             owners: list[Owner] | None = None
             parts: list[OwnedPart] = []
-            for hold in list(self._holds.values()):
+            for hold in list(self._tables.holds.values()):
                 if hold.service != service:
                     continue
                 cause = self._find_evacuation_cause(hold, now)
-                if not cause or self._is_part_moving(hold):
+                if not cause or self._tables.is_part_moving(hold):
                     continue
                 if owners is None:
                     owners = self._list_owners(service, now)
@@ -428,21 +348,18 @@
             return "ended"
         if row.stopping:
             return "leaving"
-        if now >= hold.held_until and not self._is_grant_pending(hold):
-            liveness = self._liveness.get(name)
-            if liveness is not None and self._is_failing(liveness, now):
-                return "unreachable"
-        return ""
+        expired = now >= hold.held_until and not self._granting.is_pending(hold)
+        return "unreachable" if expired and self._granting.is_lost(hold, now) else ""
 
     def _list_parts(self, service: str) -> list[OwnedPart]:
         """Return the owner of each part of a service, as if all moves were done."""
         moves = sorted(
             (move.low, move.high, move.target)
-            for move in self._moves
+            for move in self._tables.moves
             if move.service == service
         )
         parts = [OwnedPart(low, high, target) for low, high, target in moves]
-        for hold in self._holds.values():
+        for hold in self._tables.holds.values():
             if hold.service != service:
                 continue
             low = hold.low
@@ -463,7 +380,7 @@
         self._next_balance_at = now + self._timing.balance_interval
         self._needs.retain({row.holder for row in self._state.servers.values()})
         for service in self._list_keyed_services():
-            if len(self._moves) > MAX_CONCURRENT_MOVES:
+            if len(self._tables.moves) > MAX_CONCURRENT_MOVES:
                 continue
             loads = self._loads.get_loads(service)
             parts = self._list_parts(service)
@@ -504,11 +421,11 @@
         self, service: str, low: int, high: int, target: str, now: float
     ) -> None:
         """Begin the move of a part with many requests, if one hold contains it."""
-        for hold in self._holds.values():
+        for hold in self._tables.holds.values():
             inside = hold.low <= low and high <= hold.high
             if hold.service != service or not inside:
                 continue
-            if self._is_span_moving(service, low, high):
+            if self._tables.is_span_moving(service, low, high):
                 return
             self._begin_move(
                 service, low, high, hold.epoch, hold.owner.name, target, "hot", now
@@ -530,38 +447,31 @@
         move = RangeMove(
             service, low, high, epoch, source, target, MoveStage.FREE, cause
         )
-        hold = self._find_hold(service, low)
+        hold = self._tables.find_hold(service, low)
         # The owner may not hold the part yet, but receive it by a pending grant.
         held = hold is not None and (
-            now < hold.held_until or self._is_grant_pending(hold)
+            now < hold.held_until or self._granting.is_pending(hold)
         )
         if source and held:
             move.stage = MoveStage.PENDING
-        self._moves.append(move)
+        self._tables.moves.append(move)
         self._report(
             "move-begun", service=service, server=source, detail=f"{cause}: {target}"
         )
 
-    def _find_hold(self, service: str, low: int) -> HeldRange | None:
-        """Return the hold that contains a key."""
-        for hold in self._holds.values():
-            if hold.service == service and hold.low <= low <= hold.high:
-                return hold
-        return None
-
     def _advance_moves(self, now: float) -> list[c.Command]:
         """Advance moves; commit those whose source no longer holds the part."""
         fences: list[RangeMove] = []
         ready: list[RangeMove] = []
-        for move in self._moves:
+        for move in self._tables.moves:
             if move.stage == MoveStage.FENCED:
-                self._grant_fenced_part(move)
+                self._granting.continue_fenced(move)
             if move.stage == MoveStage.PENDING:
-                if self._needs_fence(move, now):
+                if self._granting.needs_fence(move, now):
                     move.stage = MoveStage.FENCING
                     fences.append(move)
                 else:
-                    self._release_part(move, now)
+                    self._granting.release(move, now)
             if move.stage == MoveStage.WAITING and now >= move.free_at:
                 move.stage = MoveStage.FREE
             if move.stage == MoveStage.FREE:
@@ -574,63 +484,6 @@
             *_make_assignments([(move, move.target) for move in ready]),
         ]
 
-    def _needs_fence(self, move: RangeMove, now: float) -> bool:
-        """Return whether a newer epoch would free a part sooner than waiting would.
-
-        A grant without an answer may be carried out after the release. A server that
-        has confirmed a newer epoch rejects it, so the part need not be waited for.
-        """
-        hold = self._find_hold(move.service, move.low)
-        if move.was_fenced or hold is None or hold.owner.name != move.source:
-            return False
-        liveness = self._liveness.get(move.source)
-        if liveness is None or move.source not in self._state.servers:
-            return False
-        if liveness.failures or self._is_grant_pending(move):
-            return False
-        return hold.possible_until - now > self._timing.order_timeout
-
-    def _grant_fenced_part(self, move: RangeMove) -> None:
-        """Grant a part again, under its newer epoch, before it is released."""
-        move.stage = MoveStage.PENDING
-        move.was_fenced = True
-        hold = self._holds.get((move.service, move.low))
-        if hold is None or (hold.high, hold.owner.name) != (move.high, move.source):
-            return
-        move.epoch = hold.epoch
-        self._orders.append(self._make_grant(hold, hold.low, hold.high))
-
-    def _release_part(self, move: RangeMove, now: float) -> None:
-        """Order the release of a part once no grant of it is pending.
-
-        A grant that arrives after the release would give the part back.
-        """
-        hold = self._find_hold(move.service, move.low)
-        if hold is None or hold.owner.name != move.source:
-            move.stage = MoveStage.FREE
-            return
-        if self._is_grant_pending(move):
-            return
-        # From now on only the other parts of the hold are renewed.
-        move.free_at = hold.held_until
-        move.possible_until = hold.possible_until
-        self._report(
-            "hold-released",
-            service=move.service,
-            range_low=move.low,
-            server=move.source,
-            detail=f"to {move.high}, epoch {move.epoch}; confirmed for"
-            f" {max(hold.confirmed_until - now, 0.0):.2f} s, possible for"
-            f" {max(hold.possible_until - now, 0.0):.2f} s",
-        )
-        row = self._state.servers.get(move.source, hold.owner)
-        if not row.address:
-            move.stage = MoveStage.WAITING
-            return
-        move.stage = MoveStage.RELEASING
-        move.release = ReleaseOrder(row, move.service, move.low, move.high, move.epoch)
-        self._orders.append(move.release)
-
     def _retarget(self, move: RangeMove, now: float) -> None:
         """Choose another target for a move if its target can no longer own ranges."""
         owners = self._list_owners(move.service, now)
@@ -662,7 +515,7 @@
                 if end < len(rows) and rows[end].owner == rows[start].owner:
                     continue
                 span = service, rows[start].low, rows[end - 1].high
-                unmoved = not self._is_span_moving(*span)
+                unmoved = not self._tables.is_span_moving(*span)
                 if end - start > 1 and rows[start].owner and unmoved:
                     commands.append(
                         c.JoinRanges(service, rows[start].low, rows[end - 1].high)
@@ -670,197 +523,33 @@
                 start = end
         return commands
 
-    def _renew_holds(self, now: float) -> None:
-        """Queue the grants that are due, except for parts that are being moved."""
-        timing = self._timing
-        failing: set[str] = set()
-        for hold in self._holds.values():
-            if now < hold.renew_at or self._is_grant_pending(hold):
-                continue
-            row = self._state.servers.get(hold.owner.name)
-            address = row.address if row is not None else hold.owner.address
-            if not address or (row is not None and row.stopping):
-                continue
-            if self._is_failing(
-                self._liveness.setdefault(hold.owner.name, ServerLiveness(now)), now
-            ):
-                # An order without an answer may still be carried out, so each one
-                # delays a new owner of the range by another hold.
-                failing.add(hold.owner.name)
-                continue
-            if self._is_part_moving(hold):
-                self._renew_unmoved_parts(hold, now)
-                continue
-            hold.renew_at = now + timing.renew_interval
-            self._orders.append(self._make_grant(hold, hold.low, hold.high))
-
-        for name in failing:
-            self._probe(name, now)
-
-    def _probe(self, name: str, now: float) -> None:
-        """Probe a server whose orders fail, to find out if it can be reached again."""
-        row = self._state.servers.get(name)
-        liveness = self._liveness[name]
-        if row is None or now - liveness.probed_at < self._timing.order_timeout:
-            return
-        liveness.probed_at = now
-        self._orders.append(ProbeOrder(row, self._find_health_path(row.service)))
-
-    def _renew_unmoved_parts(self, hold: HeldRange, now: float) -> None:
-        """Renew the parts of a hold that are not being moved."""
-        low = hold.low
-        moving = sorted(
-            (move.low, move.high)
-            for move in self._moves
-            if move.service == hold.service
-            and move.low <= hold.high
-            and hold.low <= move.high
-        )
-        hold.renew_at = now + self._timing.renew_interval
-        for first, last in moving:
-            if low < first:
-                self._orders.append(self._make_grant(hold, low, first - 1))
-            low = last + 1
-        if low <= hold.high:
-            self._orders.append(self._make_grant(hold, low, hold.high))
-
-    def _make_grant(self, hold: HeldRange, low: int, high: int) -> GrantOrder:
-        """Return the order that grants a part of a hold, and record it as pending."""
-        owner = self._state.servers.get(hold.owner.name, hold.owner)
-        hold_ms = int(self._timing.hold * 1000)
-        order = GrantOrder(
-            owner, hold.service, low, high, hold.epoch, hold_ms, hold.handover
-        )
-        self._pending_grants.append(order)
-        return order
-
-    def _is_grant_pending(self, part: HeldRange | RangeMove) -> bool:
-        """Return whether a grant that overlaps a part is pending."""
-        return any(
-            order.service == part.service
-            and order.low <= part.high
-            and part.low <= order.high
-            for order in self._pending_grants
-        )
-
     def complete_order(self, result: OrderResult, now: float) -> c.Command | None:
         """Handle the result of an order; return a command to commit, if any."""
-        order = result.order
-        self._pending_grants = [
-            item for item in self._pending_grants if item is not order
-        ]
-        liveness = self._liveness.setdefault(order.server.name, ServerLiveness(NEVER))
+        liveness = self._tables.get_liveness(result.order.server.name, NEVER)
         if result.outcome in (OrderOutcome.DONE, OrderOutcome.NEWER_EPOCH):
             liveness.failures = 0
         elif result.outcome != OrderOutcome.OTHER_INSTANCE:
             liveness.failures += 1
             liveness.failed_at = now
+        command = self._granting.complete(result, now)
         if result.outcome == OrderOutcome.OTHER_INSTANCE:
-            return self._drop_ended_server(order.server.name)
-        match order:
-            case GrantOrder():
-                return self._complete_grant(order, result, now)
-            case ReleaseOrder():
-                self._complete_release(order, result, now)
-        return None
+            return self._drop_ended_server(result.order.server.name)
+        return command
 
     def _drop_ended_server(self, name: str) -> c.Command:
         """End the holds of a server instance that has ended, and drop it."""
         self._ended_instances[name] = None
         if len(self._ended_instances) > MAX_ENDED_INSTANCES:
             del self._ended_instances[next(iter(self._ended_instances))]
-        for hold in self._holds.values():
+        for hold in self._tables.holds.values():
             if hold.owner.name == name:
                 hold.confirmed_until = hold.possible_until = NEVER
-        for move in self._moves:
+        for move in self._tables.moves:
             if move.source == name and move.stage != MoveStage.COMMITTING:
                 move.stage = MoveStage.FREE
         self._report("server-ended", server=name)
         return c.DropServer(name)
 
-    def _complete_grant(
-        self, order: GrantOrder, result: OrderResult, now: float
-    ) -> c.Command | None:
-        """Extend the holds that a grant covers, according to its result."""
-        until = now + self._timing.hold_with_drift
-        command: c.Command | None = None
-        self._report_outdated(order, result)
-        # The range may have been split or joined while the order was pending. What the
-        # server was granted it holds, also under an earlier epoch.
-        for hold in self._holds.values():
-            same = (hold.service, hold.owner.name) == (
-                order.service,
-                order.server.name,
-            )
-            if not same or hold.high < order.low or order.high < hold.low:
-                continue
-            is_current = hold.epoch == order.epoch
-            match result.outcome:
-                case OrderOutcome.DONE:
-                    hold.confirmed_until = max(hold.confirmed_until, until)
-                    if is_current:
-                        hold.handover = ""
-                        self._end_earlier_epochs(hold, order)
-                case OrderOutcome.NEWER_EPOCH if is_current:
-                    part = c.RangePart(
-                        hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
-                    )
-                    hold.renew_at = now + self._timing.renew_interval
-                    command = c.AssignRanges(hold.service, (part,))
-                case OrderOutcome.UNKNOWN:
-                    hold.possible_until = max(hold.possible_until, until)
-                    hold.possible_epoch = max(hold.possible_epoch, order.epoch)
-                    hold.renew_at = now + self._timing.retry_interval
-                case OrderOutcome.NOT_SENT:
-                    hold.renew_at = now + self._timing.retry_interval
-        return command
-
-    def _report_outdated(self, order: GrantOrder, result: OrderResult) -> None:
-        """Report the result of a grant whose range has another epoch by now."""
-        epochs = {
-            hold.epoch
-            for hold in self._holds.values()
-            if hold.service == order.service
-            and hold.low <= order.high
-            and order.low <= hold.high
-        }
-        if not epochs - {order.epoch}:
-            return
-        self._report(
-            "order-outdated",
-            service=order.service,
-            range_low=order.low,
-            server=order.server.name,
-            detail=f"to {order.high}, epoch {order.epoch}: {result.outcome};"
-            f" epochs now: {sorted(epochs)}",
-        )
-
-    @staticmethod
-    def _end_earlier_epochs(hold: HeldRange, order: GrantOrder) -> None:
-        """Rule out grants of earlier epochs, which the owner rejects from now on."""
-        is_whole = order.low <= hold.low and hold.high <= order.high
-        if is_whole and order.epoch > hold.possible_epoch:
-            hold.possible_until = NEVER
-
-    def _complete_release(
-        self, order: ReleaseOrder, result: OrderResult, now: float
-    ) -> None:
-        """Continue a move after its release, or wait until the hold expires."""
-        for move in self._moves:
-            # A former term of this node may have released the same part.
-            if move.release is not order:
-                continue
-            if move.stage != MoveStage.RELEASING:
-                return
-            move.stage = MoveStage.WAITING
-            if result.outcome == OrderOutcome.DONE:
-                # A grant without an answer may still be carried out after the release.
-                move.free_at = move.possible_until
-                move.handover = result.handover
-                if now >= move.free_at:
-                    move.stage = MoveStage.FREE
-            return
-
 
 def _make_assignments(owners: list[tuple[RangeMove, str]]) -> list[c.Command]:
     """Return commands, one a service, that assign the parts of moves to owners.
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -241,11 +241,11 @@
     for outcome in (OrderOutcome.UNKNOWN, OrderOutcome.DONE):
         world.leader.complete_order(OrderResult(order, outcome), world.now)
     lines: list[tuple[str, str]] = []
-    world.leader._report = lambda kind, **fields: lines.append(
+    world.leader._tables.report = lambda kind, **fields: lines.append(
         (kind, str(fields.get("detail", "")))
     )
     world.commit(c.StopServer(order.server.name))
-    world.leader._liveness[order.server.name].failures = 1
+    world.leader._tables.liveness[order.server.name].failures = 1
     world.leader.tick(world.now)
     released = [detail for kind, detail in lines if kind == "hold-released"]
     assert released
@@ -279,7 +279,7 @@
     world = start(12)
     world.commit(c.DropServer("s1"))
     world.change_leader()
-    hold = next(h for h in world.leader._holds.values() if h.owner.name == "s1")
+    hold = next(h for h in world.leader._tables.holds.values() if h.owner.name == "s1")
     former_owner = hold.owner._replace(address="10.0.0.0:80")
     order = GrantOrder(
         former_owner, SERVICE, hold.low, hold.high, hold.epoch, 6_000, ""
@@ -308,12 +308,12 @@
             world.leader.complete_order(result, world.now)
         command = next((x for x in commands if isinstance(x, c.AssignRanges)), command)
     assert command is not None
-    moves = list(world.leader._moves)
+    moves = list(world.leader._tables.moves)
     other = c.AssignRanges(SERVICE, (command.parts[0],))
     world.leader.complete_proposal(other)
-    assert world.leader._moves == moves
+    assert world.leader._tables.moves == moves
     world.leader.complete_proposal(command)
-    assert len(world.leader._moves) < len(moves)
+    assert len(world.leader._tables.moves) < len(moves)
 
 
 # Guards against a result that is ignored because its range has got another epoch since:
