Keep the number of voters odd, with learners that replace lost ones

Cause: all ten control nodes of the large site voted.

Change: a leader aims at twice the tolerated losses plus one voters (setting bounds.lost_machines), never an even number, spread over the zones whose members report theirs. The others are learners: one that is in touch and has caught up takes the place of a voter that does not respond, and a group of a former version makes surplus voters learners. A learner behind the same cut as the lost voter must not be promoted: the larger group has no majority on either side; the test of cuts found it.

The test of heartbeats' names compared bytes of all fields; fields were added at the end, so it now has the new bytes and also reads the former.

--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
@@ -21,6 +22,7 @@
 __all__ = [
     "add_learner",
     "admit_waiting_member",
+    "demote_surplus_voter",
     "hand_over_leadership",
     "on_join_request",
     "remove_member",
@@ -38,8 +40,12 @@
 UNRESPONSIVE_SECONDS: Final = 2.0
 # Longer than the transfer of a large snapshot, during which a learner is silent.
 LEARNER_TIMEOUT_SECONDS: Final = 10.0
+# A learner behind the same cut as a lost voter must not be promoted in its place: the
+# larger group might have no majority. It is seen much sooner than the voter is lost.
+READY_LEARNER_SECONDS: Final = 0.7
 # A group of two keeps both voters: a group of one tolerates no loss at all.
 MIN_VOTERS_FOR_REMOVAL: Final = 4
+MIN_VOTERS: Final = 3
 
 
 def on_join_request(
@@ -89,23 +95,23 @@
 
 
 def remove_unresponsive_voter(replica: Replica, now: float) -> None:
-    """Remove an unresponsive voter from a group with an even number of voters.
+    """Remove an unresponsive voter from a group that is as safe without it.
 
-    With one voter fewer the group tolerates the loss of as many others as before, and
-    of one more if this voter never returns. A voter that returns asks to join.
+    That is one with an even number of voters, which then tolerates the loss of as many
+    others as before, and one whose learners have taken the places of lost voters. A
+    voter that returns asks to join.
     """
     voters = replica.configuration.voters
-    is_even = len(voters) % 2 == 0
-    if (
-        replica.role != Role.LEADER
-        or not is_even
-        or len(voters) < MIN_VOTERS_FOR_REMOVAL
-    ):
+    if replica.role != Role.LEADER or len(voters) < MIN_VOTERS_FOR_REMOVAL:
         return
-    for voter in voters:
-        if voter != replica.me and _is_unresponsive(replica, voter.name, now):
-            remove_member(replica, voter.name)
-            return
+    lost = [
+        voter
+        for voter in voters
+        if voter != replica.me and _is_unresponsive(replica, voter.name, now)
+    ]
+    is_replaced = 0 < replica.voter_target <= len(voters) - len(lost)
+    if lost and (len(voters) % 2 == 0 or is_replaced):
+        remove_member(replica, lost[0].name)
 
 
 def remove_unresponsive_learner(replica: Replica, now: float) -> None:
@@ -178,23 +184,89 @@
 
 
 def tick_membership(replica: Replica, now: float) -> None:
-    """Forget outdated requests, and promote the first learner that has caught up."""
+    """Forget outdated requests, and promote a learner that has caught up."""
     if replica.role != Role.LEADER:
         return
     _drop_outdated_requests(replica, now)
-    for learner in replica.configuration.learners:
-        progress = replica.peers.get(learner.name)
-        if progress is None or not progress.match_index:
-            continue
-        if replica.log.last_index - progress.match_index > PROMOTION_GAP_ENTRIES:
-            continue
-        voters, learners = replica.configuration
-        other_learners = tuple(member for member in learners if member != learner)
-        _append_configuration(
-            replica, Configuration((*voters, learner), other_learners)
-        )
-        replica.waiting_members.pop(learner.name, None)
+    learner = _choose_learner(replica, now)
+    if learner is None:
+        return
+    voters, learners = replica.configuration
+    others = tuple(member for member in learners if member != learner)
+    _append_configuration(replica, Configuration((*voters, learner), others))
+    replica.waiting_members.pop(learner.name, None)
+
+
+def _choose_learner(replica: Replica, now: float) -> Member | None:
+    """Return a learner to promote, if any: of the zone with the fewest voters."""
+    if replica.voter_target and _count_missing_voters(replica, now) <= 0:
+        return None
+    ready = [
+        learner
+        for learner in replica.configuration.learners
+        if _has_caught_up(replica, learner)
+        and not _is_unresponsive(replica, learner.name, now, READY_LEARNER_SECONDS)
+    ]
+    by_zone = _count_voters_by_zone(replica)
+    zones = replica.member_zones
+    return min(
+        ready, key=lambda member: by_zone[zones.get(member.name, "")], default=None
+    )
+
+
+def _has_caught_up(replica: Replica, member: Member) -> bool:
+    """Return whether a learner lacks only a few entries of the log."""
+    progress = replica.peers.get(member.name)
+    if progress is None or not progress.match_index:
+        return False
+    return replica.log.last_index - progress.match_index <= PROMOTION_GAP_ENTRIES
+
+
+def _count_missing_voters(replica: Replica, now: float) -> int:
+    """Return how many voters that respond are missing; below 0, how many too many.
+
+    Their number is odd: one half of a group with an even number has no majority.
+    """
+    voters, learners = replica.configuration
+    responsive = [
+        voter
+        for voter in voters
+        if voter == replica.me or not _is_unresponsive(replica, voter.name, now)
+    ]
+    member_count = len(responsive) + len(learners)
+    largest_odd = member_count - 1 + member_count % 2
+    return min(replica.voter_target, max(largest_odd, 1)) - len(responsive)
+
+
+def _count_voters_by_zone(replica: Replica) -> Counter[str]:
+    """Return the number of voters in each availability zone; "" if it is unknown."""
+    return Counter(
+        replica.member_zones.get(voter.name, "")
+        for voter in replica.configuration.voters
+    )
+
+
+def demote_surplus_voter(replica: Replica, now: float) -> None:
+    """Make a voter above the number aimed at a learner, which can replace a lost one.
+
+    It is one of the zone with the most voters. Nothing is done while a voter does not
+    respond or a member joins.
+    """
+    voters, learners = replica.configuration
+    if replica.role != Role.LEADER or not replica.voter_target:
+        return
+    others = [voter for voter in voters if voter != replica.me]
+    if any(_is_unresponsive(replica, voter.name, now) for voter in others):
+        return
+    if len(voters) <= MIN_VOTERS or _count_missing_voters(replica, now) >= 0:
         return
+    by_zone = _count_voters_by_zone(replica)
+    zones = replica.member_zones
+    surplus = max(
+        others, key=lambda voter: (by_zone[zones.get(voter.name, "")], voter.name)
+    )
+    remaining = tuple(voter for voter in voters if voter != surplus)
+    _append_configuration(replica, Configuration(remaining, (*learners, surplus)))
 
 
 def hand_over_leadership(replica: Replica, now: float) -> bool:
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -113,6 +113,8 @@
     its term. ``join_peers`` are members to ask to join besides the configured ones.
     ``waiting_members`` are known only to a leader, by their names.
     ``vote_refusals`` are the answers to the latest vote request of each candidate.
+    ``voter_target`` is the number of voters that a leader aims at, or 0 to promote
+    every learner; ``member_zones`` are the availability zones of members, where known.
     """
 
     me: Member
@@ -136,6 +138,8 @@
     vote_refusals: dict[str, str] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
+    voter_target: int = 0
+    member_zones: dict[str, str] = field(default_factory=dict)
     has_seen_leader: bool = False
     stopping: bool = False
 
--- a/src/dragonflyrock/control/hosts.py
+++ b/src/dragonflyrock/control/hosts.py
@@ -169,6 +169,10 @@
         ]
         return max(names, key=lambda name: hash_score(record.name, name), default="")
 
+    def get_member_zones(self) -> dict[str, str]:
+        """Return the availability zones of the members that have reported theirs."""
+        return {name: near.zone for name, near in self._near_members.items()}
+
     def receive_near_report(
         self, sender: str, report: HostsNear, now: float
     ) -> list[Effect]:
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -146,6 +146,10 @@
         """Return the member that sends a host its rows; empty for this leader."""
         return self._hosts.choose_near_member(record, now)
 
+    def get_member_zones(self) -> dict[str, str]:
+        """Return the availability zones of the members that have reported theirs."""
+        return self._hosts.get_member_zones()
+
     def receive_near_report(
         self, sender: str, report: HostsNear, now: float
     ) -> list[Effect]:
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -448,6 +448,11 @@
                 membership.admit_waiting_member(self._control.replica, now)
                 membership.remove_unresponsive_voter(self._control.replica, now)
                 membership.remove_unresponsive_learner(self._control.replica, now)
+                self._control.replica.member_zones = {
+                    **leader.get_member_zones(),
+                    self._config.name: self._config.zone,
+                }
+                membership.demote_surplus_voter(self._control.replica, now)
 
     def flush(self, now: float) -> None:
         """Persist, send and apply entries; then send the entry hosts changed rows."""
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -50,7 +50,12 @@
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings
-from .timing import make_consensus_timing, make_directed_timing, make_lease_timing
+from .timing import (
+    count_voters,
+    make_consensus_timing,
+    make_directed_timing,
+    make_lease_timing,
+)
 from .waiting import WaitingHosts
 
 __all__ = ["ControlNode", "OrderSender"]
@@ -121,6 +126,7 @@
             began_at=began_at,
         )
         self._group.replica.join_peers = settings.seed_names
+        self._group.replica.voter_target = count_voters(settings)
         self._member = ControlMember(
             MemberConfig(
                 settings.node.name,
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -64,7 +64,8 @@
 
     ``hold_max_ms`` is the longest hold that a server may be granted, ``stop_grace_s``
     the time from a stop signal to the end of the process, and ``announce_ms`` the
-    interval of servers' heartbeats. The ``retry_`` fields are the retry budget.
+    interval of servers' heartbeats. ``lost_machines`` is how many control nodes may be
+    lost at once. The ``retry_`` fields are the retry budget.
     """
 
     hold_max_ms: int = 10_000
@@ -73,6 +74,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 60.0
     announce_ms: int = 1_000
+    lost_machines: int = 1
 
 
 class TimeoutSettings(_Table, frozen=True, kw_only=True):
@@ -181,6 +183,8 @@
         problems.append("timeouts.election_min_ms: must exceed 2 * heartbeat_ms")
     if timeouts.hold_ms > settings.bounds.hold_max_ms:
         problems.append("timeouts.hold_ms: must not exceed bounds.hold_max_ms")
+    if settings.bounds.lost_machines < 0:
+        problems.append("bounds.lost_machines: must not be below 0")
     if settings.bounds.stop_grace_s <= 0:
         problems.append("bounds.stop_grace_s: must be above 0")
     if 2 * timeouts.hold_renew_ms > timeouts.hold_ms:
--- a/src/dragonflyrock/node/timing.py
+++ b/src/dragonflyrock/node/timing.py
@@ -10,8 +10,14 @@
 from ..models import GrantedBy
 from .settings import NodeSettings
 
-__all__ = ["make_consensus_timing", "make_directed_timing", "make_lease_timing"]
+__all__ = [
+    "count_voters",
+    "make_consensus_timing",
+    "make_directed_timing",
+    "make_lease_timing",
+]
 
+MIN_VOTERS: Final = 3
 # One answer may be lost, and the next be on its way.
 UNANSWERED_RENEWALS: Final = 3
 # Two heartbeats may be lost or late in a row.
@@ -20,6 +26,14 @@
 HEARTBEAT_MARGIN_SECONDS: Final = 0.3
 
 
+def count_voters(settings: NodeSettings) -> int:
+    """Return the number of voters that still has a majority after tolerated losses.
+
+    The first three voters remain as long as that is enough.
+    """
+    return max(MIN_VOTERS, 2 * settings.bounds.lost_machines + 1)
+
+
 def make_consensus_timing(settings: NodeSettings) -> Timing:
     """Return the timeouts of the replicated log."""
     timeouts = settings.timeouts
--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -276,6 +276,7 @@
             membership.admit_waiting_member(leader, clock)
             membership.remove_unresponsive_voter(leader, clock)
             membership.remove_unresponsive_learner(leader, clock)
+            membership.demote_surplus_voter(leader, clock)
         cluster.run(0.1)
 
 
--- a/tests/consensus/test_member_schedules.py
+++ b/tests/consensus/test_member_schedules.py
@@ -14,6 +14,7 @@
 import pytest
 
 from dragonflyrock.consensus import Timing
+from dragonflyrock.consensus.membership import LEARNER_TIMEOUT_SECONDS
 
 from .common import Cluster, admit
 
@@ -36,8 +37,9 @@
 class Schedule:
     """A group and the hosts that are in use."""
 
-    def __init__(self, seed: int, size: int) -> None:
-        """Start a group of ``size`` voters."""
+    def __init__(self, seed: int, size: int, target: int = 0) -> None:
+        """Start a group of ``size`` voters; ``target`` is the number aimed at."""
+        self.target = target
         self.random = Random(seed)
         self.names = list(ascii_lowercase[:size])
         self.new_names = iter(ascii_lowercase[size:] + ascii_uppercase)
@@ -50,6 +52,7 @@
         """Give a member the timing of a node and the seeds of its settings."""
         replica = self.cluster.replicas[name]
         replica.timing = Timing(0.2, 0.45, 0.8, 0.02, True)
+        replica.voter_target = self.target
         seeds = self.random.sample(self.names, min(3, len(self.names)))
         replica.join_peers = tuple(sorted(seeds))
 
@@ -135,3 +138,21 @@
     members = schedule.cluster.wait_for_leader().configuration
     assert {voter.name for voter in members.voters} == set(schedule.names)
     assert not members.learners
+
+
+# Guards against faults after which a group with learners that stand by has no leader,
+# has an even number of voters, or fewer than it needs.
+@pytest.mark.parametrize("size", [4, 5, 8])
+@pytest.mark.parametrize("seed", range(16))
+def test_a_group_with_learners_has_an_odd_number_of_voters(
+    seed: int, size: int
+) -> None:
+    target = 5 if size > 4 else 3
+    schedule = Schedule(100 + seed, size, target)
+    for _ in range(FAULT_COUNT):
+        schedule.play(schedule.random.choice(KINDS))
+    schedule.run(LEARNER_TIMEOUT_SECONDS + 2.0)
+    members = schedule.cluster.wait_for_leader().configuration
+    assert len(members.voters) == target
+    names = {member.name for member in (*members.voters, *members.learners)}
+    assert names == set(schedule.names)
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -199,18 +199,26 @@
 
 # Guards against a renamed record that nodes with the old name can no longer read.
 def test_heartbeats_keep_their_names_on_links() -> None:
-    announced = (
-        b"\x92\xaaServerBeat\x98\xa2s1\xa6finder\xab10.0.0.1:80\xa1a\x02\x03\xc3\xc2"
-    )
+    fields = b"\xa2s1\xa6finder\xab10.0.0.1:80\xa1a\x02\x03\xc3\xc2"
     heartbeat = ServerHeartbeat(
         "s1", "finder", "10.0.0.1:80", "a", 2, 3, leaving=True, ended=False
     )
-    for record, payload in (
-        (heartbeat, announced),
-        (HeartbeatAccepted(), b"\x92\xacBeatAccepted\x90"),
+    # The encoding now, and that of versions before servers reported what they hold.
+    for record, payload, former in (
+        (
+            heartbeat,
+            b"\x92\xaaServerBeat\x9a" + fields + b"\x90\x90",
+            b"\x92\xaaServerBeat\x98" + fields,
+        ),
+        (
+            HeartbeatAccepted(),
+            b"\x92\xacBeatAccepted\x92\xc0\x00",
+            b"\x92\xacBeatAccepted\x90",
+        ),
     ):
         assert CALLS.encode(record) == payload
         assert CALLS.decode(payload) == record
+        assert CALLS.decode(former) == record
 
 
 # Guards against a renamed command that can no longer be read from older logs.
