Send on a new connection once the server has had time to reset it

Cause: a server with too many connections, or a long queue, resets a new one as it accepts it.

Change: connect_accepted waits for one more round trip. A connection reset by then is TURNED_AWAY: nothing was sent, the server counts as full and not as unreachable, an unsafe request goes to another server, and one whose owner is full is refused as not run.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -30,6 +30,9 @@
 IDLE_TIMEOUT_SHARE: Final = 0.7
 # SO_LINGER enabled with a timeout of 0: closing the socket resets the connection.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+# Time of a server to accept or reset a connection, beside the round trip.
+ACCEPT_SECONDS: Final = 0.001
+MAX_ACCEPT_WAIT_SECONDS: Final = 0.01
 MAX_IDLE_CONNECTIONS_PER_ADDRESS: Final = 32
 MAX_BODY_BYTES: Final = 32 * 1024 * 1024
 # All bodies that are being read; a host has 200 MB of memory or more.
@@ -304,6 +307,25 @@
         """Open a connection within ``timeout`` seconds, or return the fault."""
         return await self._open(address, timeout)
 
+    async def connect_accepted(
+        self, address: str, timeout: float
+    ) -> ServerConnection | ExchangeFault:
+        """Open a connection that the server has not reset after a round trip.
+
+        A server with too many connections resets a new one as soon as it accepts it.
+        After a request was written, nobody could tell whether it had run.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        opened = await self._open(address, timeout)
+        if isinstance(opened, ExchangeFault):
+            return opened
+        round_trip = loop.time() - began
+        await asyncio.sleep(min(round_trip + ACCEPT_SECONDS, MAX_ACCEPT_WAIT_SECONDS))
+        if opened.is_reusable:
+            return opened
+        return ExchangeFault(FaultKind.TURNED_AWAY, "the new connection was reset")
+
     async def probe(self, address: str, path: str, timeout: float) -> bool:
         """Return whether a server answers a GET of ``path`` on a new connection."""
         opened = await self._open(address, timeout)
--- a/src/dragonflyrock/http/models.py
+++ b/src/dragonflyrock/http/models.py
@@ -49,9 +49,13 @@
 
 
 class FaultKind(StrEnum):
-    """The kind of failure of an exchange with a backend server."""
+    """The kind of failure of an exchange with a backend server.
+
+    ``TURNED_AWAY`` is a new connection that the server reset before anything was sent.
+    """
 
     NOT_CONNECTED = "not-connected"
+    TURNED_AWAY = "turned-away"
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
 
@@ -59,7 +63,8 @@
 class ExchangeFault(NamedTuple):
     """The failure of an exchange with a backend server.
 
-    Only after ``NOT_CONNECTED`` is it certain that the server did not run the request.
+    Only after ``NOT_CONNECTED`` and ``TURNED_AWAY`` is it certain that the server did
+    not run the request.
     """
 
     kind: FaultKind
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -517,9 +517,10 @@
         connection = self._connections.acquire_idle(stat.row.address)
         reused = connection is not None
         if connection is None:
-            connection = await self._connect(context, stat)
-            if connection is None:
-                return self._handle_failed_connect(context, stat)
+            opened = await self._connect(context, stat)
+            if isinstance(opened, ExchangeFault):
+                return self._handle_failed_connect(context, stat, opened)
+            connection = opened
         may_send = await self._take_token(context, stat)
         now = self._clock()
         in_time = now < context.deadline
@@ -611,17 +612,21 @@
 
     async def _connect(
         self, context: RequestContext, stat: ServerStat
-    ) -> ServerConnection | None:
-        """Open a connection to a server; return None if it cannot be reached."""
+    ) -> ServerConnection | ExchangeFault:
+        """Open a connection to a server, or return why there is none."""
         address = stat.row.address
         seconds_left = min(CONNECT_TIMEOUT_SECONDS, context.deadline - self._clock())
-        opened = await self._connections.connect(address, seconds_left)
-        if isinstance(opened, ExchangeFault):
+        opened = await self._connections.connect_accepted(address, seconds_left)
+        if not isinstance(opened, ExchangeFault):
+            return opened
+        context.detail = f"connect: {opened.detail}"
+        self.reach.record_failure(address)
+        if opened.kind == FaultKind.TURNED_AWAY:
+            # The server has too many connections, or fewer places as its queue is long.
+            record_full(stat, self._clock())
+        else:
             record_unreachable(stat, self._clock())
             self._connections.close_idle(address)
-            self.reach.record_failure(address)
-            context.detail = f"connect: {opened.detail}"
-            return None
         return opened
 
     async def _take_token(self, context: RequestContext, stat: ServerStat) -> bool:
@@ -667,7 +672,7 @@
             stat, self._state.get_service_stat(context.service), None, self._clock()
         )
         if fault.kind == FaultKind.NOT_CONNECTED:
-            return self._handle_failed_connect(context, stat)
+            return self._handle_failed_connect(context, stat, fault)
         context.may_have_run = True
         context.avoid.add(stat.row.name)
         now = self._clock()
@@ -680,18 +685,23 @@
         return self._answer_failure(context)
 
     def _handle_failed_connect(
-        self, context: RequestContext, stat: ServerStat
+        self, context: RequestContext, stat: ServerStat, fault: ExchangeFault
     ) -> Response | None:
         """Handle a server that got nothing of a request; return None to send again.
 
         This needs no retry budget, since no server has more work, but has a bound: a
-        refused connection takes no time.
+        refused connection takes no time. An owner that is full is not tried again.
         """
         context.avoid.add(stat.row.name)
         context.connect_failures += 1
+        now = self._clock()
+        if fault.kind == FaultKind.TURNED_AWAY and context.key_hash is not None:
+            service = self._state.get_service_stat(context.service)
+            return self._refuse(
+                context, Rejection(context.detail, estimate_wait(stat, service, now))
+            )
         if context.connect_failures < MAX_CONNECT_FAILURE_COUNT:
             return None
-        now = self._clock()
         return self._refuse(
             context, Rejection("no server can be reached", stat.down_until - now)
         )
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -21,6 +22,7 @@
     find_header,
     make_response,
 )
+from dragonflyrock.http.client import RESET_ON_CLOSE
 from dragonflyrock.models import Delta, DocumentHead, RangeRow, RangeState, ServerRow
 from dragonflyrock.observe.lines import LineLog
 from dragonflyrock.observe.metrics import Metrics
@@ -93,6 +95,8 @@
         self.received: list[tuple[str, Request]] = []
         self.rows: dict[str, ServerRow] = {}
         self.servers: list[HttpServer] = []
+        self.turned_away = 0
+        self._full_servers: list[asyncio.Server] = []
         self._revision = 0
 
     def _make_rate_agent(self) -> ServerRateAgent:
@@ -132,6 +136,21 @@
         self.rows[name] = row
         return row
 
+    async def add_full_server(self, name: str) -> ServerRow:
+        """Start a server that resets each new connection at once, and add its row."""
+
+        async def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.turned_away += 1
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+        port = free_port()
+        self._full_servers.append(await asyncio.start_server(reset, "127.0.0.1", port))
+        row = ServerRow(name, "s", f"127.0.0.1:{port}", "a", 0, 2, 0, True)
+        self.rows[name] = row
+        return row
+
     def apply_update(
         self, kind: RouteKind = RouteKind.IDEMPOTENT, owner: str = "", attempts: int = 2
     ) -> None:
@@ -173,7 +192,7 @@
 
     def delay_connections(self, seconds: float) -> None:
         """Have each new connection take some time."""
-        connect = self.connections.connect
+        connect = self.connections.connect_accepted
 
         async def connect_late(
             address: str, timeout: float
@@ -182,7 +201,7 @@
             await asyncio.sleep(seconds)
             return connection
 
-        self.connections.connect = connect_late  # type: ignore[method-assign]
+        self.connections.connect_accepted = connect_late  # type: ignore[method-assign]
 
     async def open_idle_connection(self, address: str) -> None:
         """Put an idle connection to a server into the pool."""
@@ -216,6 +235,8 @@
         self.connections.close()
         for server in self.servers:
             server.close()
+        for full_server in self._full_servers:
+            full_server.close()
 
 
 async def answer_ok(request: Request) -> Response:
