--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -85,8 +85,8 @@
     election_max_ms: int = 800
     host_lease_ms: int = 4_000
     host_renew_ms: int = 700
-    hold_ms: int = 6_000
-    hold_renew_ms: int = 2_000
+    hold_ms: int = 4_500
+    hold_renew_ms: int = 1_500
 
 
 class OwnershipSettings(_Table, frozen=True, kw_only=True):
