--- a/deploy/node.py
+++ b/deploy/node.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-BEGAN_AT = time.monotonic()
+BEGAN_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
 # Without a handler, SIGHUP would end the process while it loads its code.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Loaded modules are never freed; garbage collection would only delay the start.
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -15,6 +15,7 @@
 
 import defopt
 
+from .clock import read_clock
 from .codec import get_outer_name
 from .consensus import Group, StateMachine, open_group
 from .control.calls import CALLS, Propose, ReadRevisions, RevisionList
@@ -83,7 +84,7 @@
         Raise a ``DragonflyrockError`` if the stored data or the keys are bad.
         """
         self._settings = settings
-        self._clock = time.monotonic
+        self._clock = read_clock
         self._random = Random()
         self._stop_requested = threading.Event()
         self._unready_reason = "starting\n"
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any, Final, NamedTuple
 
+from ..clock import read_clock
 from ..codec import get_outer_name
 from ..consensus import Role, open_group
 from ..control.calls import (
@@ -97,7 +97,7 @@
         settings: NodeSettings,
         send_order: OrderSender,
         began_at: float,
-        clock: Clock = time.monotonic,
+        clock: Clock = read_clock,
     ) -> None:
         """Open the data folder and bind the link.
 
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from ..clock import read_clock
 from ..codec import get_outer_name
 from ..control.const import CONTROL_GROUP
 from ..drain import plan_drain
@@ -59,7 +60,7 @@
         settings: NodeSettings,
         header_names: HeaderNames,
         began_at: float,
-        clock: Clock = time.monotonic,
+        clock: Clock = read_clock,
     ) -> None:
         """Bind the link; ``began_at`` is the start of the process on ``clock``."""
         self._settings = settings
--- a/src/dragonflyrock/platform/main.py
+++ b/src/dragonflyrock/platform/main.py
@@ -83,7 +83,7 @@
     """Run a node and return its exit status.
 
     The environment names the settings file. ``began_at`` is the start of the process
-    on the system's steady clock.
+    on the clock that ``read_clock`` reads.
     """
     logging.basicConfig(level="INFO", stream=sys.stderr)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
--- a/tests/node/test_control_disk.py
+++ b/tests/node/test_control_disk.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
+from dragonflyrock.clock import read_clock
 from dragonflyrock.control.calls import HeartbeatAccepted
 from dragonflyrock.control.directed_models import Order, OrderResult, ServerHeartbeat
 from dragonflyrock.errors import Reason, Refusal
@@ -94,7 +94,7 @@
     files = FaultyFiles()
 
     async def run_node() -> list[dict[str, object]]:
-        node = ControlNode(settings, reject_order, time.monotonic())
+        node = ControlNode(settings, reject_order, read_clock())
         node._group._storage._files = files
         task = asyncio.create_task(node.run(handle_request))
         await wait_until(lambda: node._group.is_settled_leader(node._loop.clock()))
@@ -133,7 +133,7 @@
     settings: NodeSettings,
 ) -> None:
     async def check_before_and_after() -> tuple[bool, bool]:
-        node = ControlNode(settings, reject_order, time.monotonic())
+        node = ControlNode(settings, reject_order, read_clock())
         row = ServerRow("server", "service", HEARTBEAT.address, "a", 1, 1, 1, False)
         node._state.servers["server"] = row
         before = node._repeats_committed_row(HEARTBEAT)
@@ -151,7 +151,7 @@
     settings: NodeSettings, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def report_twice() -> list[tuple[str, object]]:
-        node = ControlNode(settings, reject_order, time.monotonic())
+        node = ControlNode(settings, reject_order, read_clock())
         sent: list[tuple[str, object]] = []
 
         def send(peer: str, message: object) -> bool:
