Soak: servers that hear of their keys in answers to heartbeats

Cause: the soak had servers that take orders only, so real nodes under faults were never tried with keys by heartbeat.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,6 +45,12 @@
         "--regressions", action="store_true", help="play scripts that failed"
     )
     parser.add_argument("--seconds", type=float, default=const.DEFAULT_SCRIPT_SECONDS)
+    parser.add_argument(
+        "--granted-by",
+        choices=["call", "heartbeat"],
+        default="call",
+        help="how servers hear of their keys",
+    )
     parser.add_argument("--keep", type=Path, help="folder for failure logs")
     return parser.parse_args(arguments)
 
@@ -92,7 +98,8 @@
     options = parse_arguments(arguments)
     table_rows, failed_count = [], 0
     for seed, script in _list_scripts(options):
-        result = play(seed, script, options.keep, _report_progress)
+        by_heartbeat = options.granted_by == "heartbeat"
+        result = play(seed, script, options.keep, _report_progress, by_heartbeat)
         _report_progress("")
         if result.violations:
             failed_count += 1
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -5,7 +5,7 @@
 import json
 import socket
 from pathlib import Path
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from . import const
 
@@ -37,9 +37,13 @@
 
 
 class Layout(NamedTuple):
-    """The addresses of a run, in the loopback network ``127.<network>.0.0/16``."""
+    """The addresses of a run, in the loopback network ``127.<network>.0.0/16``.
+
+    With ``by_heartbeat`` servers hear of their keys in the answers to heartbeats.
+    """
 
     network: int
+    by_heartbeat: bool = False
 
     def list_role(self, role: str) -> list[NodeSpec]:
         """Return the nodes of a role."""
@@ -65,7 +69,7 @@
         return proxy, server
 
 
-def reserve_network() -> tuple[Layout, socket.socket]:
+def reserve_network(by_heartbeat: bool = False) -> tuple[Layout, socket.socket]:
     """Return a free network; it stays reserved while the socket is open."""
     for network in NETWORK_NUMBERS:
         reservation = socket.socket()
@@ -76,7 +80,7 @@
             # Another run uses this network.
             reservation.close()
             continue
-        return Layout(network), reservation
+        return Layout(network, by_heartbeat), reservation
     raise RuntimeError("no free loopback network for a run")
 
 
@@ -97,7 +101,11 @@
     bounds = {"stop_grace_s": const.GRACE_SECONDS, "retry_slack": retry_slack}
     seeds = [seed.address for seed in layout.list_role("control")]
     lines = [f"seeds = {json.dumps(seeds)}"]
-    for title, table in (("node", identity), ("listen", listen), ("bounds", bounds)):
+    tables: dict[str, dict[str, Any]] = {"node": identity, "listen": listen}
+    tables["bounds"] = bounds
+    if layout.by_heartbeat:
+        tables["ownership"] = {"granted_by": "heartbeat"}
+    for title, table in tables.items():
         lines.append(f"[{title}]")
         lines += [f"{key} = {json.dumps(value)}" for key, value in table.items()]
     return "\n".join(lines) + "\n"
--- a/soak/run.py
+++ b/soak/run.py
@@ -220,10 +220,14 @@
 
 
 async def _play(
-    seed: int, script: tuple[Step, ...], folder: Path, report_progress: ReportProgress
+    seed: int,
+    script: tuple[Step, ...],
+    folder: Path,
+    report_progress: ReportProgress,
+    by_heartbeat: bool,
 ) -> Result:
     """Play a script; write logs, settings and data to a folder."""
-    layout, reservation = reserve_network()
+    layout, reservation = reserve_network(by_heartbeat)
     history = History()
     run = Run(RunContext(layout, history, folder, seed), report_progress)
     try:
@@ -243,10 +247,14 @@
     script: tuple[Step, ...],
     folder: Path | None,
     report_progress: ReportProgress,
+    by_heartbeat: bool = False,
 ) -> Result:
-    """Play a script with the random values of a seed; keep the logs on a failure."""
+    """Play a script with the random values of a seed; keep the logs on a failure.
+
+    With ``by_heartbeat`` servers hear of their keys in the answers to heartbeats.
+    """
     log_folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=folder))
-    result = asyncio.run(_play(seed, script, log_folder, report_progress))
+    result = asyncio.run(_play(seed, script, log_folder, report_progress, by_heartbeat))
     if not result.violations:
         shutil.rmtree(log_folder)
     return result
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final, NamedTuple
+import json
+from typing import Any, Final
 
 from dragonflyrock.http import (
     HttpServer,
@@ -16,6 +17,8 @@
 
 from . import const, wire
 from .context import RunContext
+from .held_keys import LEASE_CLOCK_FACTOR, Grant, HeldKeys, remove_keys
+from .layout import NodeSpec
 from .models import Beaten, Began, Finished, Limited, Told
 
 LEAVE_DELAY_SECONDS: Final = 1.5
@@ -23,19 +26,10 @@
 HEARTBEAT_LAG_SECONDS: Final = 0.5
 BODY_LINE_COUNT: Final = 40
 SLOW_FACTOR: Final = 5
-# A server's clock may run slow by this factor, which makes its leases last longer.
-LEASE_CLOCK_FACTOR: Final = 1.02
 STATUS_BY_RESULT: Final = {"done": 200, "deadline": 504, "lease": 500}
 RELEASE_POLL_SECONDS: Final = 0.01
-
-
-class Grant(NamedTuple):
-    """A lease on the keys from ``low`` to ``high``, both inclusive."""
-
-    low: int
-    high: int
-    fence: int
-    until: float
+# A server that releases keys sends its next heartbeat this soon.
+RELEASING_PAUSE_SECONDS: Final = 0.1
 
 
 class StandIn:
@@ -51,6 +45,7 @@
         self._service = wire.KEYS_SERVICE if self._is_sharded else wire.PLAIN_SERVICE
         self._zone = const.ZONES[number % len(const.ZONES)]
         self._nodes = context.layout.list_role("control")
+        self._by_heartbeat = self._is_sharded and context.layout.by_heartbeat
         self._history = context.history
         self._random = context.make_random(self.label)
         self._instance_count = 0
@@ -64,6 +59,8 @@
         self._instance_count += 1
         self.name = f"{self.label}.{self._instance_count}"
         self._grants: list[Grant] = []
+        self._held = HeldKeys()
+        self._heartbeat_address = ""
         self._received_grants: list[Grant] = []
         self._running: dict[str, int] = {}
         self._state = "ready"
@@ -103,26 +100,53 @@
         while True:
             sequence += 1
             state, address = self._state, self.addresses[0]
+            rows, sent_at = self._make_rows(), self._history.now()
             heartbeat = wire.encode_heartbeat(
-                self._service, address, self._zone, state, sequence
+                self._service, address, self._zone, state, sequence, rows
             )
-            node = await self._call("heartbeat", heartbeat)
-            if node:
+            node, response = await self._call("heartbeat", heartbeat)
+            if response is not None:
                 self._history.add(Beaten(self.name, state, node))
+                self._take_answer(response, rows, sent_at)
             pause = const.HEARTBEAT_INTERVAL_SECONDS * self._random.uniform(0.7, 1.1)
+            if self._held.is_releasing:
+                pause = RELEASING_PAUSE_SECONDS
             await asyncio.sleep(pause)
 
-    async def _call(self, call: str, body: bytes) -> str:
-        """Call control nodes in random order; return the name of the accepting one.
+    def _make_rows(self) -> dict[str, Any]:
+        """Return what this server holds and has freed, if heartbeats say so."""
+        if not self._by_heartbeat:
+            return {}
+        running = self._running.values()
+        return self._held.make_rows(self._history.now(), running, self.name)
+
+    def _take_answer(
+        self, response: Response, rows: dict[str, Any], sent_at: float
+    ) -> None:
+        """Hold what the answer to a heartbeat names."""
+        if not self._by_heartbeat:
+            return
+        address = json.loads(response.body).get("heartbeatAddress", "")
+        self._heartbeat_address = address
+        self._held.take_answer(response.body, sent_at, len(rows["freed"]))
+        self._grants = self._held.grants
 
-        Return an empty text if none accepted the call.
+    def _list_targets(self) -> list[NodeSpec]:
+        """Return the control nodes in the order in which they are called."""
+        nodes = self._random.sample(self._nodes, len(self._nodes))
+        return sorted(nodes, key=lambda node: node.address != self._heartbeat_address)
+
+    async def _call(self, call: str, body: bytes) -> tuple[str, Response | None]:
+        """Call control nodes until one accepts; return its name and its answer.
+
+        Return None as the answer if none accepted the call.
         """
         path = wire.make_announcement_path(self.name, call)
-        for node in self._random.sample(self._nodes, len(self._nodes)):
+        for node in self._list_targets():
             response = await wire.call(node.address, "POST", path, body)
             if response is not None and 200 <= response.status < 300:
-                return node.name
-        return ""
+                return node.name, response
+        return "", None
 
     async def _handle_request(self, request: Request) -> Response:
         """Answer a control call or a request; cancelled if the client disconnects."""
@@ -169,13 +193,13 @@
         self._received_grants = [
             other for other in self._received_grants if other[:3] != grant[:3]
         ] + [grant]
-        self._grants = [*_remove_keys(self._grants, low, high), grant]
+        self._grants = [*remove_keys(self._grants, low, high), grant]
         return make_response(200)
 
     async def _release(self, request: Request) -> Response:
         """Release keys, and answer once no request for them is running."""
         low, high, fence, _ = wire.read_grant(request.body)
-        self._grants = _remove_keys(self._grants, low, high)
+        self._grants = remove_keys(self._grants, low, high)
         while any(low <= key <= high for key in self._running.values()):
             await asyncio.sleep(RELEASE_POLL_SECONDS)
         token = f"{self.name}-{low}-{high}-{fence}".encode()
@@ -266,10 +290,3 @@
     """Return the id of a request."""
     value = find_header(request.headers, wire.HEADER_NAMES.request_id)
     return (value or b"").decode()
-
-
-def _remove_keys(grants: list[Grant], low: int, high: int) -> list[Grant]:
-    """Return grants without the keys from ``low`` to ``high``."""
-    below = [g._replace(high=min(g.high, low - 1)) for g in grants if g.low < low]
-    above = [g._replace(low=max(g.low, high + 1)) for g in grants if g.high > high]
-    return below + above
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -126,16 +126,22 @@
 
 
 def encode_heartbeat(
-    service: str, address: str, zone: str, state: str, sequence: int
+    service: str,
+    address: str,
+    zone: str,
+    state: str,
+    sequence: int,
+    rows: dict[str, Any],
 ) -> bytes:
-    """Return the body of a heartbeat."""
+    """Return the body of a heartbeat; ``rows`` are the lists of keys, if any."""
     heartbeat = {"service": service, "address": address, "zone": zone, "state": state}
     constant_fields = {
         "version": "v1",
         "slots": const.SLOT_COUNT,
         "warmupRemainingMs": 0,
     }
-    return json.dumps(heartbeat | constant_fields | {"sequence": sequence}).encode()
+    fields = heartbeat | constant_fields | {"sequence": sequence} | rows
+    return json.dumps(fields).encode()
 
 
 def read_grant(body: bytes) -> GrantCall:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
 
 SEEDS = (101, 126)
 SECONDS = 12.0
+HEARTBEAT_SEED = 2001
 IMPORT_DELAY_SECONDS = 0.1
 EXIT_WAIT_SECONDS = 1.0
 
@@ -39,6 +40,15 @@
     assert result.count("answered") > 0
 
 
+# Guards against a violation of any check where servers hear of their keys in answers to
+# their heartbeats.
+def test_short_soak_with_keys_by_heartbeat_passes_all_checks(tmp_path: Path) -> None:
+    script = make_script(HEARTBEAT_SEED, SECONDS)
+    result = play(HEARTBEAT_SEED, script, tmp_path, print, by_heartbeat=True)
+    assert not result.violations, format_violations(result)
+    assert result.count("answered") > 0
+
+
 # Guards against the return of a fault that a script has found before.
 @pytest.mark.parametrize(
     "entry",
