--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -180,6 +180,14 @@
             move.target = row.name
             move.stage = MoveStage.COMMITTING
             ready.append(move)
+            self._report(
+                "part-assigned",
+                service=move.service,
+                range_low=move.low,
+                server=move.target,
+                detail=f"to {move.high}, from {move.source}, free for"
+                f" {now - move.free_at:.2f} s",
+            )
         return _make_assignments([(move, move.target) for move in ready])
 
     def _is_suitable(self, move: RangeMove, row: ServerRow, now: float) -> bool:
