Try a server again that rejects a request while it has free slots

Each rejection was taken for a full queue: the host refused the next requests of that server's keys for about two processing times, sent nothing again, and told callers to come back much later.

Change: a rejection with a report of hardly a queue is not one of a full server. The request is sent again within the retry budget, also to the owner of its key, and callers are told to come back at once.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -66,6 +66,7 @@
     record_full,
     record_load_report,
     record_outcome,
+    record_rejection,
     record_response,
     record_sent,
     record_unreachable,
@@ -777,30 +778,31 @@
     ) -> Response | None:
         """Handle a response that the request was not run; return None to send again."""
         now = self._clock()
-        record_load_report(
-            stat, self._state.get_service_stat(context.service), report, now
-        )
+        service = self._state.get_service_stat(context.service)
+        is_full = False
         if response.status == 421:
+            record_load_report(stat, service, report, now)
             context.wrong_owner = True
             other = find_header(response.headers, self._config.header_names.server_name)
             if other is not None and other != stat.row.name.encode():
                 self._state.mark_ended(stat)
         else:
-            record_full(stat, now)
+            is_full = record_rejection(stat, service, report, now)
         context.avoid.add(stat.row.name)
         context.server_rejections += 1
+        pause = self._state.pauses.get_seconds_left(stat.row, now)
         # Only the owner can run the request, and it is still full for a second send.
-        owner_full = context.key_hash is not None and response.status != 421
+        owner_full = context.key_hash is not None and (is_full or pause > 0)
         if (
             owner_full
             or context.server_rejections > MAX_SERVER_REJECTION_COUNT
             or not self._claim_retry(context)
         ):
-            wait = estimate_wait(
-                stat, self._state.get_service_stat(context.service), now
-            )
+            # A server that is not full may take the request at any time.
+            wait = MIN_RETRY_AFTER_SECONDS
+            if is_full or response.status == 421:
+                wait = estimate_wait(stat, service, now)
             rejection = Rejection(context.detail, wait)
-            pause = self._state.pauses.get_seconds_left(stat.row, now)
             if owner_full and pause:
                 rejection = Rejection(context.detail, pause, RejectionCause.PAUSED)
                 self._count_turned_away(context, rejection)
--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -22,6 +22,7 @@
     "record_full",
     "record_load_report",
     "record_outcome",
+    "record_rejection",
     "record_response",
     "record_sent",
     "record_unreachable",
@@ -264,6 +265,27 @@
     stat.reported_at = now
 
 
+def record_rejection(
+    stat: ServerStat, service: ServiceStat, report: LoadReport | None, now: float
+) -> bool:
+    """Record that a server rejected a request; return whether it is full.
+
+    One that reports hardly a queue rejects some of its requests for another reason. It
+    takes others meanwhile.
+
+    >>> stat = ServerStat(ServerRow("s", "s", "s:1", "a", 0, 2, 0, True), slots=2)
+    >>> record_rejection(stat, ServiceStat(0.1), LoadReport(1, 0, 2), 1.0)
+    False
+    >>> record_rejection(stat, ServiceStat(0.1), LoadReport(2, 8, 2), 1.0)
+    True
+    """
+    record_load_report(stat, service, report, now)
+    if report is not None and report.waiting < max(1, report.slots):
+        return False
+    record_full(stat, now)
+    return True
+
+
 def record_unreachable(stat: ServerStat, now: float) -> None:
     """Start or extend the pause of a server that could not be reached in time."""
     doublings = min(stat.consecutive_failures, MAX_BACKOFF_DOUBLINGS)
--- a/tests/load/model.py
+++ b/tests/load/model.py
@@ -25,6 +25,7 @@
     estimate_wait,
     measure_processing_time,
     record_full,
+    record_rejection,
     record_response,
     record_sent,
 )
@@ -40,6 +41,10 @@
 KEY_COUNT: Final = 4096
 KEY_STEP: Final = KEY_SPACE // KEY_COUNT
 MAX_QUEUED_COUNT: Final = 8
+# Second sends of all hosts, as a share of the requests; callers wait at least so long.
+RETRY_RATIO: Final = 0.15
+MIN_WAIT_SECONDS: Final = 0.05
+ROUND_TRIP_SECONDS: Final = 0.002
 
 
 class LoadPlan(NamedTuple):
@@ -63,6 +68,8 @@
     # With the deadline at the target latency, no request is sent late.
     retries: int = 0
     deadline: float = 0.2
+    # Share of the requests that servers reject although they have free slots.
+    rejected_share: float = 0.0
 
 
 class SimulatedRequest(NamedTuple):
@@ -135,6 +142,7 @@
         self.speeds = dict.fromkeys(self.servers, (0.0, 0.0))
         self.outcomes: dict[int, OutcomeCounts] = {}
         self.cold_outcomes: dict[int, OutcomeCounts] = {}
+        self.rejected_count = self.resent_count = self.sent_count = 0
         self._events: list[tuple[float, int, tuple[object, ...]]] = []
         self._count = 0
 
@@ -222,7 +230,11 @@
             request, host, self.now, estimate_backlog(stat, service, self.now)
         )
         record_sent(stat, self.now)
-        if server.running < 2:
+        self.sent_count += 1
+        share = self.plan.rejected_share
+        if share and self.random.random() < share:
+            self._reject(server, sent)
+        elif server.running < 2:
             self._start_on_server(server, sent)
         elif len(server.queue) < MAX_QUEUED_COUNT:
             server.queue.append(sent)
@@ -231,6 +243,20 @@
             record_full(stat, self.now)
             self._retry_or_count(request, "shed", self.plan.work)
 
+    def _reject(self, server: Server, sent: SentRequest) -> None:
+        """Have a server reject a request, and the host send it again or refuse it."""
+        stat, service = self.stats[sent.host][server.name], self.services[sent.host]
+        report = LoadReport(server.running, len(server.queue), 2)
+        stat.in_flight -= 1
+        is_full = record_rejection(stat, service, report, self.now)
+        self.rejected_count += 1
+        if not is_full and self.resent_count < RETRY_RATIO * self.sent_count:
+            self.resent_count += 1
+            self._schedule(self.now + ROUND_TRIP_SECONDS, ("return", sent.request))
+            return
+        wait = self.plan.work if is_full else MIN_WAIT_SECONDS
+        self._retry_or_count(sent.request, "shed", wait)
+
     def _retry_or_count(self, request: SimulatedRequest, end: str, wait: float) -> None:
         """Schedule the caller's retry, or count its request if it gives up."""
         left = request.first + self.plan.deadline - self.now
