Drop a message that cannot be handled instead of ending the node

Cause: an exception in any message's handler ended the process, so one malformed message or unexpected error took a node down, and a repeated one kept it down. Change: only messages of the replicated log end the node, as a half changed state must not be acknowledged. Any other is dropped, counted in dragonflyrock_dropped_frames, with a line message-dropped; the traceback is written once for each kind of message.

--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -8,11 +8,12 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
+from ..codec import get_outer_name
 from ..observe import EventRing, HybridClock
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
 from ..transport.links import Links, ReceivedMessage
-from ..transport.messages import LinkMessage
+from ..transport.messages import ConsensusMessage, LinkMessage
 from .settings import NodeSettings
 
 __all__ = ["Clock", "NodeLoop"]
@@ -33,7 +34,8 @@
 class NodeLoop:
     """Deliver messages and ticks to the role of a node, and flush after each batch.
 
-    An exception in a callback of the role sets ``failure``, which ends the node.
+    An exception in a callback of the role sets ``failure``, which ends the node, unless
+    it comes from a message that can be dropped.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._local_messages: deque[ReceivedMessage] = deque()
         self._tick_interval = tick_interval
         self._is_pass_scheduled = False
+        self._failed_kinds: set[str] = set()
         self._tick_timer: asyncio.TimerHandle | None = None
         self._last_tick_at = self.clock()
         self._lines_flushed_at = 0.0
@@ -149,8 +152,27 @@
             self.schedule_pass()
 
     def _deliver(self, received: ReceivedMessage) -> None:
-        """Pass a message to the role."""
-        self._call_guarded(lambda now: self._on_message(received, now), self.clock())
+        """Pass a message to the role; drop one that it cannot handle.
+
+        An error in a message of the replicated log ends the node: what it has changed
+        by then might be acknowledged.
+        """
+        if isinstance(received.message, ConsensusMessage):
+            self._call_guarded(
+                lambda now: self._on_message(received, now), self.clock()
+            )
+            return
+        try:
+            self._on_message(received, self.clock())
+        except Exception as error:
+            kind = get_outer_name(type(received.message))
+            if kind not in self._failed_kinds:
+                self._failed_kinds.add(kind)
+                _LOGGER.exception("step=receive peer=%s: %s", received.sender, kind)
+            self.metrics.dropped_frames.inc()
+            self.lines.add(
+                "message-dropped", peer=received.sender, kind=kind, error=repr(error)
+            )
 
     def _call_guarded(self, call: TickCallback, now: float) -> None:
         """Call a callback of the role; an exception sets ``failure``."""
