Probe an instance that has announced itself before it is registered anew

Cause: only the leader that dropped an instance knows that it has ended. A heartbeat of it that was delayed on its way, at a leader elected since, registered the server again: it got keys and requests until it counted as silent. Change: an unknown instance whose heartbeat has a number above 5 is refused and probed at its address; the next one is accepted once the instance has answered there. A test fails without it; a dropped server that is back is registered again within 3 s. A late second copy of an answer on a connection in use again: a test shows that the next caller gets its own (it passed before).

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -48,6 +48,8 @@
 
 
 MAX_ENDED_INSTANCES: Final = 10_000
+# An instance with a higher number in its first heartbeat here has sent others before.
+FIRST_SEQUENCES: Final = 5
 JOIN_INTERVAL_SECONDS: Final = 5.0
 UTILIZATION_REPORT_SECONDS: Final = 2.0
 # Each move costs a release, a commit and a grant.
@@ -83,6 +85,7 @@
             case GrantedBy.HEARTBEAT:
                 self._granting = GrantingByHeartbeat(self._tables)
         self._ended_instances: dict[str, None] = {}
+        self._confirmed: set[str] = set()
         self._order_credit = ORDER_BURST
         self._credited_at = now
         self._utilization_reported_at: dict[str, float] = {}
@@ -259,21 +262,30 @@
             self._tables.orders.append(
                 ProbeOrder(other, self._tables.find_health_path(other.service))
             )
+        row = ServerRow(
+            heartbeat.name,
+            heartbeat.service,
+            heartbeat.address,
+            heartbeat.zone,
+            0,
+            heartbeat.slots,
+            0,
+            True,
+            heartbeat.leaving,
+        )
+        if heartbeat.sequence > FIRST_SEQUENCES and row.name not in self._confirmed:
+            # It may be a late heartbeat of a server that has left: a leader that was
+            # elected since does not know which instances have ended.
+            health_path = self._tables.find_health_path(row.service)
+            self._tables.orders.append(ProbeOrder(row, health_path))
+            detail = "the instance has announced itself before, and is probed first"
+            return Refusal(
+                Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
+            )
+        self._confirmed.discard(row.name)
         self._registered_at = now
         self._tables.liveness[heartbeat.name] = ServerLiveness(now, heartbeat.sequence)
-        return c.RegisterServer(
-            ServerRow(
-                heartbeat.name,
-                heartbeat.service,
-                heartbeat.address,
-                heartbeat.zone,
-                0,
-                heartbeat.slots,
-                0,
-                True,
-                heartbeat.leaving,
-            )
-        )
+        return c.RegisterServer(row)
 
     def drop_ended_servers(self, names: tuple[str, ...]) -> list[c.Command]:
         """Drop servers at whose addresses entry hosts found another instance."""
@@ -653,6 +665,11 @@
         elif result.outcome != OrderOutcome.OTHER_INSTANCE:
             liveness.failures += 1
             liveness.failed_at = now
+        name = result.order.server.name
+        is_found = result.outcome == OrderOutcome.DONE
+        is_unknown = name not in self._state.servers
+        if is_found and is_unknown and isinstance(result.order, ProbeOrder):
+            self._confirmed.add(name)
         command = self._granting.complete(result, now)
         if result.outcome == OrderOutcome.OTHER_INSTANCE:
             return self._drop_ended_server(result.order.server.name)
--- a/tests/control/test_directed.py
+++ b/tests/control/test_directed.py
@@ -13,7 +13,9 @@
     OrderOutcome,
     OrderResult,
     ReleaseOrder,
+    ServerHeartbeat,
 )
+from dragonflyrock.errors import Refusal
 
 from .directed_world import (
     KEY_COUNT,
@@ -417,3 +419,35 @@
     world.run(RECOVERY_SECONDS)
     assert world.violations == []
     assert world.unserved_for(HANDOVER_SECONDS) == []
+
+
+# Guards against a server that has left and is in use again after a restart of the
+# leader, as a heartbeat of it was delayed on its way.
+def test_a_late_heartbeat_of_a_server_that_left_registers_nothing() -> None:
+    world = start(9)
+    left = world.instances["s1"]
+    late = ServerHeartbeat(left.name, SERVICE, left.address, "a", 2, 6)
+    world.crash(left, 1000.0)
+    world.commit(c.StopServer(left.name))
+    world.run(TIMING.silence_timeout * 2 + 2.0)
+    assert left.name not in world.state.servers
+    world.change_leader()
+    world.run(2.0)
+    assert isinstance(world.leader.receive_heartbeat(late, world.now), Refusal)
+    world.run(2.0)
+    assert isinstance(world.leader.receive_heartbeat(late, world.now), Refusal)
+
+
+# Guards against a server that was silent for so long that it was dropped, and is taken
+# for one that has left although it answers at its address.
+def test_a_dropped_server_that_is_back_is_registered_again() -> None:
+    world = start(10)
+    back = world.instances["s1"]
+    back.cut_off = True
+    world.run(TIMING.removal_timeout + 2.0)
+    assert back.name not in world.state.servers
+    back.cut_off = False
+    world.run(3.0)
+    assert back.name in world.state.servers
+    world.run(RECOVERY_SECONDS)
+    assert world.unserved() == []
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -253,3 +253,34 @@
 async def _answer_nothing(request: Request) -> Response:
     """Answer with an empty response."""
     return make_response(200)
+
+
+# Guards against a second copy of an answer, sent late on a connection that is in use
+# again, which the next caller gets.
+def test_a_late_copy_of_an_answer_is_not_that_of_the_next_request() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none"
+        second = first.replace(b"X-Id: 1", b"X-Id: 2").replace(b"one", b"two")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(second)
+
+    async def run() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ConnectionPool().connect(f"127.0.0.1:{port}", 1.0)
+        assert isinstance(connection, ServerConnection)
+        for number, body in ((b"1", b"one"), (b"2", b"two")):
+            request = Request(b"GET", b"/", (), b"")
+            response = await connection.exchange(request, b"x-id", number)
+            assert isinstance(response, Response)
+            assert response.body == body
+        assert not connection.is_reusable
+        connection.close()
+        server.close()
+
+    asyncio.run(run())
