Free a part only by a heartbeat that says so or still lists a told row

Change: a left out part is free if the server says freed, or still lists another row that it was told; else its hold is waited out.

--- a/src/dragonflyrock/control/by_heartbeat.py
+++ b/src/dragonflyrock/control/by_heartbeat.py
@@ -174,7 +174,12 @@
         return self._check_rows(heartbeat, now)
 
     def _free_left_out(self, heartbeat: ServerHeartbeat, now: float) -> None:
-        """Free the left out parts that the server does not hold any more."""
+        """Free the left out parts that the server does not hold any more.
+
+        It says that it has freed the part, or still lists another row that it was told.
+        A heartbeat that lists nothing may be one of a former life, or late.
+        """
+        lists_told_row = self._lists_told_row(heartbeat)
         for move in self._tables.moves:
             if move.source != heartbeat.name or move.stage != MoveStage.RELEASING:
                 continue
@@ -186,8 +191,18 @@
                 part.low <= move.high and move.low <= part.high
                 for part in heartbeat.held
             )
-            if not held and self.is_proven(move.source):
-                self._free(move, "freed" if token else "not held", now)
+            shown = bool(move.handover) or lists_told_row
+            if not held and shown and self.is_proven(move.source):
+                self._free(move, "freed" if move.handover else "not held", now)
+
+    def _lists_told_row(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether a server lists a row that it was told and that stays."""
+        return any(
+            hold.told_epoch == hold.epoch
+            and not self._tables.is_part_moving(hold)
+            and _is_covered(hold, heartbeat.held)
+            for hold in self._tables.holds_by_owner.get(heartbeat.name, ())
+        )
 
     def _check_rows(self, heartbeat: ServerHeartbeat, now: float) -> list[c.Command]:
         """Compare the holds that a server was told with those that it reports.
--- a/tests/control/test_heartbeat_answers.py
+++ b/tests/control/test_heartbeat_answers.py
@@ -171,14 +171,26 @@
     call(tables, beat(LEFT, 2), 2.0)
     commit(tables.state, c.StopServer(LEFT))
     tick(tables, 2.1)
-    call(tables, beat(LEFT, 2), 2.2)
+    freed = (FreedPart(0, MIDDLE - 1, "token"),)
+    call(tables, beat(LEFT, 2, freed=freed), 2.2)
     call(tables, beat(RIGHT, 2), 2.3)
     assert owner_of(tables, 0) == LEFT
-    call(tables, beat(LEFT, 3), 2.4)
+    call(tables, beat(LEFT, 3, freed=freed), 2.4)
     call(tables, beat(RIGHT, 3), 2.5)
     assert owner_of(tables, 0) == RIGHT
 
 
+# Guards against a heartbeat of a former life that lists nothing, and is taken for the
+# word that a part has been released (seed 20261235 of the search).
+def test_a_heartbeat_that_lists_nothing_frees_nothing(tables: Tables) -> None:
+    call(tables, beat(LEFT, 2), 2.0)
+    commit(tables.state, c.StopServer(LEFT))
+    tick(tables, 2.1)
+    call(tables, beat(LEFT, 3), 2.2)
+    call(tables, beat(RIGHT, 2), 2.3)
+    assert owner_of(tables, 0) == LEFT
+
+
 # Guards against a move whose source still works on requests of the part.
 def test_a_part_is_free_once_its_owner_reports_it_no_more(tables: Tables) -> None:
     part = held(tables, 0, MIDDLE - 1)
@@ -249,7 +261,8 @@
         if not row:
             break
         part = HeldPart(*row[0][:3])
-    call(later, beat(LEFT, 9, leaving=True), now + 0.1)
+    freed = (FreedPart(0, MIDDLE - 1, "token"),)
+    call(later, beat(LEFT, 9, leaving=True, freed=freed), now + 0.1)
     call(later, beat(RIGHT, 10), now + 0.2)
     assert owner_of(later, 0) == RIGHT
     assert now < 3.0 + TIMING.hold
@@ -274,7 +287,8 @@
     call(tables, beat(RIGHT, 2), now)
     commit(tables.state, c.StopServer(LEFT))
     tick(tables, now + 0.1)
-    call(tables, beat(LEFT, 21), now + 0.2)
+    freed = (FreedPart(0, MIDDLE - 1, "former"),)
+    call(tables, beat(LEFT, 21, freed=freed), now + 0.2)
     call(tables, beat(RIGHT, 3), now + 0.3)
     assert owner_of(tables, 0) == LEFT
 
