--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -177,6 +177,7 @@
         self._threads: list[threading.Thread] = []
         self._version = 0
         self._load_start_index = 0
+        self._restarted: set[str] = set()
 
     def start(self) -> None:
         """Start the fleet, put a contract, and wait until all hosts have applied it."""
@@ -243,6 +244,7 @@
                 self._get_process(name).kill()
             case "restart", [name]:
                 self._get_process(name).restart()
+                self._restarted.add(name)
             case "wipe", [name]:
                 self._wipe(name)
             case "stop", [name]:
@@ -365,13 +367,30 @@
         return [member["name"] for member in members if member["role"] in roles]
 
     def _is_ready(self) -> bool:
-        """Return whether every range has a ready owner and none is moving."""
+        """Return whether every range has a ready owner and none is moving.
+
+        Hosts that were restarted must answer too: the others serve without them.
+        """
+        if not all(self._answers(host) for host in self._restarted):
+            return False
         status = self._call_operators("GET", "/status")
         not_ready = [
             s for s in status["servers"] if s["state"] != "ready" and s["ranges"]
         ]
         return not (not_ready or status["moving"] or status["unowned"])
 
+    def _answers(self, name: str) -> bool:
+        """Return whether a host answers its operators' port; True if it is stopped."""
+        host = self._fleet.hosts.get(name)
+        if host is None or not host.running:
+            return True
+        number = int(name.partition("-")[2]) - 1
+        try:
+            self._fleet.call_operators("GET", "/status", host=number)
+        except OSError:
+            return False
+        return True
+
     def _call_operators(self, method: str, path: str, body: object = None) -> Any:
         """Return the response of the first running host that has a leader, or {}."""
         for number in range(self._fleet.plan.hosts):
--- a/tests/trial/test_scenarios.py
+++ b/tests/trial/test_scenarios.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -10,6 +11,7 @@
     ScenarioError,
     ScenarioResult,
     ScenarioStalledError,
+    _ScenarioRun,
     parse_scenario,
     run_scenario,
 )
@@ -47,3 +49,28 @@
 def test_a_script_with_an_error_names_the_line() -> None:
     with pytest.raises(ScenarioError, match="line 2"):
         parse_scenario("fleet hosts 1 voters 1 servers 1\nexplode host-1\n", 9000)
+
+
+# Guards against "expect ready" that holds while a restarted host does not listen yet:
+# the next call to it is refused by its port.
+def test_ready_waits_for_restarted_hosts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    listening = {0}
+
+    def call_operators(
+        method: str, path: str, body: object = None, host: int = 0
+    ) -> dict[str, object]:
+        if host not in listening:
+            raise ConnectionRefusedError
+        return {"servers": [], "moving": 0, "unowned": 0}
+
+    script = parse_scenario("fleet hosts 2 voters 1 servers 1\nexpect ready\n", 7100)
+    run = _ScenarioRun(script.plan, tmp_path, 1)
+    processes = {f"host-{n}": SimpleNamespace(running=True) for n in (1, 2)}
+    monkeypatch.setattr(run._fleet, "hosts", processes)
+    monkeypatch.setattr(run._fleet, "call_operators", call_operators)
+    run._restarted.add("host-2")
+    assert not run._is_ready()
+    listening.add(1)
+    assert run._is_ready()
