--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,6 +51,11 @@
         default="call",
         help="how servers hear of their keys",
     )
+    parser.add_argument(
+        "--former",
+        type=Path,
+        help="checkout of another version, from which nodes start in turn",
+    )
     parser.add_argument("--keep", type=Path, help="folder for failure logs")
     return parser.parse_args(arguments)
 
@@ -99,7 +104,14 @@
     table_rows, failed_count = [], 0
     for seed, script in _list_scripts(options):
         by_heartbeat = options.granted_by == "heartbeat"
-        result = play(seed, script, options.keep, _report_progress, by_heartbeat)
+        result = play(
+            seed,
+            script,
+            options.keep,
+            _report_progress,
+            by_heartbeat,
+            options.former,
+        )
         _report_progress("")
         if result.violations:
             failed_count += 1
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -42,6 +42,8 @@
         self._process: asyncio.subprocess.Process | None = None
         self._exit_task: asyncio.Task[None] | None = None
         self._retry_slack = FIRST_RETRY_SLACK
+        self._former = context.former
+        self._start_count = 0
 
     @property
     def is_running(self) -> bool:
@@ -85,12 +87,20 @@
         self._sigterm_at, self._killed = -1.0, False
         environment = {wire.names.SETTINGS_VARIABLE: str(self._settings)}
         environment["PATH"] = os.environ.get("PATH", "")
-        command = (sys.executable, str(LAUNCHER), self.spec.node_ip, str(PROGRAM))
+        program = self._choose_program()
+        command = (sys.executable, str(LAUNCHER), self.spec.node_ip, str(program))
         self._process = await start_process(command, environment, self._log)
         self._history.add(Started(self.spec.name))
         self._exit_task = asyncio.create_task(self._record_end(self._process))
         self.is_down = False
 
+    def _choose_program(self) -> Path:
+        """Return the program to start: with a former version, each one in turn."""
+        self._start_count += 1
+        if self._former is not None and self._start_count % 2:
+            return self._former / "deploy" / "node.py"
+        return PROGRAM
+
     async def _record_end(self, process: asyncio.subprocess.Process) -> None:
         """Wait for the process and record its end; restart it if it was not stopped."""
         code = await process.wait()
--- a/soak/run.py
+++ b/soak/run.py
@@ -225,11 +225,13 @@
     folder: Path,
     report_progress: ReportProgress,
     by_heartbeat: bool,
+    former: Path | None,
 ) -> Result:
     """Play a script; write logs, settings and data to a folder."""
     layout, reservation = reserve_network(by_heartbeat)
     history = History()
-    run = Run(RunContext(layout, history, folder, seed), report_progress)
+    context = RunContext(layout, history, folder, seed, former)
+    run = Run(context, report_progress)
     try:
         await run.start()
         violations = await run.play(script)
@@ -248,13 +250,17 @@
     folder: Path | None,
     report_progress: ReportProgress,
     by_heartbeat: bool = False,
+    former: Path | None = None,
 ) -> Result:
     """Play a script with the random values of a seed; keep the logs on a failure.
 
     With ``by_heartbeat`` servers hear of their keys in the answers to heartbeats.
+    ``former`` is a checkout of another version; see ``RunContext``.
     """
     log_folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=folder))
-    result = asyncio.run(_play(seed, script, log_folder, report_progress, by_heartbeat))
+    result = asyncio.run(
+        _play(seed, script, log_folder, report_progress, by_heartbeat, former)
+    )
     if not result.violations:
         shutil.rmtree(log_folder)
     return result
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import signal
+import subprocess
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -19,6 +21,8 @@
 SEEDS = (101, 126)
 SECONDS = 12.0
 HEARTBEAT_SEED = 2001
+UPGRADE_SEED = 2101
+REPOSITORY = Path(__file__).parents[2]
 IMPORT_DELAY_SECONDS = 0.1
 EXIT_WAIT_SECONDS = 1.0
 
@@ -49,6 +53,26 @@
     assert result.count("answered") > 0
 
 
+# Guards against messages, records or log entries that the version in production and
+# this one do not understand of each other, while nodes are replaced one by one.
+def test_short_soak_beside_the_version_in_production(tmp_path: Path) -> None:
+    deployment = tomllib.loads((REPOSITORY / "deploy" / "system.toml").read_text())
+    former = tmp_path / "former"
+    former.mkdir()
+    git = ["git", "-C", str(REPOSITORY)]
+    commit = deployment["production"]
+    found = subprocess.run([*git, "cat-file", "-e", commit], check=False)
+    if found.returncode:
+        pytest.skip(f"{commit} is not in this checkout's history")
+    archive = [*git, "archive", commit]
+    packed = subprocess.run(archive, check=True, capture_output=True).stdout
+    subprocess.run(["tar", "-x", "-C", str(former)], check=True, input=packed)
+    script = make_script(UPGRADE_SEED, SECONDS)
+    result = play(UPGRADE_SEED, script, tmp_path, print, former=former)
+    assert not result.violations, format_violations(result)
+    assert result.count("answered") > 0
+
+
 # Guards against the return of a fault that a script has found before.
 @pytest.mark.parametrize(
     "entry",
