Tests of full servers on a paused clock

Cause: the reset of a connection and the wait for it run on one event loop; on a loaded machine the wait may end first. On a paused clock all input is handled before time passes.

--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -41,6 +41,7 @@
     ServerRateGrant,
 )
 from tests.common import free_port
+from tests.paused_clock import run_paused
 
 HEADER_NAMES = HeaderNames(signature=b"x-signature")
 
@@ -246,8 +247,13 @@
     return make_response(200, b"whole", headers)
 
 
-def run_scenario(scenario: Callable[[RouterHarness], Awaitable[None]]) -> None:
-    """Run a scenario with a new router, and stop its servers."""
+def run_scenario(
+    scenario: Callable[[RouterHarness], Awaitable[None]], *, paused: bool = False
+) -> None:
+    """Run a scenario with a new router, and stop its servers.
+
+    With ``paused``, time passes on the event loop only while nothing else happens.
+    """
 
     async def run() -> None:
         harness = RouterHarness()
@@ -257,4 +263,7 @@
         finally:
             harness.close()
 
-    asyncio.run(run())
+    if paused:
+        run_paused(lambda clock: run())
+    else:
+        asyncio.run(run())
--- a/tests/router/test_full_connections.py
+++ b/tests/router/test_full_connections.py
@@ -5,6 +5,8 @@
 from dragonflyrock.http import find_header
 from dragonflyrock.routes import RouteKind
 
+# In real time a delayed event loop may not process the reset before the request is
+# sent, so these tests use a paused clock.
 from .harness import RouterHarness, run_scenario
 
 
@@ -21,7 +23,7 @@
         assert len(harness.received) == 8
         assert harness.turned_away
 
-    run_scenario(scenario)
+    run_scenario(scenario, paused=True)
 
 
 # Guards against a 502, after which callers cannot repeat an unsafe request, although
@@ -38,7 +40,7 @@
         assert (await harness.send_request()).status == 503
         assert harness.turned_away == before
 
-    run_scenario(scenario)
+    run_scenario(scenario, paused=True)
 
 
 # Guards against a pause of a server that is full for a moment, as if it were down.
@@ -50,4 +52,4 @@
         assert harness.state.stats["full"].down_until <= harness.clock()
         assert harness.state.stats["full"].consecutive_failures == 0
 
-    run_scenario(scenario)
+    run_scenario(scenario, paused=True)
