Find holds, moves and pending grants by the keys they share

The leader compared every hold with every earlier hold at each commit, every order's result with every hold and pending grant, every free part with every server, and every requested key with every range. Change: an index of spans (tables/spans.py) for holds, moves and pending grants; owners, loads and utilization are read once a step, not once a part. No change of behaviour but one: a part whose chosen owner is gone still goes to the first owner by name, which is now chosen without the loads that it ignored.

--- a/src/dragonflyrock/control/by_heartbeat.py
+++ b/src/dragonflyrock/control/by_heartbeat.py
@@ -21,7 +21,7 @@
     RangeMove,
     ServerHeartbeat,
 )
-from .directed_tables import DirectedTables
+from .directed_tables import DirectedTables, exclude_moves
 
 __all__ = ["MAX_HELD_ROWS", "GrantingByHeartbeat"]
 
@@ -272,23 +272,8 @@
 
     def _list_told_parts(self, hold: HeldRange) -> list[tuple[int, int]]:
         """Return the parts of a hold that are not left out."""
-        left_out = sorted(
-            (move.low, move.high)
-            for move in self._tables.moves
-            if move.stage in _LEFT_OUT
-            and move.service == hold.service
-            and move.low <= hold.high
-            and hold.low <= move.high
-        )
-        parts = []
-        low = hold.low
-        for first, last in left_out:
-            if low < first:
-                parts.append((low, first - 1))
-            low = max(low, last + 1)
-        if low <= hold.high:
-            parts.append((low, hold.high))
-        return parts
+        moves = self._tables.find_moves(hold)
+        return exclude_moves(hold, (move for move in moves if move.stage in _LEFT_OUT))
 
     def distrust(self, name: str) -> None:
         """Take a server's heartbeats for no proof of what it has released.
--- a/src/dragonflyrock/control/by_order.py
+++ b/src/dragonflyrock/control/by_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..tables import SpanIndex
 from . import commands as c
 from .directed_models import (
     NEVER,
@@ -25,16 +26,14 @@
     def __init__(self, tables: DirectedTables) -> None:
         """Start without pending grants."""
         self._tables = tables
-        self._pending_grants: list[GrantOrder] = []
+        self._pending_grants: SpanIndex[GrantOrder] = SpanIndex()
 
     def complete(self, result: OrderResult, now: float) -> c.Command | None:
         """Handle the result of an order; return a command to commit, if any."""
         order = result.order
-        self._pending_grants = [
-            item for item in self._pending_grants if item is not order
-        ]
         match order:
             case GrantOrder():
+                self._pending_grants.remove(order.service, order.low, order)
                 return self._complete_grant(order, result, now)
             case ReleaseOrder():
                 self._complete_release(order, result, now)
@@ -172,17 +171,12 @@
         order = GrantOrder(
             owner, hold.service, low, high, hold.epoch, hold_ms, hold.handover
         )
-        self._pending_grants.append(order)
+        self._pending_grants.add(order.service, order.low, order.high, order)
         return order
 
     def is_pending(self, part: HeldRange | RangeMove) -> bool:
         """Return whether a grant that overlaps a part is pending."""
-        return any(
-            order.service == part.service
-            and order.low <= part.high
-            and part.low <= order.high
-            for order in self._pending_grants
-        )
+        return self._pending_grants.overlaps(part.service, part.low, part.high)
 
     def _complete_grant(
         self, order: GrantOrder, result: OrderResult, now: float
@@ -193,12 +187,8 @@
         self._report_outdated(order, result)
         # The range may have been split or joined while the order was pending. What the
         # server was granted it holds, also under an earlier epoch.
-        for hold in self._tables.holds.values():
-            same = (hold.service, hold.owner.name) == (
-                order.service,
-                order.server.name,
-            )
-            if not same or hold.high < order.low or order.high < hold.low:
+        for hold in self._find_holds(order):
+            if hold.owner.name != order.server.name:
                 continue
             is_current = hold.epoch == order.epoch
             match result.outcome:
@@ -221,15 +211,14 @@
                     hold.renew_at = now + self._tables.timing.retry_interval
         return command
 
+    def _find_holds(self, order: GrantOrder) -> list[HeldRange]:
+        """Return the holds that a grant covers in part or whole."""
+        spans = self._tables.held_spans
+        return spans.find_overlapping(order.service, order.low, order.high)
+
     def _report_outdated(self, order: GrantOrder, result: OrderResult) -> None:
         """Report the result of a grant whose range has another epoch by now."""
-        epochs = {
-            hold.epoch
-            for hold in self._tables.holds.values()
-            if hold.service == order.service
-            and hold.low <= order.high
-            and order.low <= hold.high
-        }
+        epochs = {hold.epoch for hold in self._find_holds(order)}
         if not epochs - {order.epoch}:
             return
         self._tables.report(
--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
+from ..hashing import KEY_SPACE
 from ..models import GrantedBy, ServerRow
 from ..systems.spreading import (
     KeyLoads,
@@ -172,14 +174,23 @@
 
         The first suitable heartbeat ends the time in which nobody holds the part.
         """
+        free = [
+            move
+            for move in self._tables.moves
+            if move.service == row.service
+            and move.stage == MoveStage.FREE
+            and self._granting.waits_for_heartbeat(move)
+        ]
+        owners = self._list_owners(row.service, now) if free else []
+        is_idle: bool | None = None
         ready: list[RangeMove] = []
-        for move in self._tables.moves:
-            if move.service != row.service or move.stage != MoveStage.FREE:
-                continue
-            if not self._granting.waits_for_heartbeat(move):
-                continue
-            if move.target != row.name and not self._is_suitable(move, row, now):
-                continue
+        for move in free:
+            if move.target != row.name:
+                if is_idle is None:
+                    is_idle = self._is_idle(row, owners)
+                if not is_idle or (row.name == move.source and len(owners) > 1):
+                    continue
+                is_idle = None
             move.target = row.name
             move.stage = MoveStage.COMMITTING
             ready.append(move)
@@ -193,16 +204,14 @@
             )
         return _make_assignments([(move, move.target) for move in ready])
 
-    def _is_suitable(self, move: RangeMove, row: ServerRow, now: float) -> bool:
+    def _is_idle(self, row: ServerRow, owners: list[Owner]) -> bool:
         """Return whether a server may own a free part although it was not chosen."""
-        owners = self._list_owners(move.service, now)
-        names = [owner.name for owner in owners]
-        if row.name not in names or (row.name == move.source and len(names) > 1):
+        if all(owner.name != row.name for owner in owners):
             return False
-        parts = self._list_parts(move.service)
         if self._has_many_rows(row.name):
             return False
-        loads = self._loads.get_loads(move.service)
+        parts = self._list_parts(row.service)
+        loads = self._loads.get_loads(row.service)
         utilization = compute_utilization(parts, owners, loads)
         others = sorted(utilization.values())
         limit = others[max(len(others) // SUITABLE_FRACTION, min(2, len(others) - 1))]
@@ -353,19 +362,7 @@
         """Record that a proposed command was applied or has failed."""
         match command:
             case c.AssignRanges():
-                remaining = []
-                for move in self._tables.moves:
-                    if move.command is not command:
-                        remaining.append(move)
-                    elif move.stage == MoveStage.FENCING:
-                        move.stage = MoveStage.FENCED
-                        remaining.append(move)
-                    elif move.stage == MoveStage.COMMITTING:
-                        key = (move.service, move.low)
-                        self._tables.handover_tokens[key] = move.handover
-                    else:
-                        remaining.append(move)
-                self._tables.moves = remaining
+                self._tables.finish_moves(command)
 
     def _drop_silent_servers(self, now: float) -> list[c.Command]:
         """Drop servers without a recent announcement, stopping ones sooner."""
@@ -426,27 +423,29 @@
 
     def _has_moves(self, service: str) -> bool:
         """Return whether any part of a service is being moved."""
-        return any(move.service == service for move in self._tables.moves)
+        return self._tables.moving_spans.has_service(service)
 
     def _evacuate_servers(self, now: float) -> None:
         """Move ranges away from servers that leave, have ended or cannot be reached."""
         for service in self._list_keyed_services():
-            owners: list[Owner] | None = None
-            parts: list[OwnedPart] = []
+            utilization: dict[str, float] | None = None
+            owners: list[Owner] = []
+            loads = KeyLoads({})
             for hold in list(self._tables.holds.values()):
                 if hold.service != service:
                     continue
                 cause = self._find_evacuation_cause(hold, now)
                 if not cause or self._tables.is_part_moving(hold):
                     continue
-                if owners is None:
+                if utilization is None:
+                    loads = self._loads.get_loads(service)
                     owners = self._list_owners(service, now)
                     parts = self._list_parts(service)
+                    utilization = compute_utilization(parts, owners, loads)
                 part = OwnedPart(hold.low, hold.high, hold.owner.name)
                 others = [owner for owner in owners if owner.name != hold.owner.name]
-                loads = self._loads.get_loads(service)
                 assignments = reassign_part(
-                    part, parts, others, loads, self._timing.key_step
+                    part, utilization, others, loads, self._timing.key_step
                 )
                 for assignment in assignments:
                     self._begin_move(
@@ -459,9 +458,6 @@
                         cause,
                         now,
                     )
-                    parts.append(
-                        OwnedPart(assignment.low, assignment.high, assignment.target)
-                    )
 
     def _find_evacuation_cause(self, hold: HeldRange, now: float) -> str:
         """Return why a range must leave its owner; empty if it need not."""
@@ -476,24 +472,14 @@
 
     def _list_parts(self, service: str) -> list[OwnedPart]:
         """Return the owner of each part of a service, as if all moves were done."""
-        moves = sorted(
-            (move.low, move.high, move.target)
-            for move in self._tables.moves
-            if move.service == service
-        )
-        parts = [OwnedPart(low, high, target) for low, high, target in moves]
+        moves = self._tables.moving_spans.find_overlapping(service, 0, KEY_SPACE - 1)
+        parts = [OwnedPart(move.low, move.high, move.target) for move in moves]
         for hold in self._tables.holds.values():
-            if hold.service != service:
-                continue
-            low = hold.low
-            for first, last, _ in moves:
-                if last < low or hold.high < first:
-                    continue
-                if low < first:
-                    parts.append(OwnedPart(low, first - 1, hold.owner.name))
-                low = last + 1
-            if low <= hold.high:
-                parts.append(OwnedPart(low, hold.high, hold.owner.name))
+            if hold.service == service:
+                parts += [
+                    OwnedPart(low, high, hold.owner.name)
+                    for low, high in self._tables.list_unmoved_parts(hold)
+                ]
         return parts
 
     def _balance(self, now: float) -> None:
@@ -544,20 +530,17 @@
         self, service: str, low: int, high: int, target: str, now: float
     ) -> None:
         """Begin the move of a part with many requests, if one hold contains it."""
-        for hold in self._tables.holds.values():
-            inside = hold.low <= low and high <= hold.high
-            if hold.service != service or not inside:
-                continue
-            if self._tables.is_span_moving(service, low, high):
-                return
-            if self._has_many_rows(hold.owner.name) or self._has_many_rows(target):
-                return
-            if self._granting.is_distrusted(hold.owner.name):
-                return
-            self._begin_move(
-                service, low, high, hold.epoch, hold.owner.name, target, "hot", now
-            )
+        hold = self._tables.find_hold(service, low)
+        if hold is None or high > hold.high:
+            return
+        if self._tables.is_span_moving(service, low, high):
+            return
+        source = hold.owner.name
+        if self._has_many_rows(source) or self._has_many_rows(target):
             return
+        if self._granting.is_distrusted(source):
+            return
+        self._begin_move(service, low, high, hold.epoch, source, target, "hot", now)
 
     def _has_many_rows(self, name: str) -> bool:
         """Return whether a server has no room for a row that splits another one."""
@@ -586,7 +569,7 @@
         )
         if source and held:
             move.stage = MoveStage.PENDING
-        self._tables.moves.append(move)
+        self._tables.add_move(move)
         self._report(
             "move-begun", service=service, server=source, detail=f"{cause}: {target}"
         )
@@ -595,6 +578,7 @@
         """Advance moves; commit those whose source no longer holds the part."""
         fences: list[RangeMove] = []
         ready: list[RangeMove] = []
+        owners: dict[str, dict[str, Owner]] = {}
         for move in self._tables.moves:
             if move.stage == MoveStage.FENCED:
                 self._granting.continue_fenced(move)
@@ -607,7 +591,10 @@
             if move.stage == MoveStage.WAITING and now >= move.free_at:
                 move.stage = MoveStage.FREE
             if move.stage == MoveStage.FREE:
-                self._retarget(move, now)
+                if move.service not in owners:
+                    listed = self._list_owners(move.service, now)
+                    owners[move.service] = {owner.name: owner for owner in listed}
+                self._retarget(move, owners[move.service])
                 if self._granting.waits_for_heartbeat(move):
                     continue
                 if move.target:
@@ -618,23 +605,15 @@
             *_make_assignments([(move, move.target) for move in ready]),
         ]
 
-    def _retarget(self, move: RangeMove, now: float) -> None:
-        """Choose another target for a move if its target can no longer own ranges."""
-        owners = self._list_owners(move.service, now)
-        names = [owner.name for owner in owners]
-        if move.target in names:
-            return
-        part = OwnedPart(move.low, move.high, move.source)
-        others = [owner for owner in owners if owner.name != move.source] or owners
-        loads = KeyLoads({})
-        assignments = reassign_part(
-            part,
-            self._list_parts(move.service),
-            others[:1],
-            loads,
-            self._timing.key_step,
-        )
-        move.target = assignments[0].target if assignments else ""
+    @staticmethod
+    def _retarget(move: RangeMove, owners: Mapping[str, Owner]) -> None:
+        """Choose another target for a move if its target can no longer own ranges.
+
+        It is the first owner by name, other than the source where there is one.
+        """
+        if move.target not in owners:
+            others = (name for name in owners if name != move.source)
+            move.target = next(others, move.source if move.source in owners else "")
 
     def _join_ranges(self, now: float) -> list[c.Command]:
         """Join adjacent ranges of one owner, so that fewer need renewal."""
--- a/src/dragonflyrock/control/directed_tables.py
+++ b/src/dragonflyrock/control/directed_tables.py
@@ -2,22 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
 from ..models import RangeRow, ServerRow
+from ..tables import SpanIndex
+from .commands import AssignRanges
 from .directed_models import (
     NEVER,
     DirectedTiming,
     HeldRange,
+    MoveStage,
     Order,
     RangeMove,
     ServerLiveness,
 )
 from .state import ControlState
 
-__all__ = ["DirectedTables", "Report"]
+__all__ = ["DirectedTables", "Report", "exclude_moves"]
 
 TOLERATED_FAILURES: Final = 2
 
@@ -39,6 +42,8 @@
     holds: dict[tuple[str, int], HeldRange] = field(default_factory=dict)
     holds_by_owner: dict[str, list[HeldRange]] = field(default_factory=dict)
     moves: list[RangeMove] = field(default_factory=list)
+    held_spans: SpanIndex[HeldRange] = field(default_factory=SpanIndex)
+    moving_spans: SpanIndex[RangeMove] = field(default_factory=SpanIndex)
     orders: list[Order] = field(default_factory=list)
     handover_tokens: dict[tuple[str, int], str] = field(default_factory=dict)
 
@@ -48,31 +53,26 @@
         A hold with no earlier record counts as confirmed until ``inherited``. Some of
         the grants for it may have no answer, so a release does not end it sooner.
         """
-        old, self.holds = self.holds, {}
-        self.holds_by_owner = {}
-        by_service: dict[str, list[HeldRange]] = {}
-        for hold in old.values():
-            by_service.setdefault(hold.service, []).append(hold)
+        previous = self.held_spans
+        self.holds, self.holds_by_owner, self.held_spans = {}, {}, SpanIndex()
         for row in self.state.ranges:
             if row.owner:
-                previous = by_service.get(row.service, [])
-                hold = self._carry_over_hold(row, previous, now, inherited)
+                overlapping = previous.find_overlapping(row.service, row.low, row.high)
+                hold = self._carry_over_hold(row, overlapping, now, inherited)
                 self.holds[row.service, row.low] = hold
                 self.holds_by_owner.setdefault(hold.owner.name, []).append(hold)
+                self.held_spans.add(row.service, row.low, row.high, hold)
 
     def _carry_over_hold(
         self, row: RangeRow, previous: list[HeldRange], now: float, inherited: float
     ) -> HeldRange:
         """Return the hold of a row, with the times of its owner's previous holds.
 
-        The row may be a part of a previous hold, or a join of several.
+        ``previous`` are the holds that overlap the row. The row may be a part of one
+        of them, or a join of several.
         """
         name = row.owner.rpartition("@")[0]
-        parts = [
-            hold
-            for hold in previous
-            if hold.owner.name == name and hold.low <= row.high and row.low <= hold.high
-        ]
+        parts = [hold for hold in previous if hold.owner.name == name]
         dropped = ServerRow(name, row.service, "", "", 0, 0, 0, True)
         owner = self.state.servers.get(name) or (parts[0].owner if parts else dropped)
         hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
@@ -96,10 +96,28 @@
 
     def find_hold(self, service: str, low: int) -> HeldRange | None:
         """Return the hold that contains a key."""
-        for hold in self.holds.values():
-            if hold.service == service and hold.low <= low <= hold.high:
-                return hold
-        return None
+        return next(iter(self.held_spans.find_overlapping(service, low, low)), None)
+
+    def add_move(self, move: RangeMove) -> None:
+        """Add a move."""
+        self.moves.append(move)
+        self.moving_spans.add(move.service, move.low, move.high, move)
+
+    def finish_moves(self, command: AssignRanges) -> None:
+        """Remove the moves whose new owner a command has committed or given up.
+
+        Parts that only got a newer epoch for their source move on.
+        """
+        remaining: list[RangeMove] = []
+        for move in self.moves:
+            if move.command is command and move.stage == MoveStage.COMMITTING:
+                self.handover_tokens[move.service, move.low] = move.handover
+                self.moving_spans.remove(move.service, move.low, move)
+                continue
+            if move.command is command and move.stage == MoveStage.FENCING:
+                move.stage = MoveStage.FENCED
+            remaining.append(move)
+        self.moves = remaining
 
     def is_part_moving(self, hold: HeldRange) -> bool:
         """Return whether any part of a hold is being moved."""
@@ -107,33 +125,22 @@
 
     def is_span_moving(self, service: str, low: int, high: int) -> bool:
         """Return whether any part of a span of keys is being moved."""
-        return any(
-            move.service == service and move.low <= high and low <= move.high
-            for move in self.moves
-        )
+        return self.moving_spans.overlaps(service, low, high)
 
     def list_unmoved_parts(self, hold: HeldRange) -> list[tuple[int, int]]:
         """Return the parts of a hold that are not being moved."""
-        parts = []
-        low = hold.low
-        moving = sorted(
-            (move.low, move.high)
-            for move in self.moves
-            if move.service == hold.service
-            and move.low <= hold.high
-            and hold.low <= move.high
-        )
-        for first, last in moving:
-            if low < first:
-                parts.append((low, first - 1))
-            low = last + 1
-        if low <= hold.high:
-            parts.append((low, hold.high))
-        return parts
+        return exclude_moves(hold, self.find_moves(hold))
+
+    def find_moves(self, hold: HeldRange) -> list[RangeMove]:
+        """Return the moves of parts of a hold, by lowest key."""
+        return self.moving_spans.find_overlapping(hold.service, hold.low, hold.high)
 
     def get_liveness(self, name: str, announced_at: float) -> ServerLiveness:
         """Return a server's record; create it with a time if there is none."""
-        return self.liveness.setdefault(name, ServerLiveness(announced_at))
+        liveness = self.liveness.get(name)
+        if liveness is None:
+            liveness = self.liveness[name] = ServerLiveness(announced_at)
+        return liveness
 
     def is_failing(self, liveness: ServerLiveness, now: float) -> bool:
         """Return whether several orders to a server in a row have failed recently."""
@@ -146,3 +153,16 @@
             if routed.name == service:
                 return routed.health_path
         return "/"
+
+
+def exclude_moves(hold: HeldRange, moves: Iterable[RangeMove]) -> list[tuple[int, int]]:
+    """Return the parts of a hold that are in none of the moves, sorted by low key."""
+    parts = []
+    low = hold.low
+    for move in moves:
+        if low < move.low:
+            parts.append((low, move.low - 1))
+        low = max(low, move.high + 1)
+    if low <= hold.high:
+        parts.append((low, hold.high))
+    return parts
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -180,15 +180,17 @@
 
 def reassign_part(
     part: OwnedPart,
-    parts: Sequence[OwnedPart],
+    utilization: dict[str, float],
     owners: Sequence[Owner],
     loads: KeyLoads,
     step: int,
 ) -> list[Assignment]:
-    """Return the new owners of a part whose owner is leaving or lost."""
+    """Return the new owners of a part whose owner is leaving or lost.
+
+    What they get is added to ``utilization``, which has the owners at least.
+    """
     if not owners:
         return []
-    utilization = compute_utilization(parts, owners, loads)
     capacity = {owner.name: owner.capacity for owner in owners}
     total_load = loads.between(part.low, part.high)
     mean = max(loads.total, 1.0) / len(owners)
@@ -202,7 +204,7 @@
         end = part.high
         if number > 1 and part.high - low + 1 > step:
             end = loads.find_split(low, part.high, 1 / number, step)
-        target = min(utilization, key=lambda name: (utilization[name], name))
+        target = min(capacity, key=lambda name: (utilization[name], name))
         width = (end - low + 1) / KEY_SPACE
         added = loads.between(low, end) + width * max(loads.total, 1.0) * 0.05
         utilization[target] += added / capacity[target]
@@ -291,8 +293,11 @@
     """
     assignments: list[Assignment] = []
     used_owners: set[str] = set()
+    least = min(capacity.values())
     for place, key in enumerate(loads.keys):
         load = loads.cumulative[place + 1] - loads.cumulative[place]
+        if load < least:
+            continue
         owner = next((p.owner for p in parts if p.low <= key <= p.high), "")
         if owner not in capacity or load < capacity[owner]:
             continue
--- a/src/dragonflyrock/tables/__init__.py
+++ b/src/dragonflyrock/tables/__init__.py
@@ -7,6 +7,7 @@
 from .named_limits import NamedLimitRow, NamedLimitTable
 from .pauses import PauseRow, PauseTable
 from .ranges import RangeTable
+from .spans import SpanIndex
 
 __all__ = [
     "ChangeJournal",
@@ -19,4 +20,5 @@
     "PauseRow",
     "PauseTable",
     "RangeTable",
+    "SpanIndex",
 ]
