Divide keys, and register servers, while many servers arrive at once

And a server whose first five heartbeats found no answer was probed before it was registered, at each of its heartbeats, also by the group's first leader.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..errors import Reason, Refusal, Step
 from ..hashing import KEY_SPACE
@@ -52,6 +52,10 @@
 MAX_ENDED_INSTANCES: Final = 10_000
 # An instance with a higher number in its first heartbeat here has sent others before.
 FIRST_SEQUENCES: Final = 5
+SILENCE_CHECK_SECONDS: Final = 0.25
+# Keys are divided at the latest so long after the first registration of a service,
+# even if servers still register; those get parts of others' keys then.
+DIVISION_TIMEOUT_SECONDS: Final = 4.0
 JOIN_INTERVAL_SECONDS: Final = 5.0
 UTILIZATION_REPORT_SECONDS: Final = 2.0
 # Each move costs a release, a commit and a grant.
@@ -64,6 +68,13 @@
 SUITABLE_FRACTION: Final = 3
 
 
+class _Registrations(NamedTuple):
+    """When servers of a service were registered, by the leader's clock."""
+
+    first_at: float
+    last_at: float
+
+
 class DirectedLeader:
     """The leader's state of directed servers, their holds and moves of ranges.
 
@@ -88,14 +99,19 @@
                 self._granting = GrantingByHeartbeat(self._tables)
         self._ended_instances: dict[str, None] = {}
         self._confirmed: set[str] = set()
+        self._probed_at: dict[str, float] = {}
+        self._dropped_instances: set[str] = set()
+        self._knows_all_instances = not state.has_known_servers
+        self._next_silence_check_at = now
         self._order_credit = ORDER_BURST
         self._credited_at = now
         self._utilization_reported_at: dict[str, float] = {}
         self._loads = ReportedLoads(now)
         self._needs = ServerNeedTable()
+        self._elected_at = now
         self._next_balance_at = now + timing.settle_time
         self._next_join_at = now + JOIN_INTERVAL_SECONDS
-        self._registered_at = now
+        self._registrations: dict[str, _Registrations] = {}
         self._synced_revision = -1
         wait = timing.order_timeout + timing.hold_with_drift
         self._tables.sync_holds(now, inherited=now + wait)
@@ -268,9 +284,7 @@
                 return Refusal(
                     Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
                 )
-            self._tables.orders.append(
-                ProbeOrder(other, self._tables.find_health_path(other.service))
-            )
+            self._probe_instance(other, now)
         row = ServerRow(
             heartbeat.name,
             heartbeat.service,
@@ -282,20 +296,36 @@
             True,
             heartbeat.leaving,
         )
-        if heartbeat.sequence > FIRST_SEQUENCES and row.name not in self._confirmed:
+        is_known_first = (
+            self._knows_all_instances and row.name not in self._dropped_instances
+        )
+        is_first = heartbeat.sequence <= FIRST_SEQUENCES or is_known_first
+        if not is_first and row.name not in self._confirmed:
             # It may be a late heartbeat of a server that has left: a leader that was
             # elected since does not know which instances have ended.
-            health_path = self._tables.find_health_path(row.service)
-            self._tables.orders.append(ProbeOrder(row, health_path))
+            self._probe_instance(row, now)
             detail = "the instance has announced itself before, and is probed first"
             return Refusal(
                 Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
             )
         self._confirmed.discard(row.name)
-        self._registered_at = now
+        self._probed_at.pop(row.name, None)
+        first = self._registrations.get(row.service, _Registrations(now, now)).first_at
+        self._registrations[row.service] = _Registrations(first, now)
         self._tables.liveness[heartbeat.name] = ServerLiveness(now, heartbeat.sequence)
         return c.RegisterServer(row)
 
+    def _probe_instance(self, row: ServerRow, now: float) -> None:
+        """Ask which instance runs at an address, unless it was asked just now."""
+        probed_at = self._probed_at.get(row.name, NEVER)
+        if now - probed_at < self._timing.order_timeout:
+            return
+        if len(self._probed_at) >= MAX_ENDED_INSTANCES:
+            self._probed_at.clear()
+        self._probed_at[row.name] = now
+        health_path = self._tables.find_health_path(row.service)
+        self._tables.orders.append(ProbeOrder(row, health_path))
+
     def drop_ended_servers(self, names: tuple[str, ...]) -> list[c.Command]:
         """Drop servers at whose addresses entry hosts found another instance."""
         return [
@@ -367,6 +397,9 @@
     def _drop_silent_servers(self, now: float) -> list[c.Command]:
         """Drop servers without a recent announcement, stopping ones sooner."""
         commands: list[c.Command] = []
+        if now < self._next_silence_check_at:
+            return commands
+        self._next_silence_check_at = now + SILENCE_CHECK_SECONDS
         for name, row in self._state.servers.items():
             liveness = self._tables.get_liveness(name, now)
             silent = now - liveness.announced_at
@@ -374,9 +407,17 @@
             if row.stopping:
                 limit = self._timing.silence_timeout * 2
             if silent > limit:
+                self._record_dropped(name)
                 commands.append(c.DropServer(name))
         return commands
 
+    def _record_dropped(self, name: str) -> None:
+        """Record an instance whose late heartbeats must not register it again."""
+        self._dropped_instances.add(name)
+        if len(self._dropped_instances) > MAX_ENDED_INSTANCES:
+            self._dropped_instances.clear()
+            self._knows_all_instances = False
+
     def _list_owners(self, service: str, now: float) -> list[Owner]:
         """Return the servers that may get ranges of a service."""
         owners = []
@@ -401,11 +442,11 @@
 
     def _divide_new_services(self, now: float) -> None:
         """Divide the keys of a service that has no ranges yet."""
-        if now - self._registered_at < self._timing.settle_time:
-            return
         for service in self._list_keyed_services():
             if service in self._state.ranges.services or self._has_moves(service):
                 continue
+            if now < self._find_division_time(service):
+                continue
             owners = self._list_owners(service, now)
             if not owners:
                 continue
@@ -421,6 +462,18 @@
                     now,
                 )
 
+    def _find_division_time(self, service: str) -> float:
+        """Return when the keys of a service may be divided.
+
+        Its servers register at about the same time, and are waited for.
+        """
+        settle_time = self._timing.settle_time
+        registered = self._registrations.get(service)
+        if registered is None:
+            return self._elected_at + settle_time
+        latest = registered.first_at + DIVISION_TIMEOUT_SECONDS
+        return min(registered.last_at + settle_time, latest)
+
     def _has_moves(self, service: str) -> bool:
         """Return whether any part of a service is being moved."""
         return self._tables.moving_spans.has_service(service)
@@ -657,6 +710,7 @@
     def _drop_ended_server(self, name: str) -> c.Command:
         """End the holds of a server instance that has ended, and drop it."""
         self._granting.forget(name)
+        self._record_dropped(name)
         self._ended_instances[name] = None
         if len(self._ended_instances) > MAX_ENDED_INSTANCES:
             del self._ended_instances[next(iter(self._ended_instances))]
--- a/src/dragonflyrock/control/state.py
+++ b/src/dragonflyrock/control/state.py
@@ -127,6 +127,12 @@
         self.route_store.load(snapshot.route_store)
         self.journal.reset(snapshot.revision)
 
+    @property
+    def has_known_servers(self) -> bool:
+        """Return whether any server may have been registered up to now."""
+        changes = self.journal.changes_after(0)
+        return changes is None or any(row.table == "servers" for row in changes)
+
     def delta_after(self, revision: int, up_to: int) -> Delta:
         """Return the rows changed after a revision, up to the applied ``up_to``."""
         return delta_after(self, revision, up_to)
