Give the hosts of a scenario a quick disk; say what a stall waited for

Change: the data folders of scenarios are in memory where there is such a folder (the scenarios kill processes, they cut no power); the checks are as they were.

--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -118,6 +118,7 @@
                     "woken late", self._clock() - wait_started_at - wait_seconds
                 )
             pass_started_at = time.perf_counter()
+            processor_started_at = time.thread_time()
             now = self._clock()
             self._run_tasks()
             self._receive_messages(now)
@@ -127,7 +128,9 @@
             self._flush()
             pass_seconds = time.perf_counter() - pass_started_at
             self._metrics.loop_seconds.observe(pass_seconds)
-            self._check_stall("long pass", pass_seconds)
+            processor_seconds = time.thread_time() - processor_started_at
+            kind = f"long pass, {processor_seconds:.2f} s of it on a processor"
+            self._check_stall(kind, pass_seconds)
 
     def _check_stall(self, kind: str, seconds: float) -> None:
         """Report a stall of the loop that is longer than other hosts tolerate."""
--- a/src/dragonflyrock/trial/fleet.py
+++ b/src/dragonflyrock/trial/fleet.py
@@ -104,23 +104,30 @@
     """Daemons and stand-ins whose files are in one folder."""
 
     def __init__(
-        self, plan: FleetPlan, folder: Path, *, with_relays: bool = False
+        self,
+        plan: FleetPlan,
+        folder: Path,
+        *,
+        with_relays: bool = False,
+        data_folder: Path | None = None,
     ) -> None:
         """Write the settings of every host; no process is started.
 
+        The hosts' data folders are in ``data_folder``, or else beside their logs.
         With ``with_relays``, each direction of each link runs through a relay that
         can be cut or slowed.
         """
         self.plan = plan
         self.relays = Relays(plan) if with_relays else None
         self.folder = folder
+        self.data_folder = data_folder or folder
         self.hosts: dict[str, Process] = {}
         self.servers: dict[str, Process] = {}
         self._next_server_port = plan.first_port + STANDIN_PORT_OFFSET
         folder.mkdir(parents=True, exist_ok=True)
         digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         for number in range(plan.hosts):
-            text = format_settings(plan, number, str(folder), digest)
+            text = format_settings(plan, number, str(self.data_folder), digest)
             if self.relays is not None:
                 text = self.relays.redirect(text, number)
             self.settings_path(plan.host_name(number)).write_text(text)
--- a/src/dragonflyrock/trial/scenario.py
+++ b/src/dragonflyrock/trial/scenario.py
@@ -137,15 +137,20 @@
 
 
 def run_scenario(
-    text: str, folder: Path, first_port: int, seed: int = 1
+    text: str,
+    folder: Path,
+    first_port: int,
+    seed: int = 1,
+    data_folder: Path | None = None,
 ) -> ScenarioResult:
     """Run a script and return its result, with the history checked.
 
+    The hosts' data folders are in ``data_folder``, or else in ``folder``.
     Raise ``ScenarioError`` if a statement fails, or ``ScenarioStalledError`` if a
     daemon also logged a stall.
     """
     script = parse_scenario(text, first_port)
-    run = _ScenarioRun(script.plan, folder, seed)
+    run = _ScenarioRun(script.plan, folder, seed, data_folder)
     try:
         run.start()
         for statement in script.statements:
@@ -168,9 +173,15 @@
 class _ScenarioRun:
     """A run of a scenario on a fleet."""
 
-    def __init__(self, plan: FleetPlan, folder: Path, seed: int) -> None:
+    def __init__(
+        self,
+        plan: FleetPlan,
+        folder: Path,
+        seed: int,
+        data_folder: Path | None = None,
+    ) -> None:
         """Prepare the fleet; ``seed`` decides which keys and hosts are called."""
-        self._fleet = Fleet(plan, folder, with_relays=True)
+        self._fleet = Fleet(plan, folder, with_relays=True, data_folder=data_folder)
         self._random = random.Random(seed)
         self._history = History()
         self._load_active = threading.Event()
@@ -329,7 +340,7 @@
         """Kill a voter and delete its data."""
         process = self._get_process(name)
         process.kill()
-        for path in sorted((self._fleet.folder / process.name).rglob("*")):
+        for path in sorted((self._fleet.data_folder / process.name).rglob("*")):
             if path.is_file():
                 path.unlink()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -11,6 +13,7 @@
 
 from .common import find_free_port_block
 
+MEMORY_FOLDER = Path("/dev/shm")
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 StartFleet = Callable[[FleetPlan], Fleet]
@@ -26,12 +29,28 @@
 
 
 @pytest.fixture
-def start_fleet(tmp_path: Path) -> Iterator[StartFleet]:
+def quick_disk(tmp_path: Path) -> Iterator[Path]:
+    """Return a folder for hosts' data that other programs' writes do not delay.
+
+    Hosts have a disk each, while all hosts of a test share that of this machine: a
+    sync has taken over a second there while another program wrote. Files in memory
+    outlast the kill of a process, which is all that these tests do to a host.
+    """
+    if not MEMORY_FOLDER.is_dir() or not os.access(MEMORY_FOLDER, os.W_OK):
+        yield tmp_path
+        return
+    with tempfile.TemporaryDirectory(dir=MEMORY_FOLDER) as folder:
+        yield Path(folder)
+
+
+@pytest.fixture
+def start_fleet(tmp_path: Path, quick_disk: Path) -> Iterator[StartFleet]:
     """Return a function that starts a fleet on free ports; close them afterwards."""
     fleets: list[Fleet] = []
 
     def start(plan: FleetPlan) -> Fleet:
-        fleet = Fleet(plan._replace(first_port=find_free_port_block()), tmp_path)
+        plan = plan._replace(first_port=find_free_port_block())
+        fleet = Fleet(plan, tmp_path, data_folder=quick_disk)
         fleets.append(fleet)
         fleet.start_hosts()
         fleet.start_servers()
--- a/tests/trial/test_scenarios.py
+++ b/tests/trial/test_scenarios.py
@@ -26,12 +26,14 @@
 # Guards against any violation of the guarantees on real daemons under the faults of a
 # scenario.
 @pytest.mark.parametrize("script", SCRIPTS, ids=lambda path: path.stem)
-def test_a_scenario_holds_every_guarantee(script: Path, tmp_path: Path) -> None:
-    result = run(script.read_text(), tmp_path)
+def test_a_scenario_holds_every_guarantee(
+    script: Path, tmp_path: Path, quick_disk: Path
+) -> None:
+    result = run(script.read_text(), tmp_path, quick_disk)
     assert not result.violations, result.violations[:5]
 
 
-def run(text: str, folder: Path) -> ScenarioResult:
+def run(text: str, folder: Path, data_folder: Path) -> ScenarioResult:
     """Run a script; run it again if the machine stalled a daemon meanwhile.
 
     The history of every completed run is checked. Only a run that fails while a
@@ -39,10 +41,22 @@
     """
     for attempt in range(MAX_RUNS - 1):
         try:
-            return run_scenario(text, folder / str(attempt), find_free_port_block())
+            return run_once(text, folder, data_folder, str(attempt))
         except ScenarioStalledError as error:
             print(f"repeated after a stall: {error}")
-    return run_scenario(text, folder / "last", find_free_port_block())
+    return run_once(text, folder, data_folder, "last")
+
+
+def run_once(
+    text: str, folder: Path, data_folder: Path, attempt: str
+) -> ScenarioResult:
+    """Run a script with files of its own."""
+    return run_scenario(
+        text,
+        folder / attempt,
+        find_free_port_block(),
+        data_folder=data_folder / attempt,
+    )
 
 
 # Guards against an error in a script that does not name its line.
