--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -122,7 +122,9 @@
         """Return a fixed time of day."""
         return 1_800_000_000.0
 
-    async def add_server(self, name: str, handler: Handler | None = None) -> ServerRow:
+    async def add_server(
+        self, name: str, handler: Handler | None = None, service: str = "s"
+    ) -> ServerRow:
         """Start a test server and add its row; ``handler`` handles its requests."""
 
         async def handle(request: Request) -> Response:
@@ -133,7 +135,7 @@
         port = free_port()
         await server.start(f"127.0.0.1:{port}")
         self.servers.append(server)
-        row = ServerRow(name, "s", f"127.0.0.1:{port}", "a", 0, 2, 0, True)
+        row = ServerRow(name, service, f"127.0.0.1:{port}", "a", 0, 2, 0, True)
         self.rows[name] = row
         return row
 
@@ -153,13 +155,15 @@
         return row
 
     def apply_update(
-        self, kind: RouteKind = RouteKind.IDEMPOTENT, owner: str = "", attempts: int = 2
+        self,
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        owner: str = "",
+        attempts: int = 2,
+        shares: tuple[ServiceShare, ...] = (ServiceShare("s", 1.0),),
     ) -> None:
-        """Send the router its rows; with ``owner``, the service is divided by key."""
+        """Send the router its rows; with ``owner``, service "s" is divided by key."""
         self._revision += 1
-        route = Route(
-            "r", "h", "/p/", kind, (ServiceShare("s", 1.0),), 900.0, attempts, 500.0, 1
-        )
+        route = Route("r", "h", "/p/", kind, shares, 900.0, attempts, 500.0, 1)
         ranges: tuple[RangeRow, ...] = ()
         if owner:
             top = KEY_SPACE - 1
@@ -172,7 +176,10 @@
             ranges,
             tuple(self.rows.values()),
             routes=(route,),
-            services=(RoutedService("s", "/health", 100, bool(owner), 0.0),),
+            services=tuple(
+                RoutedService(name, "/health", 100, bool(owner) and name == "s", 0.0)
+                for name, _ in shares
+            ),
             document=DocumentHead(1, ClientLimits()),
         )
         self.state.apply(
