Divide keys by latency: slow servers get less of what they could run

Cause: keys are balanced so that all servers of a service are equally busy. Change: the share of the target latency that a server's processing time takes counts like utilization, 1.2 of it for the whole target.

--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -108,6 +108,8 @@
         self._utilization_reported_at: dict[str, float] = {}
         self._loads = ReportedLoads(now)
         self._needs = ServerNeedTable()
+        self._targets: dict[str, float] = {}
+        self._targets_version = 0
         self._elected_at = now
         self._next_balance_at = now + timing.settle_time
         self._next_join_at = now + JOIN_INTERVAL_SECONDS
@@ -229,9 +231,12 @@
         parts = self._list_parts(row.service)
         loads = self._loads.get_loads(row.service)
         utilization = compute_utilization(parts, owners, loads)
-        others = sorted(utilization.values())
+        cost = {
+            owner.name: utilization[owner.name] + owner.slowness for owner in owners
+        }
+        others = sorted(cost.values())
         limit = others[max(len(others) // SUITABLE_FRACTION, min(2, len(others) - 1))]
-        return utilization[row.name] <= limit
+        return cost[row.name] <= limit
 
     def answer_heartbeat(
         self, heartbeat: ServerHeartbeat, received_at: float, now: float
@@ -429,12 +434,25 @@
             if silent or self._tables.is_failing(liveness, now):
                 continue
             owners.append(Owner(name, float(max(row.slots, 1))))
-        owners = self._loads.add_capacities(sorted(owners))
+        target = self._find_target_latency(service)
+        owners = self._loads.add_capacities(sorted(owners), target)
         if self._needs.is_empty:
             return owners
         parts, loads = self._list_parts(service), self._loads.get_loads(service)
         return self._needs.adjust(owners, compute_rates(parts, loads), now)
 
+    def _find_target_latency(self, service: str) -> float:
+        """Return the shortest target latency of a service's routes, in seconds."""
+        document = self._state.route_store.document
+        if document.version != self._targets_version:
+            self._targets_version = document.version
+            self._targets = {}
+            for route in document.routes:
+                for name, _ in route.shares:
+                    shortest = self._targets.get(name, route.target_ms / 1000)
+                    self._targets[name] = min(shortest, route.target_ms / 1000)
+        return self._targets.get(service, 0.0)
+
     def _list_keyed_services(self) -> list[str]:
         """Return the services whose keys are divided among their servers."""
         document = self._state.route_store.document
--- a/src/dragonflyrock/control/reported_loads.py
+++ b/src/dragonflyrock/control/reported_loads.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from ..systems.spreading import KeyLoads, Owner
+from ..systems.spreading import KeyLoads, Owner, estimate_slowness
 from ..transport.messages import RangeLoad, ServerSpeed
 
 __all__ = ["ReportedLoads"]
@@ -92,10 +92,11 @@
                 updated[key] = rate
         return updated
 
-    def add_capacities(self, owners: list[Owner]) -> list[Owner]:
-        """Return owners with their capacity in requests a second.
+    def add_capacities(self, owners: list[Owner], target: float) -> list[Owner]:
+        """Return owners with their capacity in requests a second, and slowness.
 
         A server with few measurements gets a value near the mean of its service.
+        ``target`` is the target latency in seconds, or 0 if it is not known.
         """
         measurements = [self._speeds.get(owner.name, (0.0, 0.0)) for owner in owners]
         requests = sum(count for count, _ in measurements)
@@ -106,7 +107,7 @@
         for owner, (count, busy) in zip(owners, measurements, strict=True):
             processing_time = busy + SPEED_PRIOR_REQUESTS * mean
             processing_time /= count + SPEED_PRIOR_REQUESTS
-            result.append(
-                Owner(owner.name, owner.capacity / max(processing_time, 0.001))
-            )
+            capacity = owner.capacity / max(processing_time, 0.001)
+            slowness = estimate_slowness(processing_time, target)
+            result.append(Owner(owner.name, capacity, slowness))
         return result
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -18,6 +18,7 @@
     "compute_rates",
     "compute_utilization",
     "divide_by_capacity",
+    "estimate_slowness",
     "plan_balance",
     "reassign_part",
 ]
@@ -42,6 +43,8 @@
 MIN_REQUESTS_PER_SECOND: Final = 0.4
 # A key that needs more than its owner can run goes to a server faster by this factor.
 MIN_SPEEDUP: Final = 1.25
+# How much the share of the target latency that a request takes counts beside utilization.
+SLOWNESS_WEIGHT: Final = 1.2
 # The number of servers among which a part of a lost server is divided.
 MAX_NEW_OWNERS: Final = 3
 
@@ -50,10 +53,12 @@
     """A server that may own keys.
 
     ``capacity`` is in requests a second, or in slots while no speed is known.
+    ``slowness`` is the utilization that the time it works on a request counts for.
     """
 
     name: str
     capacity: float
+    slowness: float = 0.0
 
 
 class OwnedPart(NamedTuple):
@@ -130,6 +135,20 @@
         return max(low + step - 1, min(end, high - step))
 
 
+def estimate_slowness(processing_time: float, target: float) -> float:
+    """Return the utilization that a server's processing time counts for.
+
+    Both times are in seconds. Where a request takes a large part of its target latency
+    even without waiting, little waiting makes it late.
+
+    >>> estimate_slowness(0.3, 0.6), estimate_slowness(0.3, 0.0)
+    (0.6, 0.0)
+    """
+    if target <= 0:
+        return 0.0
+    return SLOWNESS_WEIGHT * min(processing_time / target, 1.0)
+
+
 def divide_by_capacity(owners: Sequence[Owner], step: int) -> list[Assignment]:
     """Divide the whole key space by the owners' capacity.
 
@@ -192,6 +211,7 @@
     if not owners:
         return []
     capacity = {owner.name: owner.capacity for owner in owners}
+    slowness = {owner.name: owner.slowness for owner in owners}
     total_load = loads.between(part.low, part.high)
     mean = max(loads.total, 1.0) / len(owners)
     small = total_load < mean * 0.5 and part.high - part.low < KEY_SPACE // 64
@@ -204,7 +224,9 @@
         end = part.high
         if number > 1 and part.high - low + 1 > step:
             end = loads.find_split(low, part.high, 1 / number, step)
-        target = min(capacity, key=lambda name: (utilization[name], name))
+        target = min(
+            capacity, key=lambda name: (utilization[name] + slowness[name], name)
+        )
         width = (end - low + 1) / KEY_SPACE
         added = loads.between(low, end) + width * max(loads.total, 1.0) * 0.05
         utilization[target] += added / capacity[target]
@@ -230,35 +252,34 @@
     # Load of a key beyond what any server can run needs no capacity elsewhere.
     loads = loads.cap_keys(max(capacity.values()))
     utilization = compute_utilization(parts, owners, loads)
-    mean = sum(utilization[name] * capacity[name] for name in utilization) / sum(
-        capacity.values()
-    )
+    slowness = {owner.name: owner.slowness for owner in owners}
     assignments = _reassign_oversized_keys(parts, capacity, utilization, loads, step)
     current = list(parts)
     for low, high, target in assignments:
         current = assign_span(current, low, high, target)
+    cost = {name: utilization[name] + slowness[name] for name in utilization}
+    mean = sum(cost[name] * capacity[name] for name in cost) / sum(capacity.values())
     skipped: set[str] = set()
     width = 0.0
     while len(assignments) < MAX_ASSIGNMENTS_PER_ROUND and len(skipped) < len(
         utilization
     ):
         busiest = max(
-            (name for name in utilization if name not in skipped),
-            key=utilization.__getitem__,
+            (name for name in cost if name not in skipped), key=cost.__getitem__
         )
-        idlest = min(utilization, key=utilization.__getitem__)
+        idlest = min(cost, key=cost.__getitem__)
         deviation = sqrt(utilization[busiest] / capacity[busiest] / RATE_WINDOW_SECONDS)
         excess = max(MIN_EXCESS_UTILIZATION, NOISE_DEVIATIONS * deviation)
         if (
-            utilization[busiest] < mean + MIN_EXCESS_UTILIZATION
+            cost[busiest] < mean + MIN_EXCESS_UTILIZATION
             or utilization[busiest] < MIN_BUSY_UTILIZATION
         ):
             break
-        if utilization[busiest] < mean + excess:
+        if cost[busiest] < mean + excess:
             skipped.add(busiest)
             continue
-        excess = (utilization[busiest] - mean) * capacity[busiest]
-        room = (mean - utilization[idlest]) * capacity[idlest]
+        excess = (cost[busiest] - mean) * capacity[busiest]
+        room = (mean - cost[idlest]) * capacity[idlest]
         span = _find_part(current, busiest, min(excess, room), loads, step)
         allowed = (
             MAX_OVERLOAD_ROUND_WIDTH
@@ -272,8 +293,9 @@
             continue
         low, high = span
         moved = loads.between(low, high)
-        utilization[busiest] -= moved / capacity[busiest]
-        utilization[idlest] += moved / capacity[idlest]
+        for name, added in ((busiest, -moved), (idlest, moved)):
+            utilization[name] += added / capacity[name]
+            cost[name] += added / capacity[name]
         current = assign_span(current, low, high, idlest)
         assignments.append(Assignment(low, high, idlest))
     return assignments
--- a/tests/load/model.py
+++ b/tests/load/model.py
@@ -35,6 +35,7 @@
     OwnedPart,
     Owner,
     divide_by_capacity,
+    estimate_slowness,
     plan_balance,
 )
 
@@ -303,15 +304,16 @@
         if not self.plan.balanced:
             return
         loads = KeyLoads({key * KEY_STEP: rate for key, rate in self.key_rates.items()})
-        owners = [Owner(name, self.estimate_capacity(name)) for name in self.servers]
+        owners = [self.make_owner(name) for name in self.servers]
         for assignment in plan_balance(self.parts, owners, loads, KEY_STEP):
             self.parts = _apply_assignment(self.parts, assignment)
 
-    def estimate_capacity(self, name: str) -> float:
-        """Return a server's estimated capacity in requests per second."""
+    def make_owner(self, name: str) -> Owner:
+        """Return a server with its estimated capacity in requests per second."""
         count, busy = self.speeds[name]
         processing_time = (busy + 4 * self.plan.work) / (count + 4)
-        return 2.0 / processing_time
+        slowness = estimate_slowness(processing_time, self.plan.target)
+        return Owner(name, 2.0 / processing_time, slowness)
 
 
 def _apply_assignment(
--- a/tests/load/test_never_idle.py
+++ b/tests/load/test_never_idle.py
@@ -61,7 +61,7 @@
                     loads.add_speeds((ServerSpeed("slow", 1, work * 1000),))
             loads.update_rates(second + 1.0)
         owners = loads.add_capacities(
-            [Owner("fast", SLOT_COUNT), Owner("slow", SLOT_COUNT)]
+            [Owner("fast", SLOT_COUNT), Owner("slow", SLOT_COUNT)], 0.0
         )
         capacities = {owner.name: owner.capacity for owner in owners}
         assert 4.0 < capacities["slow"] < 10.0
@@ -77,4 +77,4 @@
     for seed in range(3):
         model = LoadModel(plan, seed).run()
         for name in model.servers:
-            assert model.estimate_capacity(name) > 0.7 * 2 / plan.work
+            assert model.make_owner(name).capacity > 0.7 * 2 / plan.work
