--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -43,7 +43,7 @@
 MIN_REQUESTS_PER_SECOND: Final = 0.4
 # A key that needs more than its owner can run goes to a server faster by this factor.
 MIN_SPEEDUP: Final = 1.25
-# How much the share of the target latency that a request takes counts beside utilization.
+# Utilization that counts as much as a request that takes the whole target latency.
 SLOWNESS_WEIGHT: Final = 1.2
 # The number of servers among which a part of a lost server is divided.
 MAX_NEW_OWNERS: Final = 3
