Report the speeds of servers from hosts that seldom send to them

Cause: with 185 hosts and 142 servers a host sends a server a lookup each 35 s, and reported its speed only from three samples on. Change: what samples there are go out every 1.5 s; a member that collects them passes them on each second, so that its reports do not grow.

--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -18,6 +18,8 @@
 __all__ = ["NearHosts"]
 
 REPORT_INTERVAL_SECONDS: Final = 0.3
+# Speeds are summed up for longer: they change slowly, and a report names each server.
+SPEED_REPORT_SECONDS: Final = 1.0
 # A member whose reports were not confirmed for this time may miss changes. A time
 # shorter than an election would send all hosts to other members at each election.
 LEADER_TIMEOUT_SECONDS: Final = 0.9
@@ -45,6 +47,7 @@
         self._speeds: dict[str, tuple[int, float]] = {}
         self._ended_servers: dict[str, None] = {}
         self._reported_at = float("-inf")
+        self._speeds_reported_at = float("-inf")
         self._listed_at = float("-inf")
         self._host_names: tuple[str, ...] = ()
         self._list_version = 0
@@ -150,9 +153,17 @@
             tuple((r.host.holder, r.revision) for r in renewals),
             tuple(self._stopped_hosts),
             self._loads,
-            tuple(ServerSpeed(n, c, round(b)) for n, (c, b) in self._speeds.items()),
+            self._pop_speeds(now),
             tuple(self._ended_servers),
         )
         self._unreported, self._stopped_hosts, self._ended_servers = {}, {}, {}
-        self._loads, self._speeds = {}, {}
+        self._loads = {}
         return report
+
+    def _pop_speeds(self, now: float) -> tuple[ServerSpeed, ...]:
+        """Return and remove the speeds of servers, if they are due."""
+        if now - self._speeds_reported_at < SPEED_REPORT_SECONDS:
+            return ()
+        self._speeds_reported_at = now
+        speeds, self._speeds = self._speeds, {}
+        return tuple(ServerSpeed(n, c, round(b)) for n, (c, b) in speeds.items())
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -23,7 +23,10 @@
 MAX_REPORTED_KEY_COUNT: Final = 96
 MAX_REPORTED_NEED_COUNT: Final = 64
 MIN_HOST_COUNT: Final = 8
+# A server is reported once it has so many samples, or some after this time: one of many
+# hosts of a large fleet sends a server hardly more than one request in ten seconds.
 MIN_SPEED_SAMPLE_COUNT: Final = 3
+SPEED_REPORT_SECONDS: Final = 1.5
 
 
 class RouterState:
@@ -48,6 +51,7 @@
         self._clock = clock
         self._key_loads: dict[tuple[str, int], int] = {}
         self._speeds: dict[str, tuple[int, float]] = {}
+        self._speeds_reported_at = clock()
         self._ended: set[str] = set()
         self.longest_deadlines: dict[str, float] = {}
         self.leaving = LeavingTable()
@@ -197,11 +201,15 @@
         self._speeds[name] = (count + 1, busy + elapsed)
 
     def pop_speeds(self) -> tuple[ServerSpeed, ...]:
-        """Return and remove the speeds of servers that have enough samples."""
+        """Return and remove the speeds of servers whose samples are due."""
+        now = self._clock()
+        is_due = now - self._speeds_reported_at >= SPEED_REPORT_SECONDS
+        if is_due:
+            self._speeds_reported_at = now
         speeds = tuple(
             ServerSpeed(name, count, round(busy * 1000))
             for name, (count, busy) in self._speeds.items()
-            if count >= MIN_SPEED_SAMPLE_COUNT
+            if is_due or count >= MIN_SPEED_SAMPLE_COUNT
         )
         for speed in speeds:
             del self._speeds[speed.name]
