Share the backlogs of servers among the hosts of a control node

Change: each 0.1 s a host tells the control node that sends it its rows which servers it has sent to or heard from, and gets the same of that node's other hosts; what is heard later than the own word counts. Within one availability zone, for services without keys only. A host says that it understands it in NearRenew, a node by its first message, so that builds without it are sent nothing.

--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -22,7 +22,10 @@
     HostUpdate,
     LeavingServers,
     LinkMessage,
+    NearRenew,
     ServeNear,
+    ServerLoad,
+    ServerLoads,
     ServerNeeds,
 )
 from ..transport.packing import UpdatePacker
@@ -40,6 +43,7 @@
     PushUpdate,
     ServicePolicy,
 )
+from .load_hub import LoadHub
 from .member_notices import MemberNotices
 from .move_events import report_moves
 from .near import LEADER_TIMEOUT_SECONDS, NearHosts
@@ -112,6 +116,7 @@
         lease_ms = int(config.timing.entry_lease * 1000)
         self._near = NearHosts(config.zone, state, lease_ms)
         self._near_revision = 0
+        self._load_hub = LoadHub()
         self._stopping = False
         self._confirmed_at = float("-inf")
         self._pusher = self._make_pusher(post)
@@ -162,8 +167,9 @@
         if near:
             self._send(renewal.host.name, ServeNear(near))
 
-    def receive_near_renewal(self, sender: str, renewal: HostRenew, now: float) -> None:
+    def receive_near_renewal(self, sender: str, near: NearRenew, now: float) -> None:
         """Send a host of this zone its rows, or forward its renewal to the leader."""
+        renewal = near.renew
         if not self._has_current_rows(now):
             self.receive_renewal(sender, renewal, now)
             return
@@ -177,6 +183,25 @@
         )
         self._send_update(renewal.host.name, update)
         self._send_members(renewal, now)
+        takes_loads = near.takes_loads and not renewal.leaving
+        if takes_loads and self._load_hub.add_host(renewal.host.name, now):
+            # This shows the host that this node understands it too.
+            self._send(renewal.host.name, ServerLoads())
+
+    def receive_server_loads(
+        self, sender: str, loads: tuple[ServerLoad, ...], now: float
+    ) -> None:
+        """Record what a host has heard of servers, for the other hosts."""
+        self._load_hub.receive(sender, loads, now)
+
+    def _send_load_digest(self, now: float) -> None:
+        """Tell the hosts of this node what the others have heard of servers."""
+        digest = self._load_hub.make_digest(now)
+        if digest is None:
+            return
+        names, message = digest
+        for name in names:
+            self._send(name, message)
 
     def receive_near_report(self, sender: str, report: HostsNear, now: float) -> None:
         """Handle a follower's report of its hosts, and confirm it, while leading."""
@@ -441,6 +466,7 @@
         self._handle_pending_renewals(now)
         if self._config.directed is not None:
             self._tick_near(now)
+            self._send_load_digest(now)
         leader = self._settled_leader(now)
         if leader is not None:
             self._run_effects(leader.tick(now))
--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -42,13 +42,15 @@
     """Settings of an entry agent; ``renew_interval`` is in seconds.
 
     With ``acknowledge_at_once`` the agent acknowledges new rows without waiting for
-    the next renewal, because the leader's next step depends on it.
+    the next renewal, because the leader's next step depends on it. With ``takes_loads``
+    the host shares the backlogs of servers with others.
     """
 
     host: HostRecord
     voters: tuple[str, ...]
     renew_interval: float
     acknowledge_at_once: bool = True
+    takes_loads: bool = False
 
 
 class EntryState(Protocol):
@@ -155,6 +157,11 @@
         if not node:
             self._updated_at = NEVER
 
+    @property
+    def near_member(self) -> str:
+        """Return the control node of this zone that sends rows; empty for none."""
+        return self._near_member
+
     def set_voters(self, names: tuple[str, ...]) -> bool:
         """Set the present voters, to ask when no leader answers.
 
@@ -229,7 +236,8 @@
         )
         if self._near_member:
             if not near_member_silent:
-                self._send(self._near_member, NearRenew(message))
+                renewal = NearRenew(message, takes_loads=config.takes_loads)
+                self._send(self._near_member, renewal)
                 self._report_servers(self._near_member)
                 return
             self._failed_member = self._near_member
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -43,6 +43,7 @@
     LeavingServers,
     NearRenew,
     ServeNear,
+    ServerLoads,
     ServerNeeds,
     ServersHeard,
 )
@@ -386,14 +387,16 @@
                         sender, self._group.replica.leader
                     )
                 self._member.receive_renewal(sender, message, now)
-            case NearRenew(renew):
-                self._member.receive_near_renewal(sender, renew, now)
+            case NearRenew():
+                self._member.receive_near_renewal(sender, message, now)
             case ServeNear():
                 self._member.confirm_near_report(now)
             case LeavingServers():
                 self._member.receive_leaving_servers(message, now)
             case ServerNeeds():
                 self._member.receive_server_needs(message, now)
+            case ServerLoads(loads):
+                self._member.receive_server_loads(sender, loads, now)
             case HostsNear():
                 self._member.receive_near_report(sender, message, now)
             case CallRequest():
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -33,6 +33,7 @@
     ControlMembers,
     HostUpdate,
     ServeNear,
+    ServerLoads,
     ServerRateDemand,
     ServerRateGrant,
 )
@@ -101,6 +102,7 @@
                 settings.seed_names,
                 settings.timeouts.host_renew_ms / 1000,
                 acknowledge_at_once=False,
+                takes_loads=True,
             ),
             self.state,
             self._loop.send,
@@ -114,6 +116,7 @@
         self._applied_version = 0
         self._had_lease = False
         self._voters: tuple[str, ...] = ()
+        self._load_hub = ""
 
     def _make_rate_agent(self) -> ServerRateAgent:
         """Return the agent that divides the limits of servers with other hosts."""
@@ -199,6 +202,10 @@
                 self._set_voters(voters)
             case ServeNear(near_member):
                 self._agent.set_near_member(near_member, now, received.sender)
+            case ServerLoads(loads):
+                if received.sender == self._agent.near_member:
+                    self._set_load_hub(received.sender)
+                self.state.shared_loads.apply(loads, self.state.stats, now)
             case ServerRateDemand():
                 self.state.rates.receive_demand(received.sender, message)
             case ServerRateGrant():
@@ -206,6 +213,21 @@
             case CallAnswer():
                 self._calls.answer(received.sender, message, now)
 
+    def _set_load_hub(self, node: str) -> None:
+        """Set the control node that passes the backlogs of servers on; "" for none."""
+        if node == self._load_hub:
+            return
+        self._loop.lines.add("load-hub", node=node, before=self._load_hub)
+        self._load_hub = node
+
+    def _share_loads(self, now: float) -> None:
+        """Tell the other hosts of this host's control node of servers' backlogs."""
+        if self._load_hub and self._load_hub != self._agent.near_member:
+            self._set_load_hub("")
+        loads = self.state.shared_loads.pop(now)
+        if loads and self._load_hub:
+            self._loop.send(self._load_hub, ServerLoads(loads))
+
     def _set_voters(self, voters: tuple[str, ...]) -> None:
         """Ask the present voters from now on, and those of the settings."""
         self._voters = voters
@@ -301,6 +323,7 @@
         """Renew the lease, check call timeouts and close expired connections."""
         self._agent.tick(now)
         self._calls.tick(now)
+        self._share_loads(now)
         self.state.rates.tick(now)
         self._router.reach.tick()
         has_lease = self.state.tables.lease_until > now
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -547,6 +547,7 @@
         service = self._state.get_service_stat(context.service)
         backlog = estimate_backlog(stat, service, now)
         record_sent(stat, now)
+        self._share_load(context, stat)
         if self._state.rates.find_limit(stat.row) is not None:
             self._metrics.limited_sends.labels(context.service).inc()
         context.sends += 1
@@ -590,7 +591,14 @@
                 return self._handle_dropped_connection(context, stat, result)
             return self._handle_fault(context, stat, result, ended - now)
         self.reach.record_answer()
-        return self._handle_response(context, stat, result, backlog, ended - now)
+        response = self._handle_response(context, stat, result, backlog, ended - now)
+        self._share_load(context, stat)
+        return response
+
+    def _share_load(self, context: RequestContext, stat: ServerStat) -> None:
+        """Tell other hosts the backlog of a server that they may choose too."""
+        if context.key_hash is None:
+            self._state.shared_loads.record(stat, self._clock())
 
     def _is_outdated(
         self, context: RequestContext, stat: ServerStat, now: float
--- a/src/dragonflyrock/router/server_stats.py
+++ b/src/dragonflyrock/router/server_stats.py
@@ -25,6 +25,7 @@
     "record_rejection",
     "record_response",
     "record_sent",
+    "record_shared_backlog",
     "record_unreachable",
 ]
 
@@ -259,6 +260,15 @@
     service.utilization += SERVICE_SMOOTHING * (utilization - service.utilization)
 
 
+def record_shared_backlog(stat: ServerStat, backlog: int, at: float) -> None:
+    """Record the requests at a server that another host has heard of at a time."""
+    if at <= stat.reported_at:
+        return
+    stat.reported_backlog = float(max(backlog, stat.in_flight))
+    stat.mean_backlog += BACKLOG_SMOOTHING * (backlog - stat.mean_backlog)
+    stat.reported_at = at
+
+
 def record_full(stat: ServerStat, now: float) -> None:
     """Record that a server rejected a request because it is full."""
     stat.reported_backlog = stat.slots * (1 + FULL_BACKLOG_PER_SLOT)
--- /dev/null
+++ b/src/dragonflyrock/router/shared_loads.py
@@ -0,0 +1,51 @@
+"""Backlogs of servers that hosts tell one another by way of a control node.
+
+A host of a large fleet sends a server a request only now and then, and would choose by
+reports that are long outdated. Servers of services with keys have no alternative, so
+their backlogs are not shared.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from ..transport.messages import ServerLoad
+from .server_stats import ServerStat, record_shared_backlog
+
+__all__ = ["SharedLoads"]
+
+MAX_SHARED_LOADS: Final = 256
+MAX_BACKLOG: Final = 10_000
+
+
+class SharedLoads:
+    """The backlogs that this host has changed or heard since it last told of them."""
+
+    def __init__(self) -> None:
+        """Start with nothing to tell."""
+        self._changed: dict[str, tuple[int, float]] = {}
+
+    def record(self, stat: ServerStat, now: float) -> None:
+        """Record the backlog of a server after a send to it or a response of it."""
+        if stat.row.name in self._changed or len(self._changed) < MAX_SHARED_LOADS:
+            self._changed[stat.row.name] = (round(stat.reported_backlog), now)
+
+    def pop(self, now: float) -> tuple[ServerLoad, ...]:
+        """Return and forget the backlogs that were recorded since the last call."""
+        changed, self._changed = self._changed, {}
+        return tuple(
+            ServerLoad(name, backlog, round((now - at) * 1000))
+            for name, (backlog, at) in changed.items()
+        )
+
+    @staticmethod
+    def apply(
+        loads: tuple[ServerLoad, ...], stats: Mapping[str, ServerStat], now: float
+    ) -> None:
+        """Take in what other hosts have heard, unless this one has heard later."""
+        for name, backlog, age_ms in loads:
+            stat = stats.get(name)
+            if stat is not None and 0 <= backlog <= MAX_BACKLOG:
+                at = now - max(age_ms, 0) / 1000
+                record_shared_backlog(stat, backlog, at)
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -13,6 +13,7 @@
 from ..transport.messages import HostUpdate, RangeLoad, ServerNeed, ServerSpeed
 from .budget import BudgetPolicy, ServiceRetryBudget
 from .server_stats import ServerStat, ServiceStat
+from .shared_loads import SharedLoads
 
 __all__ = ["RouterState"]
 
@@ -54,6 +55,7 @@
         self._speeds_reported_at = clock()
         self._ended: set[str] = set()
         self.longest_deadlines: dict[str, float] = {}
+        self.shared_loads = SharedLoads()
         self.leaving = LeavingTable()
         self.pauses = PauseTable()
         self._new_pauses: dict[str, tuple[float, float]] = {}
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -28,6 +28,8 @@
     "RateDemand",
     "RateGrant",
     "ServeNear",
+    "ServerLoad",
+    "ServerLoads",
     "ServerNeed",
     "ServerNeeds",
     "ServerRateDemand",
@@ -262,10 +264,32 @@
     number: int
 
 
+class ServerLoad(NamedTuple):
+    """The requests at a server, running and queued, ``age_ms`` before the message."""
+
+    name: str
+    backlog: int
+    age_ms: int
+
+
+class ServerLoads(NamedTuple):
+    """What an entry host has heard of servers since its last message.
+
+    The control node that sends the host its rows passes it on to its other hosts. A
+    host sends it only to a node that has sent it one, which may be empty.
+    """
+
+    loads: tuple[ServerLoad, ...] = ()
+
+
 class NearRenew(NamedTuple):
-    """A renewal for the control node that sends the entry host its rows."""
+    """A renewal for the control node that sends the entry host its rows.
+
+    ``takes_loads`` is set by a host that understands ``ServerLoads``.
+    """
 
     renew: HostRenew
+    takes_loads: bool = False
 
 
 class HostsNear(NamedTuple):
@@ -303,6 +327,7 @@
     | ServerNeeds
     | ServerRateDemand
     | ServerRateGrant
+    | ServerLoads
 )
 
 MESSAGES: Final = Codec(
@@ -325,6 +350,7 @@
         ServerNeeds,
         ServerRateDemand,
         ServerRateGrant,
+        ServerLoads,
     ],
     UnknownFields.IGNORE,
 )
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -30,7 +30,10 @@
     HostUpdate,
     LeavingServers,
     LinkMessage,
+    NearRenew,
     ServeNear,
+    ServerLoad,
+    ServerLoads,
 )
 
 HOST = HostRecord("host", 1, "a", "", "")
@@ -105,13 +108,14 @@
             self.member.tick(self.now)
             self.member.flush(self.now)
 
-    def renew(self) -> None:
+    def renew(self, *, takes_loads: bool = False) -> None:
         """Deliver a renewal of the host to this member."""
         revision = 0
         for update in self.updates():
             revision = max(revision, update.delta.revision)
         renew = HostRenew(HOST, self.now, revision, (), (), 0, self.now)
-        self.member.receive_near_renewal("host", renew, self.now)
+        near = NearRenew(renew, takes_loads)
+        self.member.receive_near_renewal("host", near, self.now)
 
     def updates(self) -> list[HostUpdate]:
         """Return the updates that were sent to the host."""
@@ -299,3 +303,31 @@
         report._replace(forwarded=True), follower.now
     )
     assert follower.sent == [("leader", report._replace(forwarded=True))]
+
+
+def select_loads(follower: Follower) -> list[ServerLoads]:
+    """Return the backlogs of servers that were sent to the host."""
+    return [item for _, item in follower.sent if isinstance(item, ServerLoads)]
+
+
+# Guards against messages that a host of a version without them drops with a line each.
+def test_a_host_is_told_backlogs_only_if_it_takes_them(tmp_path: Path) -> None:
+    follower = Follower(tmp_path)
+    follower.append()
+    follower.renew()
+    follower.member.receive_server_loads("host", (ServerLoad("s", 1, 0),), follower.now)
+    follower.pass_time(0.5)
+    assert select_loads(follower) == []
+
+
+# Guards against a host that never learns that this node passes backlogs on, and so
+# sends none.
+def test_a_host_that_takes_backlogs_is_greeted_and_told(tmp_path: Path) -> None:
+    follower = Follower(tmp_path)
+    follower.append()
+    follower.renew(takes_loads=True)
+    assert select_loads(follower) == [ServerLoads()]
+    load = ServerLoad("s", 1, 0)
+    follower.member.receive_server_loads("host", (load,), follower.now)
+    follower.pass_time(0.2)
+    assert [item.loads[0].name for item in select_loads(follower)[1:]] == ["s"]
