Greet a host until it has sent backlogs

Change: a host is greeted with each renewal until it has sent something. Test: test_a_host_is_greeted_until_it_has_sent_something.

--- a/src/dragonflyrock/control/load_hub.py
+++ b/src/dragonflyrock/control/load_hub.py
@@ -21,20 +21,25 @@
     def __init__(self) -> None:
         """Start without hosts."""
         self._hosts: dict[str, float] = {}
+        self._senders: set[str] = set()
         self._heard_at: dict[str, float] = {}
         self._changed: dict[str, tuple[int, float]] = {}
         self._sent_at = 0.0
 
     def add_host(self, name: str, now: float) -> bool:
-        """Record that a host takes backlogs; return whether it is new here."""
-        is_new = name not in self._hosts
+        """Record that a host takes backlogs; return whether it is to be greeted.
+
+        It is until it has sent some: the first messages to a host may be lost, as the
+        link to it is not open yet.
+        """
         self._hosts[name] = now
-        return is_new
+        return name not in self._senders
 
     def receive(self, sender: str, loads: tuple[ServerLoad, ...], now: float) -> None:
         """Record the backlogs that a host has heard of, if they are the latest ones."""
         if sender not in self._hosts:
             return
+        self._senders.add(sender)
         for name, backlog, age_ms in loads[:MAX_DIGEST_LOADS]:
             at = now - max(age_ms, 0) / 1000
             if at <= self._heard_at.get(name, 0.0):
@@ -61,5 +66,6 @@
         """Forget the hosts that renew elsewhere, and servers without requests."""
         since = now - HOST_TIMEOUT_SECONDS
         self._hosts = {name: at for name, at in self._hosts.items() if at > since}
+        self._senders &= self._hosts.keys()
         if len(self._heard_at) > 2 * MAX_DIGEST_LOADS:
             self._heard_at = {n: at for n, at in self._heard_at.items() if at > since}
--- a/tests/control/test_load_hub.py
+++ b/tests/control/test_load_hub.py
@@ -22,6 +22,15 @@
     return hub
 
 
+# Guards against a host that is greeted once, over a link that is not open yet, and that
+# never sends anything.
+def test_a_host_is_greeted_until_it_has_sent_something(hub: LoadHub) -> None:
+    assert hub.add_host("one", 10.1)
+    hub.receive("one", (ServerLoad("s", 4, 0),), 10.2)
+    assert not hub.add_host("one", 10.3)
+    assert hub.add_host("two", 10.3)
+
+
 # Guards against hosts that are told late, or of nothing new again and again.
 def test_a_change_is_told_once_to_all_hosts(hub: LoadHub) -> None:
     hub.receive("one", (ServerLoad("s", 4, 20),), 10.1)
