Give parts whose chosen owner is lost to the idlest owner, not to the first by name

Cause: where the chosen owner of a part that moves was lost before the part was free, the part went to the first server by name, and so did all the others. Change: to the idlest one, counting what it was given in the same step.

--- a/benchmarks/leading.py
+++ b/benchmarks/leading.py
@@ -94,7 +94,7 @@
         for command in commands:
             self.finish(command)
         for order in orders:
-            self._answer(order)
+            self.answer(order)
 
     def run(self, seconds: float) -> None:
         """Run ticks, and heartbeats and load reports once a second."""
@@ -111,7 +111,7 @@
             self.finish(command)
         self.names = [name for name in self.names if name not in ended]
 
-    def _answer(self, order: Order) -> None:
+    def answer(self, order: Order) -> None:
         """Answer an order at once."""
         result = OrderResult(order, OrderOutcome.DONE)
         command = self.leader.complete_order(result, self.now)
--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
 from ..errors import Reason, Refusal, Step
@@ -17,6 +17,7 @@
     KeyLoads,
     OwnedPart,
     Owner,
+    choose_idlest,
     compute_rates,
     compute_utilization,
     divide_by_capacity,
@@ -75,6 +76,14 @@
     last_at: float
 
 
+@dataclass(slots=True)
+class _Targets:
+    """The servers of a service that may own a part, and their utilization if known."""
+
+    owners: dict[str, Owner]
+    utilization: dict[str, float] = field(default_factory=dict)
+
+
 class DirectedLeader:
     """The leader's state of directed servers, their holds and moves of ranges.
 
@@ -649,7 +658,7 @@
         """Advance moves; commit those whose source no longer holds the part."""
         fences: list[RangeMove] = []
         ready: list[RangeMove] = []
-        owners: dict[str, dict[str, Owner]] = {}
+        targets: dict[str, _Targets] = {}
         for move in self._tables.moves:
             if move.stage == MoveStage.FENCED:
                 self._granting.continue_fenced(move)
@@ -662,10 +671,10 @@
             if move.stage == MoveStage.WAITING and now >= move.free_at:
                 move.stage = MoveStage.FREE
             if move.stage == MoveStage.FREE:
-                if move.service not in owners:
-                    listed = self._list_owners(move.service, now)
-                    owners[move.service] = {owner.name: owner for owner in listed}
-                self._retarget(move, owners[move.service])
+                if move.service not in targets:
+                    owners = self._list_owners(move.service, now)
+                    targets[move.service] = _Targets({o.name: o for o in owners})
+                self._retarget(move, targets[move.service])
                 if self._granting.waits_for_heartbeat(move):
                     continue
                 if move.target:
@@ -676,15 +685,25 @@
             *_make_assignments([(move, move.target) for move in ready]),
         ]
 
-    @staticmethod
-    def _retarget(move: RangeMove, owners: Mapping[str, Owner]) -> None:
+    def _retarget(self, move: RangeMove, targets: _Targets) -> None:
         """Choose another target for a move if its target can no longer own ranges.
 
-        It is the first owner by name, other than the source where there is one.
+        It is the idlest owner, other than the source where there is one.
         """
-        if move.target not in owners:
-            others = (name for name in owners if name != move.source)
-            move.target = next(others, move.source if move.source in owners else "")
+        if move.target in targets.owners:
+            return
+        owners = list(targets.owners.values())
+        others = [owner for owner in owners if owner.name != move.source] or owners
+        move.target = ""
+        if not others:
+            return
+        loads = self._loads.get_loads(move.service)
+        if not targets.utilization:
+            parts = self._list_parts(move.service)
+            targets.utilization = compute_utilization(parts, owners, loads)
+        move.target = choose_idlest(
+            move.low, move.high, targets.utilization, others, loads
+        )
 
     def _join_ranges(self, now: float) -> list[c.Command]:
         """Join adjacent ranges of one owner, so that fewer need renewal."""
--- a/src/dragonflyrock/systems/spreading.py
+++ b/src/dragonflyrock/systems/spreading.py
@@ -15,6 +15,7 @@
     "OwnedPart",
     "Owner",
     "assign_span",
+    "choose_idlest",
     "compute_rates",
     "compute_utilization",
     "divide_by_capacity",
@@ -210,8 +211,6 @@
     """
     if not owners:
         return []
-    capacity = {owner.name: owner.capacity for owner in owners}
-    slowness = {owner.name: owner.slowness for owner in owners}
     total_load = loads.between(part.low, part.high)
     mean = max(loads.total, 1.0) / len(owners)
     small = total_load < mean * 0.5 and part.high - part.low < KEY_SPACE // 64
@@ -224,17 +223,29 @@
         end = part.high
         if number > 1 and part.high - low + 1 > step:
             end = loads.find_split(low, part.high, 1 / number, step)
-        target = min(
-            capacity, key=lambda name: (utilization[name] + slowness[name], name)
-        )
-        width = (end - low + 1) / KEY_SPACE
-        added = loads.between(low, end) + width * max(loads.total, 1.0) * 0.05
-        utilization[target] += added / capacity[target]
+        target = choose_idlest(low, end, utilization, owners, loads)
         assignments.append(Assignment(low, end, target))
         low = end + 1
     return assignments
 
 
+def choose_idlest(
+    low: int,
+    high: int,
+    utilization: dict[str, float],
+    owners: Sequence[Owner],
+    loads: KeyLoads,
+) -> str:
+    """Return the idlest of the owners for a span, and add it to ``utilization``."""
+    idlest = min(
+        owners, key=lambda owner: (utilization[owner.name] + owner.slowness, owner.name)
+    )
+    width = (high - low + 1) / KEY_SPACE
+    added = loads.between(low, high) + width * max(loads.total, 1.0) * 0.05
+    utilization[idlest.name] += added / idlest.capacity
+    return idlest.name
+
+
 def plan_balance(
     parts: Sequence[OwnedPart],
     owners: Sequence[Owner],
--- a/tests/control/test_order_queue.py
+++ b/tests/control/test_order_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from benchmarks.leading import SERVICE, Fleet
 
@@ -15,6 +17,7 @@
 from dragonflyrock.models import GrantedBy
 
 SERVERS = 300
+LEAVING = 20
 
 
 @pytest.fixture
@@ -58,3 +61,28 @@
     orders = tick(fleet) + tick(fleet)
     granted = [order for order in orders if isinstance(order, GrantOrder)]
     assert any(order.low == row.low for order in granted)
+
+
+# Guards against the parts of all leaving servers at one server: where the chosen owners
+# are lost meanwhile, all parts went to the first of the others by name.
+def test_parts_whose_chosen_owners_are_lost_go_to_different_servers(
+    fleet: Fleet,
+) -> None:
+    fleet.run(3.0)
+    for name in fleet.names[:LEAVING]:
+        fleet.commit(c.StopServer(name))
+    releases: list[Order] = []
+    while len(releases) < LEAVING:
+        for order in tick(fleet):
+            if isinstance(order, ReleaseOrder):
+                releases.append(order)
+            else:
+                fleet.answer(order)
+    chosen = {move.target for move in fleet.leader._tables.moves}
+    for command in fleet.leader.drop_ended_servers(tuple(chosen)):
+        fleet.commit(command)
+    for order in releases:
+        fleet.answer(order)
+    tick(fleet)
+    spread = Counter(row.owner for row in fleet.state.ranges)
+    assert max(spread.values()) < LEAVING / 2
