--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Final, NamedTuple
+from typing import Final
 
 from ..errors import Reason, Refusal, Step
 from ..hashing import KEY_SPACE
@@ -43,6 +43,7 @@
     ServerLiveness,
 )
 from .directed_tables import DirectedTables, Report
+from .instances import InstanceRegistry
 from .reported_loads import ReportedLoads
 from .server_needs import ServerNeedTable
 from .state import ControlState
@@ -50,13 +51,7 @@
 __all__ = ["DirectedLeader"]
 
 
-MAX_ENDED_INSTANCES: Final = 10_000
-# An instance with a higher number in its first heartbeat here has sent others before.
-FIRST_SEQUENCES: Final = 5
 SILENCE_CHECK_SECONDS: Final = 0.25
-# Keys are divided at the latest so long after the first registration of a service,
-# even if servers still register; those get parts of others' keys then.
-DIVISION_TIMEOUT_SECONDS: Final = 4.0
 JOIN_INTERVAL_SECONDS: Final = 5.0
 UTILIZATION_REPORT_SECONDS: Final = 2.0
 # Each move costs a release, a commit and a grant.
@@ -69,13 +64,6 @@
 SUITABLE_FRACTION: Final = 3
 
 
-class _Registrations(NamedTuple):
-    """When servers of a service were registered, by the leader's clock."""
-
-    first_at: float
-    last_at: float
-
-
 @dataclass(slots=True)
 class _Targets:
     """The servers of a service that may own a part, and their utilization if known."""
@@ -106,11 +94,7 @@
                 self._granting = GrantingByOrder(self._tables)
             case GrantedBy.HEARTBEAT:
                 self._granting = GrantingByHeartbeat(self._tables)
-        self._ended_instances: dict[str, None] = {}
-        self._confirmed: set[str] = set()
-        self._probed_at: dict[str, float] = {}
-        self._dropped_instances: set[str] = set()
-        self._knows_all_instances = not state.has_known_servers
+        self._instances = InstanceRegistry(self._tables, now)
         self._next_silence_check_at = now
         self._order_credit = ORDER_BURST
         self._credited_at = now
@@ -119,10 +103,8 @@
         self._needs = ServerNeedTable()
         self._targets: dict[str, float] = {}
         self._targets_version = 0
-        self._elected_at = now
         self._next_balance_at = now + timing.settle_time
         self._next_join_at = now + JOIN_INTERVAL_SECONDS
-        self._registrations: dict[str, _Registrations] = {}
         self._synced_revision = -1
         wait = timing.order_timeout + timing.hold_with_drift
         self._tables.sync_holds(now, inherited=now + wait)
@@ -141,7 +123,7 @@
         """
         row = self._state.servers.get(heartbeat.name)
         if row is None:
-            return self._register_instance(heartbeat, now)
+            return self._instances.register(heartbeat, now)
         if not heartbeat.ended and (row.service, row.address) != (
             heartbeat.service,
             heartbeat.address,
@@ -275,71 +257,6 @@
                 liveness.announced_at = now
                 liveness.sequence = max(liveness.sequence, sequence)
 
-    def _register_instance(
-        self, heartbeat: ServerHeartbeat, now: float
-    ) -> c.Command | Refusal | None:
-        """Handle the first announcement of a server instance."""
-        if heartbeat.ended:
-            return None
-        if heartbeat.name in self._ended_instances:
-            detail = "this instance of the server has ended"
-            return Refusal(
-                Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
-            )
-        for other in self._state.servers.values():
-            if other.address != heartbeat.address:
-                continue
-            liveness = self._tables.liveness.get(other.name)
-            if (
-                liveness is not None
-                and now - liveness.announced_at < self._timing.settle_time
-            ):
-                detail = f"{other.name} at {other.address} announced itself just now"
-                return Refusal(
-                    Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
-                )
-            self._probe_instance(other, now)
-        row = ServerRow(
-            heartbeat.name,
-            heartbeat.service,
-            heartbeat.address,
-            heartbeat.zone,
-            0,
-            heartbeat.slots,
-            0,
-            True,
-            heartbeat.leaving,
-        )
-        is_known_first = (
-            self._knows_all_instances and row.name not in self._dropped_instances
-        )
-        is_first = heartbeat.sequence <= FIRST_SEQUENCES or is_known_first
-        if not is_first and row.name not in self._confirmed:
-            # It may be a late heartbeat of a server that has left: a leader that was
-            # elected since does not know which instances have ended.
-            self._probe_instance(row, now)
-            detail = "the instance has announced itself before, and is probed first"
-            return Refusal(
-                Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail
-            )
-        self._confirmed.discard(row.name)
-        self._probed_at.pop(row.name, None)
-        first = self._registrations.get(row.service, _Registrations(now, now)).first_at
-        self._registrations[row.service] = _Registrations(first, now)
-        self._tables.liveness[heartbeat.name] = ServerLiveness(now, heartbeat.sequence)
-        return c.RegisterServer(row)
-
-    def _probe_instance(self, row: ServerRow, now: float) -> None:
-        """Ask which instance runs at an address, unless it was asked just now."""
-        probed_at = self._probed_at.get(row.name, NEVER)
-        if now - probed_at < self._timing.order_timeout:
-            return
-        if len(self._probed_at) >= MAX_ENDED_INSTANCES:
-            self._probed_at.clear()
-        self._probed_at[row.name] = now
-        health_path = self._tables.find_health_path(row.service)
-        self._tables.orders.append(ProbeOrder(row, health_path))
-
     def drop_ended_servers(self, names: tuple[str, ...]) -> list[c.Command]:
         """Drop servers at whose addresses entry hosts found another instance."""
         return [
@@ -421,17 +338,10 @@
             if row.stopping:
                 limit = self._timing.silence_timeout * 2
             if silent > limit:
-                self._record_dropped(name)
+                self._instances.record_dropped(name)
                 commands.append(c.DropServer(name))
         return commands
 
-    def _record_dropped(self, name: str) -> None:
-        """Record an instance whose late heartbeats must not register it again."""
-        self._dropped_instances.add(name)
-        if len(self._dropped_instances) > MAX_ENDED_INSTANCES:
-            self._dropped_instances.clear()
-            self._knows_all_instances = False
-
     def _list_owners(self, service: str, now: float) -> list[Owner]:
         """Return the servers that may get ranges of a service."""
         owners = []
@@ -472,7 +382,7 @@
         for service in self._list_keyed_services():
             if service in self._state.ranges.services or self._has_moves(service):
                 continue
-            if now < self._find_division_time(service):
+            if now < self._instances.find_division_time(service):
                 continue
             owners = self._list_owners(service, now)
             if not owners:
@@ -489,18 +399,6 @@
                     now,
                 )
 
-    def _find_division_time(self, service: str) -> float:
-        """Return when the keys of a service may be divided.
-
-        Its servers register at about the same time, and are waited for.
-        """
-        settle_time = self._timing.settle_time
-        registered = self._registrations.get(service)
-        if registered is None:
-            return self._elected_at + settle_time
-        latest = registered.first_at + DIVISION_TIMEOUT_SECONDS
-        return min(registered.last_at + settle_time, latest)
-
     def _has_moves(self, service: str) -> bool:
         """Return whether any part of a service is being moved."""
         return self._tables.moving_spans.has_service(service)
@@ -734,11 +632,9 @@
         elif result.outcome != OrderOutcome.OTHER_INSTANCE:
             liveness.failures += 1
             liveness.failed_at = now
-        name = result.order.server.name
         is_found = result.outcome == OrderOutcome.DONE
-        is_unknown = name not in self._state.servers
-        if is_found and is_unknown and isinstance(result.order, ProbeOrder):
-            self._confirmed.add(name)
+        if is_found and isinstance(result.order, ProbeOrder):
+            self._instances.confirm(result.order.server.name)
         command = self._granting.complete(result, now)
         if result.outcome == OrderOutcome.OTHER_INSTANCE:
             return self._drop_ended_server(result.order.server.name)
@@ -747,10 +643,7 @@
     def _drop_ended_server(self, name: str) -> c.Command:
         """End the holds of a server instance that has ended, and drop it."""
         self._granting.forget(name)
-        self._record_dropped(name)
-        self._ended_instances[name] = None
-        if len(self._ended_instances) > MAX_ENDED_INSTANCES:
-            del self._ended_instances[next(iter(self._ended_instances))]
+        self._instances.record_ended(name)
         for hold in self._tables.holds.values():
             if hold.owner.name == name:
                 hold.confirmed_until = hold.possible_until = NEVER
