--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,7 +40,9 @@
     """Parse the command-line arguments."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="seed to play")
-    parser.add_argument("--seeds", help="range of seeds to play", metavar="A-B")
+    parser.add_argument(
+        "--seeds", type=_check_seeds, help="range of seeds to play", metavar="A-B"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play scripts that failed"
     )
@@ -60,6 +62,14 @@
     return parser.parse_args(arguments)
 
 
+def _check_seeds(text: str) -> str:
+    """Return a range of seeds such as ``3-7``, or a single one, if it can be read."""
+    first, _, last = text.partition("-")
+    if not first.isdecimal() or not (last or first).isdecimal():
+        raise argparse.ArgumentTypeError(f"found {text!r}; allowed: A-B, as 3-7")
+    return text
+
+
 def _list_scripts(options: argparse.Namespace) -> list[tuple[int, tuple[Step, ...]]]:
     """Return the seeds to play and their scripts."""
     if options.regressions:
@@ -101,6 +111,8 @@
 def main(arguments: list[str]) -> int:
     """Play the seeds named on the command line; return 1 if any failed."""
     options = parse_arguments(arguments)
+    if options.keep is not None:
+        options.keep.mkdir(parents=True, exist_ok=True)
     table_rows, failed_count = [], 0
     for seed, script in _list_scripts(options):
         by_heartbeat = options.granted_by == "heartbeat"
--- a/tests/soak/test_script.py
+++ b/tests/soak/test_script.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from soak.__main__ import list_regressions, main, parse_arguments
 from soak.const import ENTRY_NODE_COUNT, ISOLATIONS
 from soak.script import make_script
@@ -73,3 +74,13 @@
         steps = [s for s in make_script(seed, SECONDS) if s.what in ISOLATIONS]
         counts |= {sum(s.at == step.at for s in steps) for step in steps}
     assert counts == set(range(1, ENTRY_NODE_COUNT))
+
+
+# Guards against a traceback for a range of seeds that cannot be read.
+@pytest.mark.parametrize("text", ["x", "-3", "3-x", ""])
+def test_a_range_of_seeds_that_cannot_be_read_is_named(
+    text: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit):
+        parse_arguments([f"--seeds={text}"])
+    assert "allowed: A-B" in capsys.readouterr().err
