Name the age of the rows in the lines of requests

A 404 is given by the rows that a host has; no line said when a control node had last confirmed them, so an answer by rows that are old could not be told from one by rows that a relayed request met. The line now has rows_age, in seconds since the host sent the latest renewal that was answered. No decision reads it yet.

--- a/src/dragonflyrock/entry/tables.py
+++ b/src/dragonflyrock/entry/tables.py
@@ -27,11 +27,13 @@
 
     Times are in seconds of this host's clock. ``holders`` has the servers by holder
     (name and incarnation), and ``customers_by_token`` has the customers' names by
-    the hashes of their tokens.
+    the hashes of their tokens. ``confirmed_at`` is when this host sent the latest
+    renewal that was answered: its rows are not older.
     """
 
     revision: int = 0
     lease_until: float = NEVER
+    confirmed_at: float = NEVER
     leader: str = ""
     term: int = 0
     hosts: tuple[str, ...] = ()
@@ -58,6 +60,8 @@
         delta = update.delta
         if not delta.full and delta.base > self.revision:
             return False
+        if update.sent_at:
+            self.confirmed_at = max(self.confirmed_at, update.sent_at)
         changed = delta.revision > self.revision
         if changed:
             self._apply_rows(delta)
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -291,11 +291,17 @@
             status=status,
             detail=detail,
             version=self._state.tables.document_version,
+            rows_age=self._format_rows_age(),
             relayed=notice is not None or "",
             sender_version=notice.document_version if notice else "",
         )
         return self._make_local_response(status, detail, request_id, headers)
 
+    def _format_rows_age(self) -> float | str:
+        """Return the age of the rows in seconds for a line; empty without rows."""
+        age = self._state.rows_age
+        return round(age, 2) if age < float("inf") else ""
+
     def _make_local_response(
         self, status: int, detail: str, request_id: bytes, headers: Headers = ()
     ) -> Response:
@@ -931,6 +937,7 @@
             route=context.route.name,
             version=self._state.tables.document_version,
             revision=self._state.tables.revision,
+            rows_age=self._format_rows_age(),
             service=context.service,
             server=context.server,
             sends=context.sends,
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -94,6 +94,11 @@
         """Return whether the rows here are older than the required version."""
         return self.tables.document_version < self._answered_version
 
+    @property
+    def rows_age(self) -> float:
+        """Return for how many seconds no control node has confirmed the rows."""
+        return self._clock() - self.tables.confirmed_at
+
     def share_limits(self, rates: ServerRateAgent) -> None:
         """Divide the limits of servers with other hosts."""
         self.rates = rates
