Tests: take single ports below those of outgoing connections

Cause: it named a port of the ephemeral range (32768 to 60999), which any outgoing connection may be given until the test listens. Ports from 30000 to 32699 are named now, another one at each call. The new test fails on the code before.

--- a/tests/common.py
+++ b/tests/common.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections import deque
 from itertools import count, islice
@@ -12,9 +13,15 @@
 LAST_PORT: Final = 30_000
 # A test uses one block at a time, so that older blocks can be used again.
 HELD_BLOCK_COUNT: Final = 8
+# Single ports lie between the blocks and the ports of outgoing connections.
+FIRST_SINGLE_PORT: Final = 30_000
+LAST_SINGLE_PORT: Final = 32_700
+# Suites that run at the same time begin so far from each other.
+SINGLE_PORT_STRIDE: Final = 97
 PROBED_OFFSETS: Final = (0, 100, 200, 300, 400, 401, 402, 420, 501, 505)
 
 _BLOCK_NUMBERS = count()
+_PORT_NUMBERS = count()
 _GUARDS: deque[socket.socket] = deque()
 
 
@@ -69,7 +76,15 @@
 
 
 def free_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that no outgoing connection is given.
+
+    A port of the ephemeral range may be taken by a connection of any program before
+    the caller listens on it.
+    """
+    span = LAST_SINGLE_PORT - FIRST_SINGLE_PORT
+    start = os.getpid() * SINGLE_PORT_STRIDE
+    for number in islice(_PORT_NUMBERS, span):
+        port = FIRST_SINGLE_PORT + (start + number) % span
+        if _is_free(port):
+            return port
+    raise RuntimeError(f"none of {span} single ports is free")
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from itertools import count
+from pathlib import Path
 
 import pytest
 
@@ -35,3 +36,13 @@
     monkeypatch.setattr(common, "_claim", lambda port: None)
     with pytest.raises(RuntimeError, match="blocks of ports is free"):
         common.find_free_port_block()
+
+
+# Guards against a port that an outgoing connection of any program takes between the
+# choice and the listen ("address already in use").
+def test_a_single_port_is_none_of_outgoing_connections() -> None:
+    text = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
+    first_outgoing = int(text.split()[0])
+    ports = {common.free_port() for _ in range(200)}
+    assert len(ports) == 200
+    assert all(common.LAST_PORT <= port < first_outgoing for port in ports)
