Give no 404 by rows that no control node has confirmed lately

What callers may have seen: 404 for a route that had been added, by a version that was acknowledged as replaced seconds before. Class: what was true of the control nodes a while ago is acted on without its age. Change: after 1 s without an answered renewal, or to such a host, an unknown route is 503 with Retry-After, and a refusal that the relaying host takes to another one. 1 s beside the 0.9 s that a follower may be behind is below 2 s, the shortest time in which a change must be in force. Requests of known routes go on as before.

--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -101,6 +101,9 @@
 MIN_RETRY_AFTER_SECONDS: Final = 0.05
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
+# Older rows do not show that there is no route. A follower's rows may be 0.9 s behind
+# when it confirms them, and a change is in force everywhere within 2 s.
+MAX_ROWS_AGE_SECONDS: Final = 1.0
 
 
 class ReadyConnection(NamedTuple):
@@ -219,12 +222,8 @@
         host = (find_header(request.headers, b"host") or b"").decode("latin-1")
         target = request.target.decode("latin-1")
         route = self._state.tables.routes.find(host.partition(":")[0], target)
-        if route is None and self._state.is_document_outdated:
-            detail = "the route document here is outdated"
-            return self._answer_unrouted(request_id, 503, detail, notice)
         if route is None:
-            detail = f"no route for {host}{target}"
-            return self._answer_unrouted(request_id, 404, detail, notice)
+            return self._answer_without_route(request_id, host + target, notice)
         if self._has_invalid_key(request, route):
             detail = "the key is not a number of the key space"
             return self._answer_unrouted(request_id, 400, detail, notice)
@@ -243,6 +242,29 @@
         self._log_request(context, response.status, context.detail)
         return response
 
+    def _answer_without_route(
+        self, request_id: bytes, url: str, notice: RelayNotice | None
+    ) -> Response:
+        """Answer 404 if the rows show that there is no route, else refuse."""
+        doubt = self._find_doubt(notice)
+        if not doubt:
+            return self._answer_unrouted(request_id, 404, f"no route for {url}", notice)
+        response = self._answer_unrouted(request_id, 503, doubt, notice)
+        if notice is None:
+            return response
+        # A host whose rows are newer may know the route.
+        return make_relay_refusal(doubt.encode(), OUTDATED_REASON)
+
+    def _find_doubt(self, notice: RelayNotice | None) -> str:
+        """Return why a route that is absent here may be in force; empty if none."""
+        if self._state.is_document_outdated:
+            return "the route document here is outdated"
+        if self._state.rows_age > MAX_ROWS_AGE_SECONDS:
+            return "no control node has confirmed the route document lately"
+        if notice is not None and notice.document_version is None:
+            return "the other host does not name the version of its document"
+        return ""
+
     def _has_invalid_key(self, request: Request, route: Route) -> bool:
         """Return whether a service of the route needs a key and this one is invalid."""
         if parse_key(request, self._config.header_names) is not None:
