Tell a second copy of a refusal from the answer to a request

What callers would see: 503 'not run' for a request that a server runs (REFUSED), or one that runs at a second server too (TWICE). Cause: a response was known by its request id alone. A host sends a refused request again with the same id, also on the connection on which it was refused, where a second copy of the refusal has the right id; and a response without an id counted on any connection. Change: a connection remembers the ids that it has answered with anything but success (16 at most, then it is closed) and carries none of them again; after one response, another that names no request is a fault, so what ran is unknown and never 'not run'; a connection is not used again after a response without an id; a request without an id gets a new connection. From host to host the same, and refusals between hosts name the request now; one of a former build does not, so a request that may not be repeated is relayed on a new connection.

--- a/benchmarks/doors.py
+++ b/benchmarks/doors.py
@@ -69,7 +69,7 @@
     address = f"127.0.0.1:{BACKEND_PORT}"
 
     async def forward(request: Request) -> Response:
-        connection = connections.acquire_idle(address)
+        connection = connections.acquire_idle(address, b"1")
         if connection is None:
             opened = await connections.connect(address, 1.0)
             if isinstance(opened, ExchangeFault):
--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -34,6 +34,8 @@
 ACCEPT_SECONDS: Final = 0.001
 MAX_ACCEPT_WAIT_SECONDS: Final = 0.01
 MAX_IDLE_CONNECTIONS_PER_ADDRESS: Final = 32
+# A connection is closed once it has failed so many requests, whose ids it remembers.
+MAX_FAILED_IDS: Final = 16
 MAX_BODY_BYTES: Final = 32 * 1024 * 1024
 # All bodies that are being read; a host has 200 MB of memory or more.
 MAX_BUFFERED_BODY_BYTES: Final = 48 * 1024 * 1024
@@ -67,6 +69,8 @@
         self._response_future: asyncio.Future[Response | ExchangeFault] | None = None
         self._id_header = b""
         self._request_id = b""
+        self._failed_ids: set[bytes] = set()
+        self._has_answered = False
         self._may_reuse = True
         self._is_closed = False
         self._is_head_request = False
@@ -85,14 +89,27 @@
         """Return whether another exchange may follow on this connection."""
         return self._may_reuse and not self._is_closed and self._response_future is None
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether a response on this connection can be told to be a request's.
+
+        A server may write an earlier response once more. It has the id of its request,
+        if any, so it is not told from the response to a request that is sent again
+        here, or to one without an id.
+        """
+        if not request_id:
+            return not self._has_answered
+        return request_id not in self._failed_ids
+
     async def exchange(
         self, request: Request, id_header: bytes = b"", request_id: bytes = b""
     ) -> Response | ExchangeFault:
         """Send a request and return its complete response, or why there is none.
 
         A response is skipped if its header ``id_header``, named in lower case, has
-        another value than ``request_id``. If the calling task is cancelled, the
-        connection is reset, so that the server stops working on the request.
+        another value than ``request_id``. One without this header is a fault if there
+        was a response on this connection before, as it may be a copy of that one.
+        If the calling task is cancelled, the connection is reset, so that the server
+        stops working on the request.
         """
         assert self._transport is not None
         self._response_future = self._loop.create_future()
@@ -131,12 +148,27 @@
             if echoed is not None and echoed != self._request_id:
                 self._may_reuse = False
                 return
+            if echoed is None and self._has_answered:
+                self._give_up("the response names no request, and may be a copy")
+                return
+            if echoed is None and self._request_id:
+                # A second copy of this response could not be told from a later one.
+                self._may_reuse = False
+        self._record_answer(response)
         assert self._transport is not None
         if self._transport.get_write_buffer_size():
             self._may_reuse = False
         self._update_usable_until(response.headers)
         self._response_future.set_result(response)
 
+    def _record_answer(self, response: Response) -> None:
+        """Record that a request was answered here, and whether it may be sent again."""
+        self._has_answered = True
+        if not 200 <= response.status < 300:
+            self._failed_ids.add(self._request_id)
+            if len(self._failed_ids) >= MAX_FAILED_IDS:
+                self._may_reuse = False
+
     def _update_usable_until(self, headers: Headers) -> None:
         """Set the time limit for reuse from the server's Keep-Alive header."""
         idle_seconds = DEFAULT_IDLE_TIMEOUT_SECONDS
@@ -290,15 +322,18 @@
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
         self._bodies = BufferedBodies(MAX_BUFFERED_BODY_BYTES)
 
-    def acquire_idle(self, address: str) -> ServerConnection | None:
-        """Return a reusable idle connection, or None; close those that expired."""
-        idle = self._idle.get(address)
+    def acquire_idle(self, address: str, request_id: bytes) -> ServerConnection | None:
+        """Return an idle connection that may carry a request; close expired ones."""
+        idle = self._idle.get(address, [])
         now = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable and now < connection.usable_until:
+        for position in reversed(range(len(idle))):
+            connection = idle[position]
+            if not connection.is_reusable or now >= connection.usable_until:
+                connection.close()
+                del idle[position]
+            elif connection.may_carry(request_id):
+                del idle[position]
                 return connection
-            connection.close()
         return None
 
     async def connect(
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -59,7 +59,7 @@
         connection: ServerConnection | ExchangeFault | None = None
         try:
             async with asyncio.timeout(timeout):
-                connection = await self._connect(order, timeout)
+                connection = await self._connect(order, request_id, timeout)
                 if isinstance(connection, ExchangeFault):
                     return OrderResult(
                         order, OrderOutcome.NOT_SENT, detail=connection.detail
@@ -82,12 +82,12 @@
         return _read_result(order, result)
 
     async def _connect(
-        self, order: Order, timeout: float
+        self, order: Order, request_id: bytes, timeout: float
     ) -> ServerConnection | ExchangeFault:
         """Return an idle connection to a server, or a new one; probes get a new one."""
         address = order.server.address
         if not isinstance(order, ProbeOrder):
-            connection = self._connections.acquire_idle(address)
+            connection = self._connections.acquire_idle(address, request_id)
             if connection is not None:
                 return connection
         return await self._connections.connect(address, timeout)
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -176,6 +176,17 @@
     async def handle_relayed(self, request: Request) -> Response:
         """Answer a request that another host could not send to any server.
 
+        The answer names the request, so that a copy of it is told from another one.
+        """
+        response = await self._answer_relayed(request)
+        name, request_id = self._config.header_names.request_id, self._read_id(request)
+        if not request_id or find_header(response.headers, name) is not None:
+            return response
+        return response._replace(headers=(*response.headers, (name, request_id)))
+
+    async def _answer_relayed(self, request: Request) -> Response:
+        """Answer a request of another host, or refuse to take it.
+
         It is refused if this host is stopping, reaches no server itself, answers too
         many of these requests already, or has an older document than the other host.
         """
@@ -585,7 +596,9 @@
         Return a response if the request cannot be sent in time, and None to choose a
         server again.
         """
-        connection = self._connections.acquire_idle(stat.row.address)
+        connection = self._connections.acquire_idle(
+            stat.row.address, context.request_id
+        )
         reused = connection is not None
         if connection is None:
             opened = await self._connect(context, stat)
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -143,8 +143,7 @@
         self, context: RequestContext, host: str, document_version: int
     ) -> Response | ExchangeFault:
         """Send a request to a host and return its response."""
-        seconds_left = context.deadline - self._clock()
-        connection = await self._connect(host, seconds_left)
+        connection = await self._connect(context, host)
         if isinstance(connection, ExchangeFault):
             return connection
         self._in_flight[host] = self._in_flight.get(host, 0) + 1
@@ -167,14 +166,20 @@
         return result
 
     async def _connect(
-        self, host: str, seconds_left: float
+        self, context: RequestContext, host: str
     ) -> ServerConnection | ExchangeFault:
-        """Return an idle connection to a host, or a new one."""
+        """Return an idle connection to a host, or a new one.
+
+        A request that may not be repeated gets a new one: a host of a build that names
+        no request in its refusals could not be believed on an idle one.
+        """
         address = f"{host}:{self._config.relay_port}"
-        connection = self._connections.acquire_idle(address)
-        if connection is not None:
-            return connection
-        timeout = min(CONNECT_TIMEOUT_SECONDS, max(seconds_left, 0.0))
+        if context.route.is_idempotent:
+            idle = self._connections.acquire_idle(address, context.request_id)
+            if idle is not None:
+                return idle
+        seconds_left = max(context.deadline - self._clock(), 0.0)
+        timeout = min(CONNECT_TIMEOUT_SECONDS, seconds_left)
         return await self._connections.connect(address, timeout)
 
     def _make_request(
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -32,7 +32,7 @@
         """Initialize with the time that a connection takes."""
         self._seconds = seconds
 
-    def acquire_idle(self, address: str) -> None:
+    def acquire_idle(self, address: str, request_id: bytes) -> None:
         """Return no connection."""
 
     async def connect(
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -27,12 +27,17 @@
 
 async def reject_as_full(request: Request) -> Response:
     """Reject a request as not run, as a full server does."""
-    return make_response(503, b"", ((b"X-Not-Run", b"1"),))
+    return make_response(503, b"", ((b"X-Not-Run", b"1"), echo_id(request)))
 
 
 async def answer_as_new_instance(request: Request) -> Response:
     """Answer as another instance that now has the server's address."""
-    return make_response(421, b"", ((b"X-Server-Name", b"new"),))
+    return make_response(421, b"", ((b"X-Server-Name", b"new"), echo_id(request)))
+
+
+def echo_id(request: Request) -> tuple[bytes, bytes]:
+    """Return the header by which a response names its request."""
+    return b"X-Request-Id", find_header(request.headers, b"x-request-id") or b""
 
 
 async def answer_unsigned(request: Request) -> Response:
