Product port: close a connection after a refusal, or an answer that names no request

What callers would see: 'not run' for a request that the server runs, or a run at a second time. Cause: a refused request is tried again with the same id on the connection that refused it, where a second copy of the refusal is read as the answer; and an answer without an id was accepted on any connection. Change: a connection is kept only after an answer that names its request and is no refusal, and on a kept one an answer without an id is none: the outcome is unknown. Servers that echo no id get a connection for each request now.

--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -86,7 +86,8 @@
 class Forwarder:
     """Send requests to backend servers over pooled connections.
 
-    A connection returns to the pool only after its response was read completely.
+    A connection returns to the pool only after its response was read completely, and
+    if a second copy of it would be told from the response to a later request.
     """
 
     def __init__(
@@ -126,9 +127,10 @@
         if seconds_left <= 0:
             return Refusal(Reason.DEADLINE, Step.DISPATCH, peer)
         connection = self._acquire_connection(in_flight.server.address)
+        is_reused = connection.sock is not None
         try:
             connection.timeout = seconds_left
-            if connection.sock is None:
+            if not is_reused:
                 connection.connect()
             connection.sock.settimeout(seconds_left)
         except (OSError, HTTPError) as error:
@@ -142,19 +144,22 @@
         if refusal is not None:
             self._keep_connection(in_flight.server.address, connection)
             return refusal
-        return self._exchange(connection, in_flight, request)
+        return self._exchange(connection, in_flight, request, is_reused=is_reused)
 
     def _exchange(
         self,
         connection: HTTPConnection,
         in_flight: InFlightRequest,
         request: ServerRequest,
+        *,
+        is_reused: bool,
     ) -> ServerResponse | Refusal:
         """Send the request and read the response on a connected socket."""
         peer = in_flight.server.holder
         try:
             self._send_request(connection, in_flight, request)
             response = connection.getresponse()
+            _check_request_id(response, request, is_reused=is_reused)
             server_response = self._read_response(
                 connection, response, in_flight, request
             )
@@ -167,9 +172,14 @@
         except (OSError, HTTPError, HTTPException, ValueError) as error:
             connection.close()
             return self._convert_error(in_flight, error)
-        self._release_connection(in_flight.server.address, connection, response)
+        result = _convert_refusal(server_response, peer)
+        # A refused request may be sent again with the same id.
+        if REQUEST_ID_HEADER in response.headers and result is server_response:
+            self._release_connection(in_flight.server.address, connection, response)
+        else:
+            connection.close()
         self._on_response(in_flight.server, server_response, in_flight.started_at)
-        return _convert_refusal(server_response, peer)
+        return result
 
     def _send_request(
         self,
@@ -203,10 +213,7 @@
         in_flight: InFlightRequest,
         request: ServerRequest,
     ) -> ServerResponse:
-        """Read a complete response and check that it belongs to the request."""
-        echoed = response.headers.get(REQUEST_ID_HEADER)
-        if echoed is not None and echoed != request.request_id:
-            raise _BadAnswerError(f"the response belongs to request {echoed}")
+        """Read a complete response."""
         has_length = "Content-Length" in response.headers
         chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
         bodiless = request.method == "HEAD" or response.status in (204, 304)
@@ -292,6 +299,20 @@
                 connection.close()
 
 
+def _check_request_id(
+    response: BaseHTTPResponse, request: ServerRequest, *, is_reused: bool
+) -> None:
+    """Check that a response belongs to the request, or raise ``_BadAnswerError``.
+
+    Without an id it may be a copy of an earlier response on a reused connection.
+    """
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is None and is_reused:
+        raise _BadAnswerError("the response names no request, and may be a copy")
+    if echoed is not None and echoed != request.request_id:
+        raise _BadAnswerError(f"the response belongs to request {echoed}")
+
+
 def _shut_down_socket(sock: socket.socket) -> None:
     """Shut a socket down, which wakes a thread that reads from it.
 
