Product port: an answer that ends in its head is no answer

What callers would see: 200, 204, 404 or a refusal with an empty or short body, as whole, though the server had stopped in the middle of the head (MIXED, ORDER). Cause: http.client takes the end of the connection for the end of a head. Change: the last line of a head must be blank, or the answer is lost and the outcome unknown. Other users of http.client here read a JSON body from each answer, which a cut head cannot bring.

--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -21,6 +21,7 @@
 from ..errors import Outcome, Reason, Refusal, Step
 from ..models import ServerRow
 from .gate import InFlightRequest
+from .whole_heads import ServerConnection
 
 __all__ = ["Forwarder", "ServerRequest", "ServerResponse"]
 
@@ -267,7 +268,7 @@
                 connection = idle.pop() if idle else None
             if connection is None:
                 host, _, port = address.rpartition(":")
-                return HTTPConnection(host, int(port))
+                return ServerConnection(host, int(port))
             if not is_connection_dropped(connection):
                 return connection
             connection.close()
--- a/tests/entry/test_faulty_answers.py
+++ b/tests/entry/test_faulty_answers.py
@@ -1,4 +1,4 @@
-"""Servers that repeat an answer, on the product's own port."""
+"""Servers that repeat an answer or break one off, on the product's own port."""
 
 from __future__ import annotations
 
@@ -161,3 +161,33 @@
     assert (result.reason, result.outcome) == (Reason.BAD_ANSWER, Outcome.UNKNOWN)
     assert peer.connection_count == 1
     forwarder.close()
+
+
+HEADS = {
+    "empty-body": b"200 OK\r\nX-Request-Id: id-1\r\nContent-Length: 0\r\nX-Last: 1",
+    "body": b"200 OK\r\nX-Request-Id: id-1\r\nX-Name: 1\r\nContent-Length: 12",
+    "chunked": b"200 OK\r\nX-Request-Id: id-1\r\nTransfer-Encoding: chunked\r\nX-L: 1",
+    "no-content": b"204 No Content\r\nX-Request-Id: id-1\r\nX-Last: 1",
+    "not-modified": b"304 Not Modified\r\nX-Request-Id: id-1\r\nETag: 1",
+    "missing": b"404 Not Found\r\nContent-Length: 0\r\nX-Request-Id: id-1\r\nX-L: 1",
+    "failed": b"500 Failed\r\nContent-Length: 0\r\nX-Request-Id: id-1\r\nX-L: 1",
+    "refusal": b"503 Busy\r\nX-Outcome: not-run\r\nContent-Length: 0\r\nX-Reason: full",
+    "interim": b"100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-L: 1",
+}
+
+
+# Guards against MIXED and ORDER: an answer whose head ends anywhere before its blank
+# line is passed on as a whole one with an empty or short body, or is believed.
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+@pytest.mark.parametrize("head", list(HEADS.values()), ids=list(HEADS))
+def test_an_answer_that_ends_in_its_head_is_no_answer(
+    host: GateHost, peer: Peer, head: bytes, method: str
+) -> None:
+    whole = b"HTTP/1.1 " + head + b"\r\n\r\n"
+    forwarder = Forwarder(lambda: host.now, 1000)
+    for length in range(len(whole)):
+        peer.answers = [(whole[:length], True)]
+        result = forward(host, forwarder, "id-1", method)
+        assert isinstance(result, Refusal), whole[:length]
+        assert result.outcome == Outcome.UNKNOWN, whole[:length]
+    forwarder.close()
