Keep connections of grants to servers whose answers name no order

Cause: closes a connection after an answer without an id; the platform's servers echo the id of a request, not that of an order, so each renewal opened a connection. Change: a grant may be answered without an id, as before; a release may not share a connection, since a second copy of its answer would say that the work on other keys has ended (OWNER). Tests: connections of three releases and of three grants; each order of two in test_order_answers, whose case 'grant, release' had expected that they share a connection, and now expects that they do not and that the release is answered; 'grant, grant' keeps the former check.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -69,6 +69,7 @@
         self._response_future: asyncio.Future[Response | ExchangeFault] | None = None
         self._id_header = b""
         self._request_id = b""
+        self._needs_id = True
         self._failed_ids: set[bytes] = set()
         self._has_answered = False
         self._may_reuse = True
@@ -101,19 +102,26 @@
         return request_id not in self._failed_ids
 
     async def exchange(
-        self, request: Request, id_header: bytes = b"", request_id: bytes = b""
+        self,
+        request: Request,
+        id_header: bytes = b"",
+        request_id: bytes = b"",
+        *,
+        needs_id: bool = True,
     ) -> Response | ExchangeFault:
         """Send a request and return its complete response, or why there is none.
 
         A response is skipped if its header ``id_header``, named in lower case, has
         another value than ``request_id``. One without this header is a fault if there
-        was a response on this connection before, as it may be a copy of that one.
+        was a response on this connection before, as it may be a copy of that one;
+        unless ``needs_id`` is false, for servers that name no request.
         If the calling task is cancelled, the connection is reset, so that the server
         stops working on the request.
         """
         assert self._transport is not None
         self._response_future = self._loop.create_future()
         self._id_header, self._request_id = id_header, request_id
+        self._needs_id = needs_id
         self._is_head_request = request.method == b"HEAD"
         self._received_bytes = self._received_body_bytes = 0
         if self._is_closed:
@@ -148,10 +156,10 @@
             if echoed is not None and echoed != self._request_id:
                 self._may_reuse = False
                 return
-            if echoed is None and self._has_answered:
-                self._give_up("the response names no request, and may be a copy")
-                return
-            if echoed is None and self._request_id:
+            if echoed is None and self._needs_id:
+                if self._has_answered:
+                    self._give_up("the response names no request, and may be a copy")
+                    return
                 # A second copy of this response could not be told from a later one.
                 self._may_reuse = False
         self._record_answer(response)
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -65,15 +65,18 @@
                         order, OrderOutcome.NOT_SENT, detail=connection.detail
                     )
                 request = _make_request(order, request_id)
-                result = await connection.exchange(request, REQUEST_ID, request_id)
+                result = await connection.exchange(
+                    request, REQUEST_ID, request_id, needs_id=False
+                )
         except TimeoutError:
             outcome = OrderOutcome.UNKNOWN if connection else OrderOutcome.NOT_SENT
             return OrderResult(order, outcome, detail="no answer in time")
-        if isinstance(order, ProbeOrder):
-            # A second answer to a health check may have no id.
-            connection.close()
-        else:
+        if isinstance(order, GrantOrder):
             self._connections.release(connection)
+        else:
+            # A second answer may have no id. That of a release would say that the work
+            # on other keys has ended.
+            connection.close()
         if isinstance(result, ExchangeFault):
             outcome = OrderOutcome.UNKNOWN
             if result.kind == FaultKind.NOT_CONNECTED:
@@ -84,9 +87,9 @@
     async def _connect(
         self, order: Order, request_id: bytes, timeout: float
     ) -> ServerConnection | ExchangeFault:
-        """Return an idle connection to a server, or a new one; probes get a new one."""
+        """Return an idle connection for a grant, or a new one for any other order."""
         address = order.server.address
-        if not isinstance(order, ProbeOrder):
+        if isinstance(order, GrantOrder):
             connection = self._connections.acquire_idle(address, request_id)
             if connection is not None:
                 return connection
