Give up a near member by its first unanswered renewal, not by the last one

What callers saw: 404 for a route that had been added seconds before, or the old service of one that had been moved, at one host that was in touch, until it was restarted. Cause: a host that has started, or woken from a freeze, is refused a lease at first and renews each 0.1 s. If the control node of its zone is lost in that time, the leader still names it for up to 1.5 s; the host renews there, and the silence was measured from the latest renewal, which is never older than 0.1 s where 0.35 s are allowed. So it never asks another node, and its rows stay as they are. Updates after a gap, less than 0.35 s apart, do the same to any host.

--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -114,7 +114,7 @@
         self._answered_at = 0.0
         self._is_leaving = False
         self._near_member = ""
-        self._near_updated_at = NEVER
+        self._near_asked_at: float | None = None
         self._near_member_failed = False
         self._failed_member = ""
         self._failed_member_until = NEVER
@@ -133,7 +133,7 @@
         if update.sent_at:
             self._near_member_failed = False
         if sender and sender == self._near_member:
-            self._near_updated_at = now
+            self._near_asked_at = None
         delta = update.delta
         has_gap = not delta.full and delta.base > self._state.tables.revision
         if (self._state.apply(update) and self._config.acknowledge_at_once) or has_gap:
@@ -152,7 +152,7 @@
             # The leader has not detected yet that this node does not answer.
             return
         self._near_member = node
-        self._near_updated_at = now
+        self._near_asked_at = None
         self._renewal_requested = True
         if not node:
             self._updated_at = NEVER
@@ -187,7 +187,7 @@
             interval = min(interval, FAST_RENEW_SECONDS)
         if self._near_member_failed:
             interval = min(interval, FAILOVER_INTERVALS * self._config.renew_interval)
-        if self._near_member and self._renewed_at > self._near_updated_at:
+        if self._near_asked_at is not None:
             interval = min(
                 interval, NEAR_ANSWER_INTERVALS * self._config.renew_interval
             )
@@ -205,10 +205,14 @@
             self.renew(now, leaving=True)
 
     def _is_near_member_silent(self, now: float) -> bool:
-        """Return whether the near member has not answered the last renewal in time."""
-        if self._renewed_at <= self._near_updated_at:
+        """Return whether the near member has not answered a renewal in time.
+
+        It is the first one without an answer that counts: further ones may follow it
+        faster than the near member has to answer.
+        """
+        if self._near_asked_at is None:
             return False
-        waited = now - self._renewed_at
+        waited = now - self._near_asked_at
         return waited >= NEAR_ANSWER_INTERVALS * self._config.renew_interval
 
     def renew(self, now: float, *, leaving: bool) -> None:
@@ -236,6 +240,8 @@
         )
         if self._near_member:
             if not near_member_silent:
+                if self._near_asked_at is None:
+                    self._near_asked_at = now
                 renewal = NearRenew(message, takes_loads=config.takes_loads)
                 self._send(self._near_member, renewal)
                 self._report_servers(self._near_member)
@@ -245,6 +251,7 @@
                 now + FAILED_MEMBER_INTERVALS * config.renew_interval
             )
             self._near_member = ""
+            self._near_asked_at = None
             self._updated_at = NEVER
             self._near_member_failed = True
         silence = LEADER_SILENCE_INTERVALS * config.renew_interval
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -112,3 +112,52 @@
     assert count_reports(12) == [2.0]
     host.state.report_pause(PauseRow(server.holder, host.now + 3.0), 3.0)
     assert count_reports(2) == [None]
+
+
+def refuse_lease(host: AgentHost) -> None:
+    """Answer a renewal without a lease, as to a host that has started or woken."""
+    delta = Delta(0, 7, full=True)
+    host.agent.receive(HostUpdate(1, "leader", host.now, 0, delta, 0, ()), host.now)
+
+
+# Guards against CONFIG (issue 42): a host that has just started, or woken from a
+# freeze, asks the lost control node of its zone for ever and gets no rows. It had no
+# lease yet, so it renewed so often that no renewal was unanswered for long.
+def test_a_host_without_a_lease_gives_up_a_near_member_that_is_lost() -> None:
+    host = AgentHost()
+    refuse_lease(host)
+    host.agent.set_near_member("near", host.now, "leader")
+    host.run(1.0)
+    host.sent.clear()
+    assert host.run(1.0) >= 1
+    assert "near" not in {peer for peer, _ in host.sent}
+
+
+# Guards against CONFIG (issue 42): updates after a gap make a host renew at once, and
+# so often that it never gives up the lost control node of its zone.
+def test_a_host_that_misses_rows_gives_up_a_near_member_that_is_lost() -> None:
+    host = AgentHost()
+    delta = Delta(0, 7, full=True)
+    host.agent.receive(HostUpdate(1, "leader", host.now, 9, delta, 0, ()), host.now)
+    host.agent.set_near_member("near", host.now, "leader")
+    for revision in range(9, 19):
+        gap = Delta(revision, revision + 1, full=False)
+        host.agent.receive(HostUpdate(1, "leader", 0.0, 0, gap, 0, None), host.now)
+        host.run(0.2)
+    assert "leader" in {peer for peer, _ in host.sent}
+
+
+# Guards against a near member that answers each renewal and is given up all the same.
+def test_a_near_member_that_answers_is_kept() -> None:
+    host = AgentHost()
+    refuse_lease(host)
+    host.agent.set_near_member("near", host.now, "leader")
+    host.run(0.2)
+    for _ in range(20):
+        host.sent.clear()
+        host.run(0.2)
+        assert {peer for peer, _ in host.sent} == {"near"}
+        none = Delta(7, 7, full=False)
+        host.agent.receive(
+            HostUpdate(1, "leader", host.now, 0, none, 0, None), host.now, "near"
+        )
