Send no request that may outlast a stopping host, whenever it arrived

What callers would see: in a planned stop a request is taken in the first 2.6 s of the grace whatever its deadline, and cut at the end with a 502 or 504 while its server runs it, also one that may not be repeated (LOST). Cause: Drain.accepts let any deadline pass before last_arrival, and was asked once, before the waits for an owner, a connection, a token or a retry. Change: a request is sent only if its response can be written before the host ends, asked at each send and after the last wait before it; else 503 with Retry-After, or to a relaying host a refusal. Connections are accepted until 2.6 s as before. Callers of a host that stops meet a refusal more where deadlines are longer than the grace, at once, and are served elsewhere. Changed tests: the harness's route allows 30 s (4 s before), and two tests of requests that outlast the host send them before the signal now, as none is taken after it; what they check is as it was.

--- a/src/dragonflyrock/drain.py
+++ b/src/dragonflyrock/drain.py
@@ -27,17 +27,16 @@
     last_arrival: float
     end: float
 
-    def accepts(self, now: float, deadline: float) -> bool:
-        """Return whether to accept a request that may run until its deadline.
+    def accepts(self, deadline: float) -> bool:
+        """Return whether a request that may run until its deadline may be sent.
 
-        After ``last_arrival`` a request is accepted only if its response can be written
-        before the host ends.
+        Its response must be written before the host ends, whenever it arrived.
 
         >>> drain = Drain(last_arrival=2.6, end=5.4)
-        >>> drain.accepts(2.0, 6.0), drain.accepts(3.0, 6.0), drain.accepts(3.0, 4.5)
-        (True, False, True)
+        >>> drain.accepts(6.0), drain.accepts(4.5)
+        (False, True)
         """
-        return now < self.last_arrival or deadline + RESPONSE_MARGIN_SECONDS <= self.end
+        return deadline + RESPONSE_MARGIN_SECONDS <= self.end
 
 
 def plan_drain(stop_requested_at: float, grace: float) -> Drain:
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -239,10 +239,6 @@
             detail = "the key is not a number of the key space"
             return self._answer_unrouted(request_id, 400, detail, notice)
         context = self._start_request(request, request_id, route, now, notice)
-        if self.drain is not None and not self.drain.accepts(now, context.deadline):
-            response = self._refuse(context, Rejection("the host is stopping", 0.0))
-            self._log_request(context, response.status, context.detail)
-            return response
         try:
             response = await self._send_until_answered(context)
         except asyncio.CancelledError as error:
@@ -400,6 +396,8 @@
             now = self._clock()
             if now >= context.deadline:
                 return self._answer_failure(context)
+            if self._may_outlast_host(context):
+                return self._refuse_stopping(context)
             if self._should_relay(context):
                 response = await self._relay(context)
                 if response is not None:
@@ -423,6 +421,17 @@
                 context.wrong_owner = False
                 await _wait_for_change(changed, OWNER_POLL_SECONDS)
 
+    def _may_outlast_host(self, context: RequestContext) -> bool:
+        """Return whether this host may end before a request that is sent now."""
+        return self.drain is not None and not self.drain.accepts(context.deadline)
+
+    def _refuse_stopping(self, context: RequestContext) -> Response:
+        """Answer that a request is not sent, or not again, as this host stops."""
+        detail = "the host is stopping"
+        if context.is_relayed and not context.may_have_run:
+            return make_relay_refusal(detail.encode())
+        return self._refuse(context, Rejection(detail, 0.0))
+
     def _should_relay(self, context: RequestContext) -> bool:
         """Return whether another host is to answer a request.
 
@@ -608,11 +617,15 @@
         may_send = await self._take_token(context, stat)
         now = self._clock()
         in_time = now < context.deadline
-        if may_send and in_time and not self._is_outdated(context, stat, now):
+        outlasts = self._may_outlast_host(context)
+        may_send = may_send and in_time and not outlasts
+        if may_send and not self._is_outdated(context, stat, now):
             return ReadyConnection(connection, reused)
         self._release(stat, connection)
         if not in_time:
             return self._answer_failure(context)
+        if outlasts:
+            return self._refuse_stopping(context)
         if context.outdated_choices > MAX_OUTDATED_CHOICE_COUNT:
             detail = "the servers of the service change too often"
             return self._refuse(context, Rejection(detail, OWNER_WAIT_SECONDS))
--- a/tests/node/entry_harness.py
+++ b/tests/node/entry_harness.py
@@ -33,7 +33,7 @@
 from tests.common import free_port
 from tests.paused_clock import PausedClock, run_paused
 
-__all__ = ["CallerConnection", "EntryHarness", "run_scenario"]
+__all__ = ["CallerConnection", "EntryHarness", "encode_request", "run_scenario"]
 
 HEADER_NAMES = HeaderNames(signature=b"x-signature")
 
@@ -47,20 +47,28 @@
         """Wrap an open connection."""
         self._reader = reader
         self._writer = writer
+        self._received = b""
 
     async def send_request(self, left_ms: int) -> bytes:
         """Send a request and return its response; ``left_ms`` is its timeout."""
-        self._writer.write(
-            b"GET /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n"
-            b"X-Request-Timeout-Ms: %d\r\n\r\n" % left_ms
-        )
-        received = b""
-        while not _is_complete(received):
+        self.write(encode_request(left_ms))
+        return await self.read_response()
+
+    def write(self, part: bytes) -> None:
+        """Send bytes."""
+        self._writer.write(part)
+
+    async def read_response(self) -> bytes:
+        """Return the next response, or what arrives before the connection ends."""
+        received, self._received = self._received, b""
+        while not _find_end(received):
             chunk = await self._reader.read(4096)
             if not chunk:
                 break
             received += chunk
-        return received
+        end = _find_end(received) or len(received)
+        self._received = received[end:]
+        return received[:end]
 
     async def read_to_end(self) -> bytes:
         """Return the bytes that arrive until the connection is closed."""
@@ -71,16 +79,24 @@
         self._writer.close()
 
 
-def _is_complete(response: bytes) -> bool:
-    """Return whether a response with a content length is complete."""
-    head, separator, body = response.partition(b"\r\n\r\n")
+def encode_request(left_ms: int) -> bytes:
+    """Return an encoded request; ``left_ms`` is its timeout."""
+    return (
+        b"GET /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n"
+        b"X-Request-Timeout-Ms: %d\r\n\r\n" % left_ms
+    )
+
+
+def _find_end(received: bytes) -> int:
+    """Return the length of the first response, or 0 if it is not complete."""
+    head, separator, body = received.partition(b"\r\n\r\n")
     if not separator:
-        return False
+        return 0
     for line in head.split(b"\r\n"):
         name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            return len(body) >= int(value)
-    return False
+        if name.lower() == b"content-length" and len(body) >= int(value):
+            return len(head) + len(separator) + int(value)
+    return 0
 
 
 class EntryHarness:
@@ -90,10 +106,19 @@
     is the number of requests that were cut.
     """
 
-    def __init__(self, clock: PausedClock, grace_seconds: float) -> None:
-        """Create a node with a grace period of ``grace_seconds``."""
+    def __init__(
+        self,
+        clock: PausedClock,
+        grace_seconds: float,
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+    ) -> None:
+        """Create a node with a grace period of ``grace_seconds``.
+
+        Its route is of this kind and allows 30 s for a request.
+        """
         self.clock = clock
         self.work_seconds = 0.0
+        self.kind = kind
         self.started: list[float] = []
         self.cancelled = 0
         self._server_port = free_port()
@@ -126,9 +151,9 @@
             "r",
             "h",
             "/p/",
-            RouteKind.IDEMPOTENT,
+            self.kind,
             (ServiceShare("s", 1.0),),
-            4000.0,
+            30_000.0,
             2,
             2000.0,
             1,
@@ -172,11 +197,12 @@
 def run_scenario(
     scenario: Callable[[EntryHarness], Awaitable[None]],
     grace_seconds: float = 6.0,
+    kind: RouteKind = RouteKind.IDEMPOTENT,
 ) -> None:
     """Run a scenario with an entry node on a paused clock, then stop the node."""
 
     async def run(clock: PausedClock) -> None:
-        harness = EntryHarness(clock, grace_seconds)
+        harness = EntryHarness(clock, grace_seconds, kind)
         await harness.start()
         try:
             await scenario(harness)
--- a/tests/node/test_entry_stop.py
+++ b/tests/node/test_entry_stop.py
@@ -89,14 +89,15 @@
 
 
 # Guards against a request that is cut at the end without a response, and against a
-# response that says that it was not run: the server had begun it.
+# response that says that it was not run: the server had begun it before the signal.
 def test_a_request_that_outlasts_the_grace_period_is_answered_as_unknown() -> None:
     async def scenario(harness: EntryHarness) -> None:
         harness.work_seconds = 30.0
         caller = await harness.open()
+        request = asyncio.create_task(caller.send_request(20_000))
+        await asyncio.sleep(0.1)
         harness.node.stop()
-        await asyncio.sleep(2.0)
-        response = await caller.send_request(20_000)
+        response = await request
         assert response.startswith(b"HTTP/1.1 50")
         assert not response.startswith(NOT_RUN)
         await asyncio.sleep(0.1)
@@ -125,12 +126,14 @@
     async def scenario(harness: EntryHarness) -> None:
         harness.work_seconds = 30.0
         caller = await harness.open()
+        request = asyncio.create_task(caller.send_request(20_000))
+        await asyncio.sleep(0.1)
         stop_requested_at = harness.clock.now
         harness.node.record_stop_request()
         harness.clock.now += 0.5
         harness.node.stop()
-        await asyncio.sleep(1.5)
-        await caller.send_request(20_000)
+        await request
+        assert len(harness.started) == 1
         assert harness.running is not None
         await harness.running
         assert harness.clock.now - stop_requested_at < 6.0 - 0.3
