Answer requests that wait behind one which is cut at the end of a stop

A caller that sends several requests on a connection got an answer to the one that was cut, and a closed connection for those behind it, which had been read whole. They were not begun, so they get 503 with Retry-After now.

--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -341,7 +341,10 @@
         self._task = None
         is_last = self._server.draining and not self._queue
         keep_alive = keep_alive and not is_last and not self._is_closing
-        self._write(response, request.method, keep_alive)
+        waiting = len(self._queue) if self._cancelled_by_host else 0
+        self._write(response, request.method, keep_alive or bool(waiting))
+        if waiting:
+            self._refuse_queued()
         if not keep_alive:
             self.close()
             return
@@ -352,6 +355,13 @@
         if self._refusal_status and self._task is None:
             self._send_refusal()
 
+    def _refuse_queued(self) -> None:
+        """Answer requests that were read and not begun when the host ends."""
+        while self._queue:
+            request, _ = self._queue.popleft()
+            response = make_response(503, headers=((b"Retry-After", b"0"),))
+            self._write(response, request.method, keep_alive=bool(self._queue))
+
     def _write(self, response: Response, method: bytes, keep_alive: bool) -> None:
         """Write a response with its framing and connection headers."""
         if self._transport is None or self._transport.is_closing():
--- a/tests/node/test_late_requests.py
+++ b/tests/node/test_late_requests.py
@@ -125,3 +125,22 @@
         assert harness.started == []
 
     run_scenario(scenario, kind=kind)
+
+
+# Guards against a connection that ends without an answer to requests that were read and
+# wait behind one which is cut at the end of the grace period.
+def test_requests_behind_one_that_is_cut_are_answered() -> None:
+    async def scenario(harness: EntryHarness) -> None:
+        harness.work_seconds = 30.0
+        caller = await harness.open()
+        caller.write(encode_request(LONG_MS) + encode_request(LONG_MS))
+        await asyncio.sleep(0.1)
+        harness.node.stop()
+        cut = await caller.read_response()
+        assert cut.startswith(b"HTTP/1.1 50")
+        assert not cut.startswith(NOT_RUN)
+        assert (await caller.read_response()).startswith(NOT_RUN)
+        assert await caller.read_to_end() == b""
+        assert len(harness.started) == 1
+
+    run_scenario(scenario, grace_seconds=2.0)
