--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -85,6 +85,8 @@
 
     Renewals go to the near member, which is a member of the control group in this
     host's availability zone, or else to the control leader. The answers bring new rows.
+    ``on_near_member`` is called with the next near member, the one before, and why it
+    changes: it was named by a leader, has released this host, or is silent.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         self._near_member_failed = False
         self._failed_member = ""
         self._failed_member_until = NEVER
+        self.on_near_member: Callable[[str, str, str], None] = _ignore_near_member
 
     def receive(self, update: HostUpdate, now: float, sender: str = "") -> None:
         """Apply an update.
@@ -151,6 +154,8 @@
         if node and node == self._failed_member and now < self._failed_member_until:
             # The leader has not detected yet that this node does not answer.
             return
+        reason = "named" if node else "released"
+        self.on_near_member(node, self._near_member, reason)
         self._near_member = node
         self._near_asked_at = None
         self._renewal_requested = True
@@ -246,6 +251,7 @@
                 self._send(self._near_member, renewal)
                 self._report_servers(self._near_member)
                 return
+            self.on_near_member("", self._near_member, "silent")
             self._failed_member = self._near_member
             self._failed_member_until = (
                 now + FAILED_MEMBER_INTERVALS * config.renew_interval
@@ -273,3 +279,7 @@
         needs = self._state.pop_server_needs()
         if needs:
             self._send(node, ServerNeeds(needs))
+
+
+def _ignore_near_member(node: str, before: str, reason: str) -> None:
+    """Ignore a change of the near member."""
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -51,6 +51,8 @@
 DRAIN_POLL_INTERVAL_SECONDS: Final = 0.05
 REPORT_TIMEOUT_SECONDS: Final = 2.0
 RELAY_HEADER_BYTES: Final = 256
+# Stands for the age of rows that were never confirmed, as JSON has no infinity.
+MAX_LOGGED_AGE_SECONDS: Final = 9999.0
 
 
 class EntryNode:
@@ -108,6 +110,7 @@
             self._loop.send,
             clock,
         )
+        self._agent.on_near_member = self._log_near_member
         self.state.on_leaving = self._log_leaving
         self.state.share_limits(self._make_rate_agent())
         self._stopping = asyncio.Event()
@@ -213,6 +216,17 @@
             case CallAnswer():
                 self._calls.answer(received.sender, message, now)
 
+    def _log_near_member(self, node: str, before: str, reason: str) -> None:
+        """Log that another control node sends this host its rows."""
+        self._loop.lines.add(
+            "near-member",
+            node=node,
+            before=before,
+            reason=reason,
+            revision=self.state.tables.revision,
+            rows_age=round(min(self.state.rows_age, MAX_LOGGED_AGE_SECONDS), 2),
+        )
+
     def _set_load_hub(self, node: str) -> None:
         """Set the control node that passes the backlogs of servers on; "" for none."""
         if node == self._load_hub:
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -160,3 +160,22 @@
         host.agent.receive(
             HostUpdate(1, "leader", host.now, 0, none, 0, None), host.now, "near"
         )
+
+
+# Guards against lines that do not tell at which control node a host renews, and why it
+# is another one than before.
+def test_each_change_of_the_near_member_is_reported() -> None:
+    host = AgentHost()
+    changes: list[tuple[str, str, str]] = []
+    host.agent.on_near_member = lambda *change: changes.append(change)
+    refuse_lease(host)
+    host.agent.set_near_member("near", host.now, "leader")
+    host.run(1.0)
+    host.agent.set_near_member("other", host.now, "leader")
+    host.agent.set_near_member("", host.now, "other")
+    assert changes == [
+        ("near", "", "named"),
+        ("", "near", "silent"),
+        ("other", "", "named"),
+        ("", "other", "released"),
+    ]
