Product port: send no request that may outlast a stopping host

Cause: after SIGTERM a host takes requests for stop_notice_ms and then waits stop_limit_ms for them; neither their deadlines nor those of requests that wait in the gate were compared with that end. With the default settings no deadline is later; with a stop_limit_ms below limits.longest_deadline_ms requests are sent that are still running when the wait is over. Change: from the signal on, a request whose deadline is after the end is refused as not run, at once and again at the last moment before its send.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -417,10 +417,12 @@
         """Finish the requests in flight, return the lease, and close everything."""
         self._unready_reason = "stopping\n"
         timeouts = self._settings.timeouts
+        notice_seconds = timeouts.stop_notice_ms / 1000
+        limit_seconds = timeouts.stop_limit_ms / 1000
+        self._gate.set_end(self._clock() + notice_seconds + limit_seconds)
         if not self._failed:
             # The load balancer must detect first that this host is not ready.
-            time.sleep(timeouts.stop_notice_ms / 1000)
-        limit_seconds = timeouts.stop_limit_ms / 1000
+            time.sleep(notice_seconds)
         is_drained = self._callers is None or self._callers.stop(limit_seconds)
         if not is_drained:
             _LOGGER.error("requests are still in flight after stop_limit_ms")
--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -150,6 +150,9 @@
 
     def _run(self, request: CallerRequest) -> ServerResponse | Refusal:
         """Admit and dispatch a request, once per idempotency key if it has one."""
+        stopping = self._gate.check_deadline(request.deadline)
+        if stopping is not None:
+            return stopping
         quarantine = self._gate.find_quarantine(request.fingerprint)
         if quarantine is not None and quarantine.refused:
             detail = f"fingerprint {quarantine.fingerprint}"
--- a/src/dragonflyrock/entry/gate.py
+++ b/src/dragonflyrock/entry/gate.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import inf
 from typing import Final
 
 from ..errors import Reason, Refusal, Step
@@ -35,6 +36,8 @@
 LEASE_RETRY_MS: Final = 500
 OWNER_RETRY_MS: Final = 1000
 SLOT_RETRY_MS: Final = 200
+# The retry may go to any other host at once.
+STOPPING_RETRY_MS: Final = 50
 # The owner of a key gets its requests until the range moves, at most this long.
 LEAVING_GRACE_SECONDS: Final = 0.9
 # A server that is alive answers at the deadline, at least with an error.
@@ -131,6 +134,7 @@
         self._pauses = PauseTable()
         self.rates = ServerRateAgent("", self.tables, clock)
         self._host_fraction = host_fraction
+        self._ends_at = inf
         self.on_leaving: Callable[[LeavingRow], None] = lambda row: None
         self.on_drained: Callable[[], None] = lambda: None
         self.on_turned_away: Callable[[str, str], None] = lambda service, why: None
@@ -259,6 +263,16 @@
             for ref, load in loads.items()
         )
 
+    def set_end(self, ends_at: float) -> None:
+        """Set when this host ends; requests that may run longer are refused."""
+        self._ends_at = ends_at
+
+    def check_deadline(self, deadline: float) -> Refusal | None:
+        """Return the refusal of a request that may outlast this host, or None."""
+        if deadline <= self._ends_at:
+            return None
+        return _refuse(Reason.STOPPING, STOPPING_RETRY_MS, "the host is stopping")
+
     def lease_left(self) -> float:
         """Return the remaining time of the lease in seconds, at least 0."""
         return max(0.0, self.tables.lease_until - self._clock())
@@ -385,6 +399,9 @@
     def recheck(self, in_flight: InFlightRequest) -> Refusal | None:
         """Return why a request must not be sent any more, after a wait."""
         now = self._clock()
+        refusal = self.check_deadline(in_flight.deadline)
+        if refusal is not None:
+            return refusal
         with self._changed:
             server = in_flight.server
             quarantine = self.tables.quarantines.get(in_flight.fingerprint)
