--- a/src/dragonflyrock/entry/callers.py
+++ b/src/dragonflyrock/entry/callers.py
@@ -158,8 +158,7 @@
             detail = f"fingerprint {quarantine.fingerprint}"
             return Refusal(Reason.QUARANTINED, Step.ADMIT, detail=detail)
         if self._gate.lease_left() <= 0:
-            # Without a lease this host may be cut off from the limiter and the ledger,
-            # so the request must not wait for them.
+            # The lease may have ended while the body was read.
             return Refusal(
                 Reason.LEASE_LAPSED, Step.ADMIT, retry_after_ms=RETRY_AFTER_MS
             )
@@ -180,6 +179,12 @@
         row = self._authenticate(environ.get("HTTP_AUTHORIZATION", ""))
         if isinstance(row, Refusal):
             return row
+        if self._gate.lease_left() <= 0:
+            # A newer contract may allow what this one refuses. Nor may the request wait
+            # for the limiter and the ledger, from which this host may be cut off.
+            return Refusal(
+                Reason.LEASE_LAPSED, Step.ADMIT, retry_after_ms=RETRY_AFTER_MS
+            )
         target = environ["REQUEST_URI"]
         parts = target.partition("?")[0].split("/")
         if len(parts) < 3 or not parts[1] or not parts[2]:
--- a/tests/entry/test_caller_refusals.py
+++ b/tests/entry/test_caller_refusals.py
@@ -58,6 +58,28 @@
     return make_app(host)._parse(environ, "id-1", host.now)
 
 
+# Guards against CONFIG (issue 42, on the product's own port): a service or a body that
+# a newer contract allows is refused by an old one, on a host without a lease.
+@pytest.mark.parametrize(
+    ("path", "body", "reason"),
+    [
+        ("/other/k", b"", Reason.UNKNOWN_SERVICE),
+        ("/s/k", b"x" * 101, Reason.BODY_TOO_LARGE),
+    ],
+)
+def test_a_host_without_a_lease_refuses_nothing_by_its_contracts(
+    host: GateHost, path: str, body: bytes, reason: Reason
+) -> None:
+    refusal = parse(host, path, body)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == reason
+    host.now += LEASE_SECONDS + 1.0
+    refusal = parse(host, path, body)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == Reason.LEASE_LAPSED
+    assert refusal.retry_after_ms
+
+
 # Guards against LOST: a stopping host admits a request that may outlast it.
 def test_a_request_that_may_outlast_the_host_is_not_admitted(host: GateHost) -> None:
     request = parse(host, "/s/k")
