--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -21,7 +21,7 @@
 from ..errors import Outcome, Reason, Refusal, Step
 from ..models import ServerRow
 from .gate import InFlightRequest
-from .whole_heads import ServerConnection
+from .server_connection import ServerConnection
 
 __all__ = ["Forwarder", "ServerRequest", "ServerResponse"]
 
@@ -111,7 +111,7 @@
         self._recheck = recheck
         self._clock = clock
         self._max_answer_bytes = max_answer_bytes
-        self._idle_connections: defaultdict[str, list[HTTPConnection]] = defaultdict(
+        self._idle_connections: defaultdict[str, list[ServerConnection]] = defaultdict(
             list
         )
         self._lock = threading.Lock()
@@ -128,10 +128,9 @@
         if seconds_left <= 0:
             return Refusal(Reason.DEADLINE, Step.DISPATCH, peer)
         connection = self._acquire_connection(in_flight.server.address)
-        is_reused = connection.sock is not None
         try:
             connection.timeout = seconds_left
-            if not is_reused:
+            if connection.sock is None:
                 connection.connect()
             connection.sock.settimeout(seconds_left)
         except (OSError, HTTPError) as error:
@@ -145,22 +144,20 @@
         if refusal is not None:
             self._keep_connection(in_flight.server.address, connection)
             return refusal
-        return self._exchange(connection, in_flight, request, is_reused=is_reused)
+        return self._exchange(connection, in_flight, request)
 
     def _exchange(
         self,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         in_flight: InFlightRequest,
         request: ServerRequest,
-        *,
-        is_reused: bool,
     ) -> ServerResponse | Refusal:
         """Send the request and read the response on a connected socket."""
         peer = in_flight.server.holder
         try:
             self._send_request(connection, in_flight, request)
             response = connection.getresponse()
-            _check_request_id(response, request, is_reused=is_reused)
+            _check_request_id(connection, response, request)
             server_response = self._read_response(
                 connection, response, in_flight, request
             )
@@ -209,7 +206,7 @@
 
     def _read_response(
         self,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         response: BaseHTTPResponse,
         in_flight: InFlightRequest,
         request: ServerRequest,
@@ -260,7 +257,7 @@
         finally:
             connection.close()
 
-    def _acquire_connection(self, address: str) -> HTTPConnection:
+    def _acquire_connection(self, address: str) -> ServerConnection:
         """Return an idle connection that is still open, or a new one to connect."""
         while True:
             with self._lock:
@@ -274,15 +271,16 @@
             connection.close()
 
     def _release_connection(
-        self, address: str, connection: HTTPConnection, response: BaseHTTPResponse
+        self, address: str, connection: ServerConnection, response: BaseHTTPResponse
     ) -> None:
         """Return a connection to the pool after its response was read completely."""
+        connection.has_answered = True
         if connection.sock is None or response.headers.get("Connection") == "close":
             connection.close()
             return
         self._keep_connection(address, connection)
 
-    def _keep_connection(self, address: str, connection: HTTPConnection) -> None:
+    def _keep_connection(self, address: str, connection: ServerConnection) -> None:
         """Put an open connection into the pool, or close it if the pool is full."""
         with self._lock:
             idle = self._idle_connections[address]
@@ -301,14 +299,14 @@
 
 
 def _check_request_id(
-    response: BaseHTTPResponse, request: ServerRequest, *, is_reused: bool
+    connection: ServerConnection, response: BaseHTTPResponse, request: ServerRequest
 ) -> None:
     """Check that a response belongs to the request, or raise ``_BadAnswerError``.
 
-    Without an id it may be a copy of an earlier response on a reused connection.
+    Without an id it may be a copy of an earlier response on the connection.
     """
     echoed = response.headers.get(REQUEST_ID_HEADER)
-    if echoed is None and is_reused:
+    if echoed is None and connection.has_answered:
         raise _BadAnswerError("the response names no request, and may be a copy")
     if echoed is not None and echoed != request.request_id:
         raise _BadAnswerError(f"the response belongs to request {echoed}")
--- a/src/dragonflyrock/entry/whole_heads.py
+++ b/src/dragonflyrock/entry/server_connection.py
@@ -1,4 +1,4 @@
-"""HTTP responses whose heads must be complete."""
+"""Connections to backend servers, on which the head of a response must be whole."""
 
 from __future__ import annotations
 
@@ -52,6 +52,10 @@
 
 
 class ServerConnection(HTTPConnection):
-    """A connection to a backend server, on which only whole heads are accepted."""
+    """A connection to a backend server, on which only whole heads are accepted.
+
+    ``has_answered`` is whether it has carried a response.
+    """
 
     response_class = WholeHeadResponse
+    has_answered = False
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -101,8 +101,7 @@
 MIN_RETRY_AFTER_SECONDS: Final = 0.05
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
-# Older rows do not show that there is no route. A follower's rows may be 0.9 s behind
-# when it confirms them, and a change is in force everywhere within 2 s.
+# Older rows do not show that there is no route: a newer document may have it.
 MAX_ROWS_AGE_SECONDS: Final = 1.0
 
 
--- a/tests/entry/test_faulty_answers.py
+++ b/tests/entry/test_faulty_answers.py
@@ -11,7 +11,7 @@
 
 from dragonflyrock.entry.forward import Forwarder, ServerRequest, ServerResponse
 from dragonflyrock.entry.gate import InFlightRequest
-from dragonflyrock.errors import Outcome, Reason, Refusal
+from dragonflyrock.errors import Outcome, Reason, Refusal, Step
 
 from .test_gate_notices import GateHost, host
 
@@ -163,6 +163,22 @@
     forwarder.close()
 
 
+# Guards against a server that echoes no ids and whose answer counts as a copy, as its
+# connection was kept unused when another request was refused after the connect.
+def test_an_unused_connection_carries_an_answer_without_an_id(
+    host: GateHost, peer: Peer
+) -> None:
+    refusals = [Refusal(Reason.OVERLOADED, Step.DISPATCH), None]
+    forwarder = Forwarder(
+        lambda: host.now, 1000, recheck=lambda in_flight: refusals.pop(0)
+    )
+    peer.answers = [(encode(b"200 OK", b""), False)]
+    assert isinstance(forward(host, forwarder, "id-1"), Refusal)
+    assert isinstance(forward(host, forwarder, "id-2"), ServerResponse)
+    assert peer.connection_count == 1
+    forwarder.close()
+
+
 HEADS = {
     "empty-body": b"200 OK\r\nX-Request-Id: id-1\r\nContent-Length: 0\r\nX-Last: 1",
     "body": b"200 OK\r\nX-Request-Id: id-1\r\nX-Name: 1\r\nContent-Length: 12",
