--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from dragonflyrock.drain import plan_drain
 from dragonflyrock.http import Request, Response, find_header, make_response
 from dragonflyrock.router.exchange import MAX_RELAYED_REQUESTS
+from dragonflyrock.router.relay import DOCUMENT_VERSION
 from dragonflyrock.routes import RouteKind
 
 from .cut_off_hosts import (
@@ -20,6 +22,7 @@
     cut_off_at_once,
     run_hosts,
 )
+from .harness import RouterHarness, run_scenario
 
 # Of the first tries at the other hosts, all of which are served here.
 MIN_SERVED_SHARE = 2 / 3
@@ -252,3 +255,29 @@
         assert hosts.cut.crash_reports.crashed_servers == []
 
     run_hosts(scenario)
+
+
+# Guards against LOST: a request of another host that waits when this one begins to stop
+# is sent late, and is cut at the end. The other host may ask a third one instead.
+def test_a_waiting_relayed_request_that_may_outlast_the_host_is_refused() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("s1")
+        harness.apply_update(RouteKind.ONCE)
+        harness.delay_connections(0.2)
+        headers = (
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"id-1"),
+            (b"X-Request-Timeout-Ms", b"800"),
+            (DOCUMENT_VERSION, b"1"),
+        )
+        request = Request(b"GET", b"/p/x", headers, b"")
+        relayed = asyncio.create_task(harness.router.handle_relayed(request))
+        await asyncio.sleep(0.1)
+        harness.router.drain = plan_drain(harness.clock(), 0.6)
+        response = await relayed
+        assert response.status == 503
+        assert find_header(response.headers, b"relay-refused") is not None
+        assert harness.received == []
+        assert harness.connections.count_idle(harness.rows["s1"].address) == 1
+
+    run_scenario(scenario)
