--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -136,11 +136,12 @@
         self.peak_mb = 0
         self.ends = 0
         self.memory_ends = 0
+        self.is_gone = False
         self._settings = lab.folder / f"{self.label}.toml"
         self._data = lab.folder / f"{self.label}-data"
         self.process: asyncio.subprocess.Process | None = None
         self._keeper: asyncio.Task[None] | None = None
-        self._forming = role == "control"
+        self.forming = role == "control"
 
     @property
     def callers(self) -> str:
@@ -156,7 +157,7 @@
             "label": self.label,
             "role": self.role,
             "availability_zone": self.zone,
-            "forming": self._forming,
+            "forming": self.forming,
         }
         listen = {"link": f"{self.ip}:{LINK}", "metrics": f"{self.ip}:{METRICS}"}
         if self.role == "control":
@@ -167,8 +168,7 @@
             listen["callers"] = self.callers
             listen["relay"] = f"{self.ip}:{RELAY}"
             listen["ready"] = f"{self.ip}:{READY}"
-        seeds = [n.control for n in self.lab.controls]
-        lines = [f"seeds = {json.dumps(seeds)}"]
+        lines = [f"seeds = {json.dumps(self.lab.seeds)}"]
         tables = {"node": node, "listen": listen, "bounds": BOUNDS}
         for title, table in {**tables, "ownership": {"granted_by": "call"}}.items():
             lines += [
@@ -200,8 +200,8 @@
         self.ends += 1
         self.lab.record.add(f"{self.label} ended with {code}")
         await asyncio.sleep(0.5)
-        if not self.lab.closing:
-            self._forming = False
+        if not self.lab.closing and not self.is_gone:
+            self.forming = False
             await self.start()
 
     def read_memory_mb(self) -> int:
@@ -219,6 +219,10 @@
         sizes = [f.stat().st_size for f in self._data.rglob("*") if f.is_file()]
         return sum(sizes) // 1_000_000
 
+    def has_written(self) -> bool:
+        """Return whether the process has a log in its data folder."""
+        return any(self._data.rglob("log"))
+
     def kill(self, number: signal.Signals = signal.SIGKILL) -> None:
         if self.process is not None and self.process.returncode is None:
             with suppress(ProcessLookupError):
@@ -238,6 +242,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="dragonflyrock-review-"))
         self.network, self._reservation = _reserve_network()
         self.controls = [Node(self, "control", n + 1) for n in range(controls)]
+        self.seeds = [n.control for n in self.controls]
         self.entries = [Node(self, "entry", n + 1) for n in range(entries)]
         self.backends: list[Backend] = []
         self._tasks: list[asyncio.Task[None]] = []
