--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
@@ -129,7 +130,8 @@
 
     def __init__(self, lab: Lab, role: str, number: int) -> None:
         self.lab, self.role = lab, role
-        self.ip = f"127.{lab.network}.1.{number + (0 if role == 'control' else 10)}"
+        lab.nodes.append(self)
+        self.ip = f"127.{lab.network}.5.{number + (0 if role == 'control' else 10)}"
         self.zone = ZONES[number % 3]
         self.label = f"{role}-{number}"
         self.memory_mb = 0
@@ -178,6 +180,25 @@
         self._settings.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
     async def start(self) -> None:
+        """Start the process, and again shortly after each of its ends."""
+        started = asyncio.Event()
+        self._keeper = asyncio.create_task(self._keep(started))
+        await started.wait()
+
+    async def _keep(self, started: asyncio.Event) -> None:
+        try:
+            while not self.lab.closing and not self.is_gone:
+                self.process = await self._execute()
+                started.set()
+                code = await self.process.wait()
+                self.ends += 1
+                self.lab.record.add(f"{self.label} ended with {code}")
+                self.forming = False
+                await asyncio.sleep(0.5)
+        finally:
+            started.set()
+
+    async def _execute(self) -> asyncio.subprocess.Process:
         self._write_settings()
         command = self.lab.commands[self.role].split()
         environment = {
@@ -188,21 +209,11 @@
             "DRAGONFLYROCK_SETTINGS": str(self._settings),
         }
         with (self.lab.folder / f"{self.label}.log").open("ab") as output:
-            self.process = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdout=output, stderr=output
             )
-        self.lab.record.add(f"{self.label} starts (pid {self.process.pid})")
-        self._keeper = asyncio.create_task(self._keep(self.process))
-
-    async def _keep(self, process: asyncio.subprocess.Process) -> None:
-        """Start the process again shortly after it has ended."""
-        code = await process.wait()
-        self.ends += 1
-        self.lab.record.add(f"{self.label} ended with {code}")
-        await asyncio.sleep(0.5)
-        if not self.lab.closing and not self.is_gone:
-            self.forming = False
-            await self.start()
+        self.lab.record.add(f"{self.label} starts (pid {process.pid})")
+        return process
 
     def read_memory_mb(self) -> int:
         """Return the resident memory in MB, 0 if there is no process."""
@@ -212,17 +223,22 @@
             pages = Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]
         except (OSError, IndexError):
             return 0
-        return int(pages) * resource.getpagesize() // 1_000_000
+        return int(pages) * resource.getpagesize() // 2**20
 
     def read_disk_mb(self) -> int:
         """Return the size of the data folder in MB."""
         sizes = [f.stat().st_size for f in self._data.rglob("*") if f.is_file()]
-        return sum(sizes) // 1_000_000
+        return sum(sizes) // 2**20
 
     def has_written(self) -> bool:
         """Return whether the process has a log in its data folder."""
         return any(self._data.rglob("log"))
 
+    @property
+    def is_kept(self) -> bool:
+        """Return whether a process runs, or may be started again."""
+        return self._keeper is not None and not self._keeper.done()
+
     def kill(self, number: signal.Signals = signal.SIGKILL) -> None:
         if self.process is not None and self.process.returncode is None:
             with suppress(ProcessLookupError):
@@ -241,6 +257,7 @@
             raise CannotRun("target/deps is missing: run the build of the deploy file")
         self.folder = Path(tempfile.mkdtemp(prefix="dragonflyrock-review-"))
         self.network, self._reservation = _reserve_network()
+        self.nodes: list[Node] = []
         self.controls = [Node(self, "control", n + 1) for n in range(controls)]
         self.seeds = [n.control for n in self.controls]
         self.entries = [Node(self, "entry", n + 1) for n in range(entries)]
@@ -253,7 +270,7 @@
         return f"{next(self._ids):016x}"
 
     def new_address(self) -> str:
-        return f"127.{self.network}.3.{next(self._addresses)}:8080"
+        return f"127.{self.network}.6.{next(self._addresses)}:8080"
 
     def spawn(self, work: Any) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -321,19 +338,14 @@
                 await asyncio.sleep(0.1)
 
     async def close(self) -> None:
+        """End all that was started; wait until every process has ended."""
         self.closing = True
-        for task in self._tasks:
-            task.cancel()
         for backend in self.backends:
             backend.crash()
-        nodes = (*self.controls, *self.entries)
-        for node in nodes:
-            node.kill()
-        for node in nodes:
-            if node.process is not None:
-                await node.process.wait()
-            if node._keeper is not None:
-                node._keeper.cancel()
+        while any(node.is_kept for node in self.nodes):
+            for node in self.nodes:
+                node.kill()
+            await asyncio.sleep(0.05)
         rest = asyncio.all_tasks() - {asyncio.current_task()}
         for task in rest:
             task.cancel()
@@ -703,19 +715,25 @@
     raise CannotRun("no free loopback network")
 
 
+async def _run_until_told(main: Callable[[Path], Awaitable[int]], case: Path) -> int:
+    """Run a case; SIGTERM ends it like an error, so that its processes end too."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await main(case)
+
+
 def run(main: Callable[[Path], Awaitable[int]], case: Path) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
     # Streams that are collected after the loop has ended are of no interest.
     sys.unraisablehook = lambda unraisable: None
     try:
-        status = asyncio.run(main(case))
+        status = asyncio.run(_run_until_told(main, case))
     except CannotRun as error:
         print(f"cannot run: {error}")
         status = 2
-    except Exception as error:
-        import traceback
-
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
-        print(f"cannot run: {error!r}")
+        print("cannot run")
         status = 2
     sys.exit(status)
