--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,16 +5,16 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import lab
 
 MEMORY_MB = 296  # memoryMb of a core machine
 FIRST_ROUTES = 8
-# Two entries of big_config: the largest dose of the site, and that of its list of
-# troubles.
-GROWTHS = (1860, 1400) if lab.TROUBLE else ()
-CHANGES = 300
-CHANGES_SECONDS = 75.0
+# Entries of big_config: the largest dose of the site, and twice that of its troubles.
+GROWTHS = (1860, 1400, 1400) if lab.TROUBLE else ()
+CHANGES = 220
+GAP_SECONDS = 0.33  # config_storm, gap_s
+CHANGES_SECONDS = 85.0
 READ_SECONDS = 15.0
 SERVICES = {"engage": False, "standbook": False}
 
@@ -94,12 +94,14 @@
             action["timeoutMs"] += 1
             body = json.dumps(config, separators=(",", ":")).encode()
             size = len(body)
+            next_at = it.record.now() + GAP_SECONDS
             status = await it.put("/-/config/put", version, body, patience=6.0)
             if status != 200:
                 it.record.add(f"change to r{version + 1} ends: {status}")
                 break
             version += 1
             acknowledged += 1
+            await asyncio.sleep(next_at - it.record.now())
             if acknowledged % 20 == 0:
                 memory = [n.read_memory_mb() for n in it.controls]
                 disk = [n.read_disk_mb() for n in it.controls]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import lab
 
 CRASH_AFTER_SECONDS = float(os.environ.get("CRASH_AFTER_MS", "0")) / 1000
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-python3 -m py_compile standins/lab.py [1-5]/case.py
+python3 -m py_compile lab.py [1-5]/case.py
--- a/review/standins/lab.py
+++ b/review/lab.py
@@ -27,7 +27,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("zone-a", "zone-b", "zone-c")
 LINK, RELAY, CALLERS, READY, CONTROL, METRICS = 7540, 7555, 8548, 8542, 8544, 9464
@@ -466,6 +466,8 @@
 
     def __init__(self, lab: Lab, address: str) -> None:
         self._lab, self._address = lab, address
+        # Requests that were answered on the present connection.
+        self.answered = 0
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def send(
@@ -496,6 +498,7 @@
         except TimeoutError:
             self.drop()
             return request, "deadline"
+        self.answered += 1
         if reply.headers.get("connection", "").lower() == "close":
             self.drop()
         return request, str(reply.status)
@@ -504,6 +507,7 @@
         if self._stream is not None:
             self._stream[1].close()
         self._stream = None
+        self.answered = 0
 
 
 Work = Callable[["Backend", str, str, bytes], Awaitable[None]]
