--- a/src/dragonflyrock/consensus/log.py
+++ b/src/dragonflyrock/consensus/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Iterable
 from itertools import islice
 
@@ -37,12 +38,17 @@
         """Start with no entries after the snapshot."""
         self.snapshot = snapshot
         self._entries: list[Entry] = []
+        # For each entry, the bytes of all payloads up to it since the log was created.
+        self._ends: list[int] = []
+        self._compacted_bytes = 0
         self._configurations = [(snapshot.log_index, snapshot.configuration)]
 
     def copy(self) -> Log:
         """Return a log with the same entries."""
         copied = Log(self.snapshot)
         copied._entries = list(self._entries)
+        copied._ends = list(self._ends)
+        copied._compacted_bytes = self._compacted_bytes
         copied._configurations = list(self._configurations)
         return copied
 
@@ -56,6 +62,20 @@
         """Return the term of the last entry."""
         return self._entries[-1].term if self._entries else self.snapshot.term
 
+    @property
+    def payload_bytes(self) -> int:
+        """Return the bytes of the payloads of all entries."""
+        return self.count_bytes(self.snapshot.log_index, self.last_index)
+
+    def count_bytes(self, after: int, up_to: int) -> int:
+        """Return the bytes of the payloads after one index, up to another one."""
+        return max(0, self._find_end(up_to) - self._find_end(after))
+
+    def _find_end(self, index: int) -> int:
+        """Return the bytes of all payloads up to an index since the log was created."""
+        position = min(index - self.snapshot.log_index, len(self._ends))
+        return self._ends[position - 1] if position > 0 else self._compacted_bytes
+
     @property
     def configuration(self) -> Configuration:
         """Return the latest configuration, committed or not."""
@@ -79,14 +99,25 @@
             return self._entries[offset].term
         return None
 
-    def entries_from(self, index: int, limit: int) -> tuple[Entry, ...]:
-        """Return up to ``limit`` entries from an index on."""
+    def entries_from(
+        self, index: int, limit: int, limit_bytes: int | None = None
+    ) -> tuple[Entry, ...]:
+        """Return up to ``limit`` entries from an index on.
+
+        With ``limit_bytes`` their payloads have no more bytes, but for a single one.
+        """
         offset = index - self.snapshot.log_index - 1
-        return tuple(islice(self._entries, offset, offset + limit))
+        end = offset + limit
+        if limit_bytes is not None:
+            end_bytes = self._find_end(index - 1) + limit_bytes
+            fitting = bisect_right(self._ends, end_bytes, max(offset, 0))
+            end = min(end, max(fitting, offset + 1))
+        return tuple(islice(self._entries, offset, end))
 
     def append(self, entries: Iterable[Entry]) -> None:
         """Append entries, which must follow the last one."""
         for entry in entries:
+            self._ends.append(self._find_end(self.last_index) + len(entry.payload))
             self._entries.append(entry)
             if entry.kind == EntryKind.CONFIGURATION:
                 configuration = decode_configuration(entry.payload)
@@ -95,6 +126,7 @@
     def truncate(self, index: int) -> None:
         """Remove the entry at an index and all entries after it."""
         del self._entries[index - self.snapshot.log_index - 1 :]
+        del self._ends[index - self.snapshot.log_index - 1 :]
         self._configurations = [c for c in self._configurations if c[0] < index]
 
     def compact(self, snapshot: SnapshotImage) -> None:
@@ -104,9 +136,13 @@
         removed.
         """
         if self.term_at(snapshot.log_index) == snapshot.term:
-            del self._entries[: snapshot.log_index - self.snapshot.log_index]
+            covered = snapshot.log_index - self.snapshot.log_index
         else:
-            self._entries.clear()
+            covered = len(self._entries)
+        if covered:
+            self._compacted_bytes = self._ends[covered - 1]
+        del self._entries[:covered]
+        del self._ends[:covered]
         later = [c for c in self._configurations if c[0] > snapshot.log_index]
         if not self._entries:
             later = []
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -473,6 +473,10 @@
             stopped = bool(group.apply_error)
             self._metrics.apply_stopped.labels(group.name).set(stopped)
             self._metrics.disk_refusals.labels(group.name).set(group.disk_failures)
+            log = group.replica.log
+            self._metrics.log_bytes.labels(group.name).set(log.payload_bytes)
+            snapshot_bytes = len(log.snapshot.payload)
+            self._metrics.snapshot_bytes.labels(group.name).set(snapshot_bytes)
         self._handle_pending_renewals(now)
         if self._config.directed is not None:
             self._tick_near(now)
--- a/src/dragonflyrock/node/group_lines.py
+++ b/src/dragonflyrock/node/group_lines.py
@@ -35,12 +35,14 @@
         self._no_leader_logged_at = NEVER
         self._members_index = -1
         self._are_members_committed = False
+        self._snapshot_index = replica.log.snapshot.log_index
         self._waiting: dict[str, str] = {}
         self._refusals: dict[str, tuple[str, float]] = {}
 
     def tick(self, now: float) -> None:
         """Log what has changed since the last tick; ``now`` is in seconds."""
         self._log_members()
+        self._log_snapshot()
         self._log_waiting_members()
         self._log_vote_refusals(now)
         self._log_role()
@@ -66,6 +68,21 @@
         self._metrics.voters.labels(self._name).set(len(members.voters))
         self._metrics.learners.labels(self._name).set(len(members.learners))
 
+    def _log_snapshot(self) -> None:
+        """Log a snapshot that was saved or installed, and what the log holds now."""
+        log = self._replica.log
+        if log.snapshot.log_index == self._snapshot_index:
+            return
+        self._lines.add(
+            "snapshot",
+            log_index=log.snapshot.log_index,
+            entries=log.snapshot.log_index - self._snapshot_index,
+            bytes=len(log.snapshot.payload),
+            later_entries=log.last_index - log.snapshot.log_index,
+            later_bytes=log.payload_bytes,
+        )
+        self._snapshot_index = log.snapshot.log_index
+
     def _log_waiting_members(self) -> None:
         """Log a member that asks to join, and one that is no longer waited for."""
         waiting = self._replica.waiting_members
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -214,6 +214,18 @@
             "Syncs of a group's log to disk since the start",
             "group",
         )
+        self.log_bytes = Family(
+            Value,
+            "dragonflyrock_log_bytes",
+            "Bytes of the commands after the snapshot in a group's log",
+            "group",
+        )
+        self.snapshot_bytes = Family(
+            Value,
+            "dragonflyrock_snapshot_bytes",
+            "Bytes of the latest snapshot of a group's state",
+            "group",
+        )
         self.disk_lost = Family(
             Value,
             "dragonflyrock_disk_lost",
@@ -279,6 +291,8 @@
             self.learners,
             self.moves,
             self.log_syncs,
+            self.log_bytes,
+            self.snapshot_bytes,
             self.disk_lost,
             self.disk_refusals,
             self.apply_stopped,
--- a/tests/node/test_group_lines.py
+++ b/tests/node/test_group_lines.py
@@ -135,3 +135,27 @@
         group_lines.tick(number / 10)
     lines = [line for line in recorder.lines if line["event"] == "no-leader"]
     assert [line["seconds"] for line in lines] == [2.0, 4.0, 6.0, 8.0, 10.0]
+
+
+# Guards against a log that grows in memory without a line that shows its bytes.
+def test_a_snapshot_is_logged_with_its_bytes_and_those_left_in_the_log(
+    group_lines: GroupLines, replica: Replica, recorder: LineRecorder
+) -> None:
+    replica.log.append([Entry(2, 1, EntryKind.COMMAND, b"12345")])
+    replica.log.append([Entry(3, 1, EntryKind.COMMAND, b"123")])
+    group_lines.tick(1.0)
+    assert not [line for line in recorder.lines if line["event"] == "snapshot"]
+    image = SnapshotImage(2, 1, Configuration(VOTERS), b"1234567")
+    replica.log.compact(image)
+    group_lines.tick(1.1)
+    group_lines.tick(1.2)
+    assert [line for line in recorder.lines if line["event"] == "snapshot"] == [
+        {
+            "event": "snapshot",
+            "log_index": 2,
+            "entries": 2,
+            "bytes": 7,
+            "later_entries": 1,
+            "later_bytes": 3,
+        }
+    ]
