Consensus: a log is bounded by its bytes, in memory, on disk and at a start

A start read the file whole beside its entries, so it needed twice the log.

The format of the files is the same; earlier versions read them.

--- a/src/dragonflyrock/consensus/files.py
+++ b/src/dragonflyrock/consensus/files.py
@@ -7,11 +7,15 @@
 
 import contextlib
 import os
+from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import BinaryIO
+from typing import BinaryIO, Final
 
 __all__ = ["Files"]
 
+# Small parts of a file are written together, up to this size.
+WRITE_BLOCK_BYTES: Final = 256 * 1024
+
 
 class Files:
     """File operations on the disks of this host."""
@@ -38,12 +42,16 @@
             file.truncate(size)
             os.fsync(file.fileno())
 
-    def replace(self, path: Path, data: bytes) -> None:
-        """Replace a file in one step; its new name is synced only with its folder."""
+    def replace(self, path: Path, parts: Iterable[bytes]) -> None:
+        """Replace a file in one step; its new name is synced only with its folder.
+
+        The parts are written one by one, so they need not be in memory together.
+        """
         temporary = path.with_name(path.name + ".new")
         try:
             with temporary.open("wb", buffering=0) as file:
-                self.append(file, data)
+                for block in _join_parts(parts):
+                    self.append(file, block)
                 self.sync(file)
             self.rename(temporary, path)
         except OSError:
@@ -64,3 +72,15 @@
             os.fsync(folder)
         finally:
             os.close(folder)
+
+
+def _join_parts(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield the parts in blocks of at least ``WRITE_BLOCK_BYTES``, but for the last."""
+    block = bytearray()
+    for part in parts:
+        block += part
+        if len(block) >= WRITE_BLOCK_BYTES:
+            yield bytes(block)
+            block.clear()
+    if block:
+        yield bytes(block)
--- a/src/dragonflyrock/consensus/frames.py
+++ b/src/dragonflyrock/consensus/frames.py
@@ -14,7 +14,7 @@
 import struct
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, BinaryIO, Final, NamedTuple
 
 import xxhash
 
@@ -24,10 +24,12 @@
 
 __all__ = [
     "Batch",
+    "Frame",
     "Record",
     "StorageError",
     "Truncation",
     "encode_frame",
+    "read_frame",
     "read_frames",
 ]
 
@@ -58,10 +60,11 @@
 _BATCH_BODY_PREFIX: Final = _CODEC.encode(Batch(0))[:7]
 
 
-class _DecodedFrame(NamedTuple):
-    """A record and the offset of the end of its frame."""
+class Frame(NamedTuple):
+    """A record and the offsets of its frame; None stands for a torn write."""
 
-    record: Record
+    record: Record | None
+    offset: int
     end: int
 
 
@@ -73,26 +76,29 @@
     return _HEADER.pack(len(body), checksum, header_checksum) + body
 
 
-def read_frames(path: Path) -> Iterator[Record | int]:
-    """Yield the records of a file, then the offset of a torn write if there is one.
+def read_frames(path: Path) -> Iterator[Frame]:
+    """Yield the frames of a file; the last one has no record if it is a torn write.
 
-    Raise ``StorageError`` if the file is damaged otherwise.
+    One frame is read at a time. Raise ``StorageError`` if the file is damaged
+    otherwise.
     """
-    data = path.read_bytes()
+    size = path.stat().st_size
     offset = 0
     batch = 0
-    while offset < len(data):
-        decoded = _read_frame(path, data, offset)
-        if decoded is None:
-            if not _is_torn_tail(data, offset, batch):
-                detail = f"{path}: damaged: record at byte {offset}"
-                raise StorageError(detail, step="open")
-            yield offset
-            return
-        if isinstance(decoded.record, Batch):
-            batch = _check_batch_number(path, batch, decoded.record)
-        yield decoded.record
-        offset = decoded.end
+    with path.open("rb") as file:
+        while offset < size:
+            frame = read_frame(file, path, offset, size)
+            if frame is None:
+                file.seek(offset)
+                if not _is_torn_tail(file.read(), batch):
+                    detail = f"{path}: damaged: record at byte {offset}"
+                    raise StorageError(detail, step="open")
+                yield Frame(None, offset, size)
+                return
+            if isinstance(frame.record, Batch):
+                batch = _check_batch_number(path, batch, frame.record)
+            yield frame
+            offset = frame.end
 
 
 def _check_batch_number(path: Path, batch: int, record: Batch) -> int:
@@ -103,15 +109,19 @@
     return record.number
 
 
-def _read_frame(path: Path, data: bytes, offset: int) -> _DecodedFrame | None:
-    """Return the record at an offset, or None if its frame is invalid."""
+def read_frame(file: BinaryIO, path: Path, offset: int, size: int) -> Frame | None:
+    """Return the frame at an offset of an open file, or None if it is invalid.
+
+    ``size`` is the offset of the end of the file, and ``path`` its name for errors.
+    """
+    file.seek(offset)
+    header = file.read(_HEADER.size)
+    length = _read_length(header, 0)
     start = offset + _HEADER.size
-    length = _read_length(data, offset)
-    if length is None or start + length > len(data):
+    if length is None or start + length > size:
         return None
-    body = data[start : start + length]
-    checksum = _HEADER.unpack_from(data, offset)[1]
-    if xxhash.xxh32_intdigest(body) != checksum:
+    body = file.read(length)
+    if xxhash.xxh32_intdigest(body) != _HEADER.unpack(header)[1]:
         return None
     try:
         record: Any = _CODEC.decode(body)
@@ -119,7 +129,7 @@
         # The checksum is right, so this is not a torn write and must not be removed.
         detail = f"{path}: damaged: record at byte {offset}: {error}"
         raise StorageError(detail, step="open") from error
-    return _DecodedFrame(record, start + length)
+    return Frame(record, offset, start + length)
 
 
 def _read_length(data: bytes, offset: int) -> int | None:
@@ -132,32 +142,32 @@
     return int(length)
 
 
-def _is_torn_tail(data: bytes, offset: int, batch: int) -> bool:
-    """Return whether invalid bytes from an offset on cannot have been synced.
+def _is_torn_tail(tail: bytes, batch: int) -> bool:
+    """Return whether invalid bytes at the end of a file cannot have been synced.
 
     ``batch`` is the number of the last batch before them, or 0 for a file without
     batches, as earlier versions wrote it. In such a file only an incomplete last frame
     or zeros up to the end count as torn.
     """
     if batch:
-        return not _has_later_batch(data, offset, batch)
-    if len(data) - offset < _HEADER.size or not any(data[offset:]):
+        return not _has_later_batch(tail, batch)
+    if len(tail) < _HEADER.size or not any(tail):
         return True
-    length = _read_length(data, offset)
-    return length is not None and offset + _HEADER.size + length > len(data)
+    length = _read_length(tail, 0)
+    return length is not None and _HEADER.size + length > len(tail)
 
 
-def _has_later_batch(data: bytes, offset: int, batch: int) -> bool:
-    """Return whether a batch with a higher number begins after an offset."""
-    body = data.find(_BATCH_BODY_PREFIX, offset + _HEADER.size)
+def _has_later_batch(tail: bytes, batch: int) -> bool:
+    """Return whether a batch with a higher number begins after the first frame."""
+    body = tail.find(_BATCH_BODY_PREFIX, _HEADER.size)
     while body >= 0:
-        length = _read_length(data, body - _HEADER.size)
-        if length is not None and body + length <= len(data):
-            checksum = _HEADER.unpack_from(data, body - _HEADER.size)[1]
-            content = data[body : body + length]
+        length = _read_length(tail, body - _HEADER.size)
+        if length is not None and body + length <= len(tail):
+            checksum = _HEADER.unpack_from(tail, body - _HEADER.size)[1]
+            content = tail[body : body + length]
             if xxhash.xxh32_intdigest(content) == checksum:
                 record = _CODEC.decode(content)
                 if isinstance(record, Batch) and record.number > batch:
                     return True
-        body = data.find(_BATCH_BODY_PREFIX, body + 1)
+        body = tail.find(_BATCH_BODY_PREFIX, body + 1)
     return False
--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -43,6 +43,11 @@
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_SNAPSHOT_ENTRIES: Final = 400
+# Commands of this size are replaced by a snapshot, however few they are. Fewer bytes
+# than the snapshot itself has are not: it would be written more often than they.
+SNAPSHOT_LOG_BYTES: Final = 8 * 1024 * 1024
+# Commands that are applied between two passes of the caller's loop.
+MAX_APPLIED_BYTES_PER_FLUSH: Final = 4 * 1024 * 1024
 # Delay before a disk that refused a write is tried again.
 DISK_RETRY_SECONDS: Final = 0.5
 # Delay before a snapshot that could not be saved is tried again.
@@ -290,8 +295,13 @@
         )
 
     def _apply(self, now: float) -> None:
-        """Apply committed entries and notify their proposers of the results."""
+        """Apply committed entries and notify their proposers of the results.
+
+        The rest is applied at the next flush if there is much of it, so that a member
+        with a long log answers in between.
+        """
         log = self.replica.log
+        began_at = self.applied_index
         while self.applied_index < self.replica.commit_index and not self.apply_error:
             entry = log.entries_from(self.applied_index + 1, 1)[0]
             result: object = None
@@ -306,6 +316,8 @@
             pending = self._pending_proposals.pop(entry.log_index, None)
             if pending is not None:
                 pending.notify(result if pending.term == entry.term else None)
+            if log.count_bytes(began_at, entry.log_index) > MAX_APPLIED_BYTES_PER_FLUSH:
+                return
 
     def _record_progress(self, now: float) -> None:
         """Record the time if all entries are applied that are known to be committed."""
@@ -328,23 +340,38 @@
         for pending in failed:
             pending.notify(None)
 
+    def _is_snapshot_due(self) -> bool:
+        """Return whether enough was applied since the last snapshot.
+
+        Few entries with many bytes are enough too, unless what a snapshot would leave
+        in the log, which is written again with it, or the snapshot itself is larger.
+        """
+        log = self.replica.log
+        first = log.snapshot.log_index
+        if self.applied_index - first >= self._snapshot_entries:
+            return True
+        applied_bytes = log.count_bytes(first, self.applied_index)
+        later_bytes = log.count_bytes(self.applied_index, log.last_index)
+        snapshot_bytes = len(log.snapshot.payload)
+        return applied_bytes >= max(SNAPSHOT_LOG_BYTES, snapshot_bytes, later_bytes)
+
     def _compact(self, now: float) -> None:
-        """Take a snapshot once enough entries were applied since the last one.
+        """Take a snapshot if it is due.
 
         If it cannot be saved, it is tried again later, and the log grows until then.
         """
-        log = self.replica.log
-        if self.applied_index - log.snapshot.log_index < self._snapshot_entries:
+        if not self._is_snapshot_due():
             return
         if self.is_degraded or now < self._next_snapshot_at:
             return
+        log = self.replica.log
         term = log.term_at(self.applied_index)
         assert term is not None
         configuration = log.configuration_at(self.applied_index)
         snapshot = SnapshotImage(
             self.applied_index, term, configuration, self.machine.dump()
         )
-        later_entries = log.entries_from(self.applied_index + 1, log.last_index)
+        later_entries = log.iterate_from(self.applied_index + 1)
         try:
             self._storage.save_snapshot(snapshot, later_entries)
         except StorageError as error:
--- a/src/dragonflyrock/consensus/log.py
+++ b/src/dragonflyrock/consensus/log.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from itertools import islice
 
 import msgspec
 
-from .models import Configuration, Entry, EntryKind, SnapshotImage
+from .models import Configuration, Entry, EntryKind, SnapshotImage, StoredEntry
 
-__all__ = ["Log", "decode_configuration", "encode_configuration"]
+__all__ = ["Log", "decode_configuration", "encode_configuration", "load_entry"]
 
 _DECODER = msgspec.msgpack.Decoder(Configuration)
 
@@ -25,9 +25,16 @@
     return _DECODER.decode(payload)
 
 
+def load_entry(entry: Entry | StoredEntry) -> Entry:
+    """Return an entry with its payload."""
+    return entry if isinstance(entry, Entry) else entry.load()
+
+
 class Log:
     """Entries after a snapshot, and the configurations among them.
 
+    The payloads of some entries may be on disk; they are read at each use.
+
     >>> log = Log(SnapshotImage())
     >>> log.append([Entry(1, 1, EntryKind.NOOP, b"")])
     >>> log.last_index, log.term_at(1), log.term_at(9)
@@ -37,7 +44,7 @@
     def __init__(self, snapshot: SnapshotImage) -> None:
         """Start with no entries after the snapshot."""
         self.snapshot = snapshot
-        self._entries: list[Entry] = []
+        self._entries: list[Entry | StoredEntry] = []
         # For each entry, the bytes of all payloads up to it since the log was created.
         self._ends: list[int] = []
         self._compacted_bytes = 0
@@ -112,13 +119,20 @@
             end_bytes = self._find_end(index - 1) + limit_bytes
             fitting = bisect_right(self._ends, end_bytes, max(offset, 0))
             end = min(end, max(fitting, offset + 1))
-        return tuple(islice(self._entries, offset, end))
+        return tuple(map(load_entry, islice(self._entries, offset, end)))
 
-    def append(self, entries: Iterable[Entry]) -> None:
+    def iterate_from(self, index: int) -> Iterator[Entry]:
+        """Yield all entries from an index on, reading one payload at a time."""
+        offset = index - self.snapshot.log_index - 1
+        return map(load_entry, self._entries[offset:])
+
+    def append(self, entries: Iterable[Entry | StoredEntry]) -> None:
         """Append entries, which must follow the last one."""
         for entry in entries:
-            self._ends.append(self._find_end(self.last_index) + len(entry.payload))
+            self._ends.append(self._find_end(self.last_index) + _count_bytes(entry))
             self._entries.append(entry)
+            if isinstance(entry, StoredEntry):
+                continue
             if entry.kind == EntryKind.CONFIGURATION:
                 configuration = decode_configuration(entry.payload)
                 self._configurations.append((entry.log_index, configuration))
@@ -148,3 +162,8 @@
             later = []
         self._configurations = [(snapshot.log_index, snapshot.configuration), *later]
         self.snapshot = snapshot
+
+
+def _count_bytes(entry: Entry | StoredEntry) -> int:
+    """Return the bytes of an entry's payload."""
+    return entry.payload_bytes if isinstance(entry, StoredEntry) else len(entry.payload)
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
     "Role",
     "SnapshotImage",
     "SnapshotRequest",
+    "StoredEntry",
     "TakeOver",
     "Timing",
     "VoteAnswer",
@@ -80,6 +82,16 @@
     payload: bytes
 
 
+class StoredEntry(NamedTuple):
+    """An entry of the log whose payload stays on disk until ``load`` reads it."""
+
+    log_index: int
+    term: int
+    kind: EntryKind
+    payload_bytes: int
+    load: Callable[[], Entry]
+
+
 class HardState(NamedTuple):
     """The state that a member must save before it answers.
 
--- a/src/dragonflyrock/consensus/storage.py
+++ b/src/dragonflyrock/consensus/storage.py
@@ -9,18 +9,23 @@
 import contextlib
 import logging
 import uuid
+from collections.abc import Iterable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import BinaryIO, Final, NamedTuple
 
 from .files import Files
 from .frames import (
     Batch,
+    Frame,
     StorageError,
     Truncation,
     encode_frame,
+    read_frame,
     read_frames,
 )
-from .models import Entry, HardState, SnapshotImage
+from .log import load_entry
+from .models import Entry, EntryKind, HardState, SnapshotImage, StoredEntry
 from .replica import Output
 
 __all__ = ["Recovered", "Storage", "StorageError", "open_storage"]
@@ -35,13 +40,19 @@
 # more than one small record would fail again at the next one.
 PROBE_BYTES: Final = 64 * 1024
 
+# Payloads of a log that are read into memory at the start. Beyond this, those of
+# commands larger than the second size stay on disk: earlier versions wrote logs that
+# are larger than the memory.
+MAX_LOADED_BYTES: Final = 32 * 1024 * 1024
+MIN_STORED_BYTES: Final = 64 * 1024
+
 # Short, since every message carries the identity, but long enough that two folders of
 # one host do not get the same one.
 IDENTITY_DIGITS: Final = 12
 
 
 class Recovered(NamedTuple):
-    """The content of a data folder.
+    """The content of a data folder; some entries' payloads may remain there.
 
     ``torn_bytes`` is the size of the torn write that was removed. ``batch`` is the
     number of the log's last batch, or 0 if the log has no batches.
@@ -49,7 +60,7 @@
 
     identity: str
     snapshot: SnapshotImage
-    entries: tuple[Entry, ...]
+    entries: tuple[Entry | StoredEntry, ...]
     hard_state: HardState
     torn_bytes: int
     batch: int
@@ -103,7 +114,7 @@
         try:
             if output.snapshot is not None:
                 self._replace_snapshot_and_log(
-                    output.snapshot, tuple(output.entries), hard_state
+                    output.snapshot, output.entries, hard_state
                 )
             else:
                 self._append(_encode_output(output))
@@ -113,12 +124,12 @@
             raise self._make_error("write", error) from error
         self._hard_state = hard_state
 
-    def _append(self, frames: bytes) -> None:
+    def _append(self, frames: Iterable[bytes]) -> None:
         """Append frames to the log as one batch and sync it."""
         if self.is_broken:
             detail = f"{self._folder}: an earlier write failed"
             raise StorageError(detail, step="write")
-        batch = encode_frame(Batch(self._batch + 1)) + frames
+        batch = b"".join([encode_frame(Batch(self._batch + 1)), *frames])
         self._files.append(self._log, batch)
         self._files.sync(self._log)
         self._batch += 1
@@ -126,7 +137,7 @@
         self.sync_count += 1
 
     def save_snapshot(
-        self, snapshot: SnapshotImage, later_entries: tuple[Entry, ...]
+        self, snapshot: SnapshotImage, later_entries: Iterable[Entry]
     ) -> None:
         """Replace the snapshot, and the log by one with only the later entries.
 
@@ -141,7 +152,7 @@
     def _replace_snapshot_and_log(
         self,
         snapshot: SnapshotImage,
-        later_entries: tuple[Entry, ...],
+        later_entries: Iterable[Entry],
         hard_state: HardState,
     ) -> None:
         """Replace the snapshot and then the log.
@@ -150,7 +161,7 @@
         steps loses nothing.
         """
         _replace_file(
-            self._files, self._folder / _SNAPSHOT_FILE, encode_frame(snapshot)
+            self._files, self._folder / _SNAPSHOT_FILE, [encode_frame(snapshot)]
         )
         # The new log has to contain the hard state, which only the log stores.
         frames = _encode_log(self._batch + 1, hard_state, later_entries)
@@ -158,7 +169,7 @@
         # Nothing may be appended until the new file is open and its name is synced.
         self.is_broken = True
         self._batch += 1
-        self._size = len(frames)
+        self._size = self._log_path.stat().st_size
         self._reopen_log()
         self._files.sync_folder(self._folder)
         self.is_broken = False
@@ -235,7 +246,8 @@
     """
     is_new = not path.exists()
     try:
-        frames = _encode_log(1, recovered.hard_state, recovered.entries)
+        entries = map(load_entry, recovered.entries)
+        frames = _encode_log(1, recovered.hard_state, entries)
         _replace_file(files, path, frames)
     except OSError as error:
         if is_new:
@@ -256,7 +268,7 @@
     if (folder / _LOG_FILE).exists() or (folder / _SNAPSHOT_FILE).exists():
         raise StorageError(f"{path}: missing beside a log", step="open")
     identity = uuid.uuid4().hex[:IDENTITY_DIGITS]
-    _replace_file(files, path, identity.encode())
+    _replace_file(files, path, [identity.encode()])
     return identity
 
 
@@ -265,35 +277,38 @@
     if not path.exists():
         return SnapshotImage()
     frames = list(read_frames(path))
-    if len(frames) != 1 or not isinstance(frames[0], SnapshotImage):
+    if len(frames) != 1 or not isinstance(frames[0].record, SnapshotImage):
         raise StorageError(
             f"{path}: damaged: does not hold exactly one snapshot", step="open"
         )
-    return frames[0]
+    return frames[0].record
 
 
 def _read_log(
     files: Files, path: Path, identity: str, snapshot: SnapshotImage
 ) -> Recovered:
     """Replay the log file after the snapshot and remove a torn write."""
-    entries: list[Entry] = []
+    entries: list[Entry | StoredEntry] = []
     hard_state = HardState()
     torn_bytes = 0
     batch = 0
     if path.exists():
+        reader = _PayloadReader(path)
         for frame in read_frames(path):
-            match frame:
-                case Entry():
-                    _add_entry(path, entries, frame, snapshot)
-                case HardState():
-                    hard_state = frame
+            match frame.record:
+                case Entry(log_index=index) if index <= snapshot.log_index:
+                    pass
+                case Entry() as entry:
+                    _add_entry(path, entries, reader.limit(entry, frame), snapshot)
+                case HardState() as record:
+                    hard_state = record
                 case Batch(number):
                     batch = number
                 case Truncation(index):
                     entries = [entry for entry in entries if entry.log_index < index]
-                case int():
-                    torn_bytes = path.stat().st_size - frame
-                    files.cut(path, frame)
+                case None:
+                    torn_bytes = frame.end - frame.offset
+                    files.cut(path, frame.offset)
                 case _:
                     raise StorageError(
                         f"{path}: damaged: unexpected record", step="open"
@@ -301,12 +316,47 @@
     return Recovered(identity, snapshot, tuple(entries), hard_state, torn_bytes, batch)
 
 
+class _PayloadReader:
+    """Reads payloads that remain in a log file when they are needed.
+
+    The file stays open, as a snapshot replaces it by another one of its name.
+    """
+
+    def __init__(self, path: Path) -> None:
+        """Initialize without having read anything of a log file."""
+        self._path = path
+        self._file: BinaryIO | None = None
+        self._loaded_bytes = 0
+
+    def limit(self, entry: Entry, frame: Frame) -> Entry | StoredEntry:
+        """Return the entry of a frame, without its payload if memory is short."""
+        size = len(entry.payload)
+        is_large = entry.kind == EntryKind.COMMAND and size >= MIN_STORED_BYTES
+        if not is_large or self._loaded_bytes + size <= MAX_LOADED_BYTES:
+            self._loaded_bytes += size
+            return entry
+        if self._file is None:
+            self._file = self._path.open("rb")
+        load = partial(self._load, frame.offset, frame.end)
+        return StoredEntry(entry.log_index, entry.term, entry.kind, size, load)
+
+    def _load(self, offset: int, end: int) -> Entry:
+        """Read an entry again, or raise ``StorageError``."""
+        assert self._file is not None
+        frame = read_frame(self._file, self._path, offset, end)
+        if frame is None or not isinstance(frame.record, Entry):
+            detail = f"{self._path}: damaged: entry at byte {offset}"
+            raise StorageError(detail, step="read")
+        return frame.record
+
+
 def _add_entry(
-    path: Path, entries: list[Entry], entry: Entry, snapshot: SnapshotImage
+    path: Path,
+    entries: list[Entry | StoredEntry],
+    entry: Entry | StoredEntry,
+    snapshot: SnapshotImage,
 ) -> None:
-    """Add an entry, unless the snapshot already covers it."""
-    if entry.log_index <= snapshot.log_index:
-        return
+    """Add an entry, which must follow the snapshot or the last one."""
     last_index = entries[-1].log_index if entries else snapshot.log_index
     if entry.log_index != last_index + 1:
         detail = f"{path}: damaged: entry {entry.log_index} follows {last_index}"
@@ -314,25 +364,26 @@
     entries.append(entry)
 
 
-def _encode_output(output: Output) -> bytes:
-    """Return the frames of an output that has no snapshot."""
-    frames = bytearray()
+def _encode_output(output: Output) -> Iterator[bytes]:
+    """Yield the frames of an output that has no snapshot."""
     if output.truncate_from:
-        frames += encode_frame(Truncation(output.truncate_from))
+        yield encode_frame(Truncation(output.truncate_from))
     for entry in output.entries:
-        frames += encode_frame(entry)
+        yield encode_frame(entry)
     if output.hard_state is not None:
-        frames += encode_frame(output.hard_state)
-    return bytes(frames)
+        yield encode_frame(output.hard_state)
 
 
-def _encode_log(batch: int, hard_state: HardState, entries: tuple[Entry, ...]) -> bytes:
-    """Return the content of a new log file."""
-    frames = [encode_frame(entry) for entry in entries]
-    return b"".join([encode_frame(Batch(batch)), encode_frame(hard_state), *frames])
+def _encode_log(
+    batch: int, hard_state: HardState, entries: Iterable[Entry]
+) -> Iterator[bytes]:
+    """Yield the frames of a new log file, each encoded as it is written."""
+    yield encode_frame(Batch(batch)) + encode_frame(hard_state)
+    for entry in entries:
+        yield encode_frame(entry)
 
 
-def _replace_file(files: Files, path: Path, data: bytes) -> None:
+def _replace_file(files: Files, path: Path, parts: Iterable[bytes]) -> None:
     """Replace a file in one step and sync the folder."""
-    files.replace(path, data)
+    files.replace(path, parts)
     files.sync_folder(path.parent)
--- a/tests/consensus/groups.py
+++ b/tests/consensus/groups.py
@@ -96,8 +96,16 @@
     ``acknowledged`` and ``refused`` are the commands by the outcome of their proposals.
     """
 
-    def __init__(self, folder: Path, names: str, seed: int, snapshots: int = 400):
+    def __init__(
+        self,
+        folder: Path,
+        names: str,
+        seed: int,
+        snapshots: int = 400,
+        machine_type: type[RecordingMachine] = RecordingMachine,
+    ):
         """Start one member for each letter of ``names``."""
+        self._machine_type = machine_type
         self.now = 0.0
         self.random = Random(seed)
         self.folder = folder
@@ -120,7 +128,7 @@
         """Start, or restart, a member from its folder."""
         if name in self.groups:
             self.groups[name].close()
-        self.machines[name] = RecordingMachine()
+        self.machines[name] = self._machine_type()
         self.groups[name] = open_group(
             "group",
             name,
--- a/tests/consensus/test_torn_writes.py
+++ b/tests/consensus/test_torn_writes.py
@@ -23,6 +23,8 @@
 )
 from dragonflyrock.consensus.files import Files
 from dragonflyrock.consensus.frames import Batch, encode_frame
+from dragonflyrock.consensus.log import load_entry
+from dragonflyrock.consensus.storage import Recovered
 
 SECTOR_BYTES = 64
 
@@ -169,6 +171,12 @@
         return self.entries[-1].log_index if self.entries else self.snapshot.log_index
 
 
+def read_state(recovered: Recovered) -> FolderState:
+    """Return the content of a folder that was opened."""
+    entries = tuple(map(load_entry, recovered.entries))
+    return FolderState(recovered.snapshot, entries, recovered.hard_state)
+
+
 def make_entries(first: int, count: int, term: int) -> tuple[Entry, ...]:
     """Return entries of a term."""
     return tuple(
@@ -272,7 +280,7 @@
     for steps, left in runs:
         files = PowerLossFiles(random)
         storage, recovered = open_storage(folder, files)
-        found = FolderState(recovered.snapshot, recovered.entries, recovered.hard_state)
+        found = read_state(recovered)
         check_recovered(found, synced, attempted)
         synced = attempted = found
         # The recovered content counts as synced from here on.
@@ -297,7 +305,7 @@
         storage._log.close()
     _, recovered = open_storage(folder)
     check_recovered(
-        FolderState(recovered.snapshot, recovered.entries, recovered.hard_state),
+        read_state(recovered),
         synced,
         attempted,
     )
@@ -326,7 +334,7 @@
     storage._log.close()
     _, recovered = open_storage(tmp_path)
     check_recovered(
-        FolderState(recovered.snapshot, recovered.entries, recovered.hard_state),
+        read_state(recovered),
         synced,
         attempted,
     )
