Consensus: messages to a member are bounded by their bytes

Now a message has at most 1 MiB of payloads, or a single entry, and at most 4 MiB are unacknowledged at a time; beyond that a member gets heartbeats. Rejections of requests that were sent before the last reset are passed over: each of them had the same entries sent again.

Messages keep their form, so both versions understand them.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -185,7 +185,7 @@
         index = append_as_leader(replica, EntryKind.NOOP, b"")
     replica.term_start_index = index
     replica.forming = False
-    replica.peers = {name: PeerProgress(index) for name in replica.peer_names}
+    replica.peers = {name: PeerProgress.begin(index) for name in replica.peer_names}
 
 
 def on_vote_request(
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -95,6 +95,8 @@
 
     ``acked_sent_at`` is when the latest request that the peer answered was sent, and
     ``first_sent_at`` when the first request was sent to it in this term.
+    ``first_sent_index`` is the first entry that was sent since ``rewound_at``, when a
+    rejection last reset ``next_index``.
     """
 
     next_index: int
@@ -104,6 +106,13 @@
     first_sent_at: float = inf
     snapshot_sent_at: float = NEVER
     sent_commit_index: int = 0
+    first_sent_index: int = 1
+    rewound_at: float = NEVER
+
+    @classmethod
+    def begin(cls, next_index: int) -> PeerProgress:
+        """Return the progress of a peer to which no entry was sent yet."""
+        return cls(next_index, first_sent_index=next_index)
 
 
 @dataclass(slots=True)
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -34,6 +34,10 @@
 ]
 
 MAX_ENTRIES_PER_MESSAGE: Final = 512
+# A message has no more bytes of payloads than this, but for a single entry.
+MAX_BYTES_PER_MESSAGE: Final = 1024 * 1024
+# Payloads that a peer was sent and has not acknowledged; it is sent no more of them.
+MAX_UNACKNOWLEDGED_BYTES: Final = 4 * 1024 * 1024
 # Leaves time to transfer a large snapshot before it is sent again.
 SNAPSHOT_RESEND_HEARTBEATS: Final = 10
 
@@ -69,7 +73,8 @@
         return
     for name in replica.peer_names:
         progress = get_progress(replica, name)
-        if progress.next_index <= replica.log.last_index:
+        is_behind = progress.next_index <= replica.log.last_index
+        if is_behind and _has_room(replica, progress):
             _send_append(replica, name, progress, now)
     advance_commit_index(replica)
 
@@ -77,14 +82,17 @@
 def get_progress(replica: Replica, name: str) -> PeerProgress:
     """Return the progress of a peer, created on first use for a new member."""
     if name not in replica.peers:
-        replica.peers[name] = PeerProgress(replica.log.last_index + 1)
+        replica.peers[name] = PeerProgress.begin(replica.log.last_index + 1)
     return replica.peers[name]
 
 
 def _send_append(
     replica: Replica, name: str, progress: PeerProgress, now: float
 ) -> None:
-    """Send the peer the next entries, or the snapshot if they were compacted."""
+    """Send the peer the next entries, or the snapshot if they were compacted.
+
+    While too many bytes are unacknowledged, it is a heartbeat without entries.
+    """
     previous_index = progress.next_index - 1
     term = replica.log.term_at(previous_index)
     progress.sent_at = now
@@ -93,7 +101,10 @@
     if term is None:
         _send_snapshot(replica, name, progress, now)
         return
-    entries = replica.log.entries_from(progress.next_index, MAX_ENTRIES_PER_MESSAGE)
+    limit = MAX_ENTRIES_PER_MESSAGE if _has_room(replica, progress) else 0
+    entries = replica.log.entries_from(
+        progress.next_index, limit, MAX_BYTES_PER_MESSAGE
+    )
     request = AppendRequest(
         replica.hard_state.term,
         previous_index,
@@ -107,6 +118,13 @@
     queue_message(replica, name, request)
 
 
+def _has_room(replica: Replica, progress: PeerProgress) -> bool:
+    """Return whether a peer may be sent more entries before it acknowledges some."""
+    acknowledged = max(progress.match_index, progress.first_sent_index - 1)
+    unacknowledged = replica.log.count_bytes(acknowledged, progress.next_index - 1)
+    return unacknowledged < MAX_UNACKNOWLEDGED_BYTES
+
+
 def _send_snapshot(
     replica: Replica, name: str, progress: PeerProgress, now: float
 ) -> None:
@@ -202,7 +220,11 @@
 def on_append_answer(
     replica: Replica, sender: Member, answer: AppendAnswer, now: float
 ) -> None:
-    """Update a follower's progress, or reset its next index after a rejection."""
+    """Update a follower's progress, or reset its next index after a rejection.
+
+    Requests that were sent before an earlier reset are rejected too, for the same
+    reason: to send the entries again for each of them would multiply their bytes.
+    """
     if answer.term > replica.hard_state.term:
         become_follower(replica, answer.term, "", now)
         return
@@ -213,7 +235,10 @@
     progress = get_progress(replica, sender.name)
     progress.acked_sent_at = max(progress.acked_sent_at, answer.sent_at)
     if not answer.success:
-        progress.next_index = max(progress.match_index, answer.match_index) + 1
+        if answer.sent_at >= progress.rewound_at:
+            progress.next_index = max(progress.match_index, answer.match_index) + 1
+            progress.first_sent_index = progress.next_index
+            progress.rewound_at = now
         return
     progress.match_index = max(progress.match_index, answer.match_index)
     progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/tests/consensus/test_large_commands.py
+++ b/tests/consensus/test_large_commands.py
@@ -21,12 +21,23 @@
     Log,
     Member,
     Output,
+    Replica,
     SnapshotImage,
     Timing,
+    make_replica,
     open_group,
     open_storage,
+    receive,
+    replicate,
+    take_output,
 )
 from dragonflyrock.consensus.log import encode_configuration, load_entry
+from dragonflyrock.consensus.models import (
+    AppendAnswer,
+    AppendRequest,
+    Role,
+    SnapshotRequest,
+)
 
 from .groups import FaultyFiles, Fleet, RecordingMachine
 
@@ -219,6 +230,145 @@
         open_storage(long_log)
 
 
+def make_leader(entry_count: int, size: int) -> Replica:
+    """Return a leader with peers "b" and "c" that have acknowledged nothing."""
+    voters = tuple(Member(name, name) for name in "abc")
+    log = Log(SnapshotImage())
+    log.append(
+        [
+            Entry(
+                1,
+                1,
+                EntryKind.CONFIGURATION,
+                encode_configuration(Configuration(voters)),
+            )
+        ]
+    )
+    log.append(
+        [
+            Entry(index, 1, EntryKind.COMMAND, bytes(size))
+            for index in range(2, entry_count + 2)
+        ]
+    )
+    leader = make_replica(
+        voters[0], (), Timing(), Random(1), log, HardState(1, "a", "a"), 0.0
+    )
+    leader.role = Role.LEADER
+    return leader
+
+
+def list_appends(leader: Replica, peer: str) -> list[AppendRequest]:
+    """Return the append requests for a peer that a leader has queued."""
+    return [
+        message.message
+        for message in take_output(leader).messages
+        if message.peer == peer and isinstance(message.message, AppendRequest)
+    ]
+
+
+def count_bytes(requests: list[AppendRequest]) -> int:
+    """Return the bytes of the payloads in append requests."""
+    return sum(len(e.payload) for request in requests for e in request.entries)
+
+
+# Guards against a member that lost its disk and gets 512 large commands in one message,
+# of which it and the leader hold several copies.
+def test_a_member_without_a_log_is_sent_few_bytes_at_a_time() -> None:
+    leader = make_leader(60, MIB // 2)
+    now = 1.0
+    replicate(leader, now)
+    take_output(leader)
+    # The member rejects the first request, as its log is empty.
+    receive(leader, Member("b", "b"), AppendAnswer(1, False, 0, now), now)
+    received = 0
+    for _ in range(1000):
+        now += 0.01
+        replicate(leader, now)
+        sent = list_appends(leader, "b")
+        assert all(count_bytes([request]) <= MESSAGE_BYTES for request in sent)
+        for request in sent:
+            assert request.previous_index == received
+            received += len(request.entries)
+            receive(leader, Member("b", "b"), AppendAnswer(1, True, received, now), now)
+        if received == 61:
+            return
+    raise AssertionError(f"the member has {received} entries")
+
+
+# Guards against a member that does not answer, for which the sender queues the log.
+def test_a_member_that_does_not_answer_is_sent_few_bytes_in_all() -> None:
+    leader = make_leader(60, MIB // 2)
+    receive(leader, Member("b", "b"), AppendAnswer(1, False, 0, 1.0), 1.0)
+    sent = []
+    for step in range(1, 200):
+        replicate(leader, 1.0 + step / 100)
+        sent += list_appends(leader, "b")
+    assert 0 < count_bytes(sent) <= 4 * MESSAGE_BYTES
+
+
+# Guards against a leader that sends the same entries again for each of the requests
+# that were under way when a member lost one of them.
+def test_late_rejections_do_not_send_the_entries_again() -> None:
+    leader = make_leader(8, MIB // 2)
+    replicate(leader, 1.0)
+    take_output(leader)
+    sent = []
+    for step in range(20):
+        receive(
+            leader, Member("b", "b"), AppendAnswer(1, False, 0, 1.0), 1.1 + step / 100
+        )
+        for turn in range(10):
+            replicate(leader, 1.1 + step / 100 + turn / 1000)
+            sent += list_appends(leader, "b")
+    assert 0 < count_bytes(sent) <= 4 * MESSAGE_BYTES
+
+
+# Guards against a member that lost a request after a reset and is never sent it again.
+def test_a_rejection_of_a_later_request_sends_the_entries_again() -> None:
+    leader = make_leader(2, 1000)
+    receive(leader, Member("b", "b"), AppendAnswer(1, False, 0, 1.0), 1.1)
+    replicate(leader, 1.1)
+    assert len(list_appends(leader, "b")[0].entries) == 3
+    receive(leader, Member("b", "b"), AppendAnswer(1, False, 0, 1.2), 1.3)
+    replicate(leader, 1.3)
+    assert len(list_appends(leader, "b")[0].entries) == 3
+
+
+# Guards against a wiped member that never catches up while large commands arrive.
+def test_a_wiped_member_catches_up_while_large_commands_arrive(fleet: Fleet) -> None:
+    for number in range(30):
+        fleet.propose(make_document(number))
+        fleet.run(0.04)
+    leader = fleet.leader()
+    other = next(name for name in "abc" if name != leader)
+    fleet.groups.pop(other).close()
+    for path in (fleet.folder / other).iterdir():
+        path.unlink()
+    fleet.start(other)
+    group = fleet.groups[leader]
+    identity = (fleet.folder / other / "identity").read_text()
+    old = group.replica.configuration
+    voters = tuple(
+        Member(other, identity) if v.name == other else v for v in old.voters
+    )
+    for each in fleet.groups.values():
+        each.replica.log._configurations.append(
+            (each.replica.log.last_index, Configuration(voters))
+        )
+    before = len(fleet.sent)
+    for number in range(30, 60):
+        fleet.propose(make_document(number))
+        fleet.run(0.04)
+    fleet.run(1.0)
+    assert get_state(fleet, other) == b"%09d" % 59
+    for queued in fleet.sent[before:]:
+        match queued.message:
+            case AppendRequest() as request:
+                assert count_bytes([request]) <= MESSAGE_BYTES
+            case SnapshotRequest() as request:
+                assert len(request.snapshot.payload) <= MIB
+
+
 # Guards against bytes that are miscounted when entries are removed from either end.
 @settings(max_examples=100, deadline=None, derandomize=True)
 @given(
