Control: a call that is sent again adds nothing to the log

A call is sent again each 0.25 s until it is answered, and each time a whole configuration was appended to the log once more; so a slow commit made the log grow, which made commits slower. And a leader took commands without any bound while none could be committed.

Now a call whose command waits is proposed once, and a leader with more than 32 MiB that are not committed takes no more; the caller gets 503 at once (OVERLOADED) in place of no answer. A proposal whose index is used again after a lost leadership is answered.

--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -48,6 +48,8 @@
 SNAPSHOT_LOG_BYTES: Final = 8 * 1024 * 1024
 # Commands that are applied between two passes of the caller's loop.
 MAX_APPLIED_BYTES_PER_FLUSH: Final = 4 * 1024 * 1024
+# A leader accepts no command while so many bytes are not committed.
+MAX_UNCOMMITTED_BYTES: Final = 32 * 1024 * 1024
 # Delay before a disk that refused a write is tried again.
 DISK_RETRY_SECONDS: Final = 0.5
 # Delay before a snapshot that could not be saved is tried again.
@@ -158,14 +160,23 @@
             receive(self.replica, sender, message, now)
 
     def propose(self, payload: bytes, notify: Callable[[object], None]) -> bool:
-        """Propose a command; return whether this member is the leader.
+        """Propose a command; return whether this leader has taken it.
 
-        ``notify`` is called with the result, or with None if the leadership was lost
-        before the result was known.
+        It is not taken by a member that does not lead, or by a leader whose log has too
+        many bytes that are not committed. ``notify`` is called with the result, or with
+        None if the leadership was lost before the result was known.
         """
+        log = self.replica.log
+        waiting = log.count_bytes(self.replica.commit_index, log.last_index)
+        if waiting + len(payload) > MAX_UNCOMMITTED_BYTES and waiting:
+            return False
         index = propose(self.replica, payload)
         if index is None:
             return False
+        replaced = self._pending_proposals.pop(index, None)
+        if replaced is not None:
+            # Its entry was lost together with an earlier leadership.
+            replaced.notify(None)
         self._pending_proposals[index] = PendingProposal(
             self.replica.hard_state.term, notify
         )
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -109,6 +109,7 @@
         self._leader: ControlLeader | None = None
         self._pushed_revision = 0
         self._pending_renewals: dict[str, PendingRenewal] = {}
+        self._proposed_calls: dict[tuple[str, str, int], bytes] = {}
         self._send_order = send_order
         self._packer = UpdatePacker()
         self._notices = MemberNotices()
@@ -355,7 +356,13 @@
         self._send(sender, CallAnswer(call_id, False, self._config.name, body))
 
     def _propose(self, group: Group, command: bytes, sender: str, call_id: int) -> None:
-        """Commit a command and answer with its result."""
+        """Commit a command and answer with its result.
+
+        A call that is sent again before its answer adds nothing to the log.
+        """
+        call = (group.name, sender, call_id)
+        if self._proposed_calls.get(call) == command:
+            return
         codec = find_result_codec(group.name)
         try:
             check_command(group.name, command)
@@ -365,13 +372,19 @@
             return
 
         def notify(result: object) -> None:
+            self._proposed_calls.pop(call, None)
             if result is None:
                 # The command may be committed or not; the caller sends it again.
                 self._send(sender, CallAnswer(call_id, True, "", b""))
             else:
                 self._answer(sender, call_id, codec.encode(result))
 
-        group.propose(command, notify)
+        if group.propose(command, notify):
+            self._proposed_calls[call] = command
+            return
+        detail = "too many bytes wait to be committed"
+        refusal = Refusal(Reason.OVERLOADED, Step.COMMIT, sender, detail)
+        self._answer(sender, call_id, codec.encode(refusal))
 
     def _announce(
         self, announcement: calls.Announcement, now: float
--- a/src/dragonflyrock/platform/control_calls.py
+++ b/src/dragonflyrock/platform/control_calls.py
@@ -96,7 +96,7 @@
 def _get_status(refusal: Refusal) -> int:
     """Return the HTTP status for a refusal."""
     match refusal.reason:
-        case Reason.NO_LEADER | Reason.NOT_LEADER:
+        case Reason.NO_LEADER | Reason.NOT_LEADER | Reason.OVERLOADED:
             return 503
         case Reason.VERSION_CONFLICT:
             return 412
--- a/tests/consensus/test_large_commands.py
+++ b/tests/consensus/test_large_commands.py
@@ -27,6 +27,7 @@
     make_replica,
     open_group,
     open_storage,
+    propose,
     receive,
     replicate,
     take_output,
@@ -334,6 +335,25 @@
     assert len(list_appends(leader, "b")[0].entries) == 3
 
 
+# Guards against a leader without a quorum that takes commands until its memory is full.
+def test_a_leader_takes_no_command_while_too_many_bytes_wait(fleet: Fleet) -> None:
+    name = fleet.leader()
+    fleet.isolated = {name}
+    group = fleet.groups[name]
+    taken = [
+        group.propose(make_document(number, MIB), lambda result: None)
+        for number in range(100)
+    ]
+    assert taken[0]
+    assert not taken[-1]
+    assert group.replica.log.payload_bytes < LOG_MEMORY_BYTES
+    fleet.isolated = set()
+    fleet.run(2.0)
+    fleet.propose(b"later")
+    fleet.run(0.5)
+    assert fleet.acknowledged[-1] == b"later"
+
+
 # Guards against a wiped member that never catches up while large commands arrive.
 def test_a_wiped_member_catches_up_while_large_commands_arrive(fleet: Fleet) -> None:
     for number in range(30):
@@ -405,3 +425,17 @@
             assert total <= limit or len(some) == 1
             left = entries[len(some) :]
             assert not left or not some or total + len(left[0].payload) > limit
+
+
+# Guards against a proposal that a leader forgets without an answer to its proposer.
+def test_a_proposal_whose_index_is_used_again_is_answered(tmp_path: Path) -> None:
+    group = open_single_group(tmp_path, RecordingMachine())
+    answers: list[object] = []
+    assert group.propose(b"first", answers.append)
+    log = group.replica.log
+    log.truncate(log.last_index)
+    assert propose(group.replica, b"other") is not None
+    log.truncate(log.last_index)
+    assert group.propose(b"second", lambda result: None)
+    assert answers == [None]
+    group.close()
