Control: a route document that the memory cannot hold is refused with 413

Measured with ControlState alone, three changes of the whole document: 20,000 routes (4.8 MB) need 94 MB at the peak, 40,000 routes (9.7 MB) 170 MB, beside the log, messages and calls that wait.

Checked before the command is proposed: a state machine that refused it would differ from the ones of earlier versions.

--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -32,7 +32,7 @@
 from ..errors import Reason, Refusal, Step
 from ..http import HttpServer, Request, Response, WireLimits
 from ..models import GrantedBy
-from ..routes import RouteDocument
+from ..routes import RouteDocument, apply_change, count_source_bytes
 from ..transport.calls import CallTable
 from ..transport.links import ReceivedMessage
 from ..transport.messages import (
@@ -71,6 +71,11 @@
 SERVER_REPORT_INTERVAL_SECONDS: Final = 1.0
 # Longer than an election takes, shorter than a server may be silent.
 UNREPORTED_SECONDS: Final = 2.0
+# A control host of 296 MB holds several copies of a document while it is changed, and
+# operators may send eight changes at a time.
+MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
+# A call has the document and what stands around its routes.
+CONTROL_LIMITS: Final = WireLimits(body_bytes=MAX_DOCUMENT_BYTES + 1024 * 1024)
 # A stopping leader runs at least this long after it starts to hand over, another node
 # for as long as its last messages need.
 HANDOVER_SECONDS: Final = 0.3
@@ -162,7 +167,7 @@
     async def run(self, handler: Handler) -> None:
         """Serve until stopped; ``handler`` handles requests at the control address."""
         self._loop.start(self._receive, self._tick, self._member.flush)
-        self._http_server = HttpServer(handler, WireLimits())
+        self._http_server = HttpServer(handler, CONTROL_LIMITS)
         await self._http_server.start(self._settings.listen.control)
         if self._metrics_server is not None:
             await self._metrics_server.start(self._settings.listen.metrics)
@@ -296,11 +301,38 @@
             self._unreported = {}
 
     async def put_routes(self, command: PutRoutes | ChangeRoutes) -> Done | Refusal:
-        """Commit a change of the route document through the leader."""
+        """Commit a change of the route document through the leader.
+
+        A document that would be too large for the memory is refused.
+        """
+        too_large = self._refuse_large_document(command)
+        if too_large is not None:
+            return self._log_routes_put(command, too_large)
         body = await self._call_raw(Propose(COMMANDS.encode(command)))
         if body is None:
             return _make_no_leader_refusal(Step.COMMIT)
-        result: Done | Refusal = RESULTS.decode(body)
+        return self._log_routes_put(command, RESULTS.decode(body))
+
+    def _refuse_large_document(
+        self, command: PutRoutes | ChangeRoutes
+    ) -> Refusal | None:
+        """Return why a change is refused that makes the document too large."""
+        current = self._state.route_store.document
+        match command:
+            case PutRoutes():
+                document = command.document
+            case ChangeRoutes():
+                document = apply_change(current, command.change)
+        size = count_source_bytes(document)
+        if size <= max(MAX_DOCUMENT_BYTES, count_source_bytes(current)):
+            return None
+        detail = f"the document has {size} bytes, {MAX_DOCUMENT_BYTES} are allowed"
+        return Refusal(Reason.BODY_TOO_LARGE, Step.PARSE, detail=detail)
+
+    def _log_routes_put(
+        self, command: PutRoutes | ChangeRoutes, result: Done | Refusal
+    ) -> Done | Refusal:
+        """Log the outcome of a change of the route document, and return it."""
         self._loop.lines.add(
             "routes-put",
             base=command.base,
--- a/src/dragonflyrock/platform/control_calls.py
+++ b/src/dragonflyrock/platform/control_calls.py
@@ -100,6 +100,8 @@
             return 503
         case Reason.VERSION_CONFLICT:
             return 412
+        case Reason.BODY_TOO_LARGE:
+            return 413
         case Reason.BAD_REQUEST:
             return 400
     return 409
--- a/src/dragonflyrock/routes/__init__.py
+++ b/src/dragonflyrock/routes/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .document import apply_change, validate_document
+from .document import apply_change, count_source_bytes, validate_document
 from .lookup import RouteIndex
 from .models import (
     ClientLimits,
@@ -29,5 +29,6 @@
     "ServiceShare",
     "WeightedSplitter",
     "apply_change",
+    "count_source_bytes",
     "validate_document",
 ]
--- a/src/dragonflyrock/routes/document.py
+++ b/src/dragonflyrock/routes/document.py
@@ -6,7 +6,7 @@
 
 from .models import RouteChange, RouteDocument
 
-__all__ = ["apply_change", "validate_document"]
+__all__ = ["apply_change", "count_source_bytes", "validate_document"]
 
 # A target latency this far above the timeout can only be a mistake in the unit.
 MAX_TARGET_OVER_TIMEOUT_MS: Final = 60_000
@@ -33,6 +33,13 @@
     )
 
 
+def count_source_bytes(document: RouteDocument) -> int:
+    """Return the bytes of a document as the operator wrote it."""
+    routes = sum(len(route.source) for route in document.routes)
+    services = sum(len(service.source) for service in document.services)
+    return routes + services + len(document.limits.source)
+
+
 def validate_document(document: RouteDocument, current_version: int) -> list[str]:
     """Return why a document cannot replace the current version; empty if it can."""
     errors = []
