Router: a request is reported however early its server ends, unless innocent

Cause, as the claim says in part: only a connection that was lost 12 ms or more after the send led to a check of its server, as a full server resets sooner. So the culprit went free and the innocent were suspects.

Change, in router/crash_checks.py: how early a connection is lost says nothing; whether the server still listens does. Each lost connection leads to one check for the server: 20 ms later, so that a process that ends has lost its other connections too. After an early loss another open connection shows that it runs, so a full server gets no new connections for it. One that accepts and resets is asked again twice, as a process that is ending does that too. A request that was not alone at the server, of this host's requests, is reported only if it isn't answered within 1 s, and one that was answered here within the last minute only if it isn't within 5 s: a request that ends each server is never answered. Reported targets have 256 bytes at most; a thousand suspects with long ones were 16 MB of the control state.

Tests: tests/router/test_crash_checks.py (0, 1, 5, 12 and 60 ms; new and kept connections; reset and closed; before and in the midst of an answer; relayed; full servers; kept connections that close; lost links; URLs that many ask for).

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Final
 
 import httptools
@@ -52,12 +52,18 @@
     """
 
     def __init__(
-        self, address: str, loop: asyncio.AbstractEventLoop, bodies: BufferedBodies
+        self,
+        address: str,
+        loop: asyncio.AbstractEventLoop,
+        bodies: BufferedBodies,
+        open_counts: Counter[str],
     ) -> None:
         """Initialize a connection that is not yet established.
 
-        ``bodies`` bounds the bodies of all connections of a pool.
+        ``bodies`` bounds the bodies of all connections of a pool, and ``open_counts``
+        counts its open connections by address.
         """
+        self._open_counts = open_counts
         self.address = address
         self._bodies = bodies
         self._received_bytes = 0
@@ -198,6 +204,7 @@
         """Set the transport and disable Nagle's algorithm."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._open_counts[self.address] += 1
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -238,6 +245,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the exchange in progress with a fault."""
         self._is_closed = True
+        self._open_counts[self.address] -= 1
+        if not self._open_counts[self.address]:
+            del self._open_counts[self.address]
         self._reset_message()
         self._fail(
             FaultKind.CONNECTION_LOST,
@@ -329,6 +339,11 @@
         """Initialize an empty pool."""
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
         self._bodies = BufferedBodies(MAX_BUFFERED_BODY_BYTES)
+        self._open_counts: Counter[str] = Counter()
+
+    def has_open(self, address: str) -> bool:
+        """Return whether a connection to an address is open, idle or in use."""
+        return self._open_counts[address] > 0
 
     def acquire_idle(self, address: str, request_id: bytes) -> ServerConnection | None:
         """Return an idle connection that may carry a request; close expired ones."""
@@ -394,7 +409,9 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: ServerConnection(address, loop, self._bodies),
+                    lambda: ServerConnection(
+                        address, loop, self._bodies, self._open_counts
+                    ),
                     host,
                     int(port),
                 )
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -29,6 +29,7 @@
 from ..routes import Route, WeightedSplitter
 from ..systems.server_rates import TokenState
 from .choice import hash_fraction
+from .crash_checks import CrashChecks, LostRequest
 from .decision import OWNER_CAUSES, OWNER_WAIT_SECONDS, choose_server
 from .headers import (
     drop_hop_by_hop_headers,
@@ -83,8 +84,12 @@
 TOKEN_WAIT_SECONDS: Final = 0.6
 # Step in which a request waits for newer rows that may name an owner of its key.
 OWNER_POLL_SECONDS: Final = 0.06
-# A server that resets a connection so soon after a request is most likely full.
+# A server that resets a connection so soon after a request may be full.
 OVERLOAD_RESET_SECONDS: Final = 0.012
+# Part of a target that is reported; the fingerprint is of all of it.
+MAX_REPORTED_TARGET_BYTES: Final = 256
+# Part of a body by which equal requests are recognized.
+MAX_KEY_BODY_BYTES: Final = 16 * 1024
 # Callers that were told to come back when a server takes requests do so over this time.
 PAUSE_SPREAD_SECONDS: Final = 0.5
 MAX_SERVER_REJECTION_COUNT: Final = 2
@@ -148,7 +153,6 @@
         self.drain: Drain | None = None
         self._splitter = WeightedSplitter()
         self._split_offset = hash_fraction(config.host, "split")
-        self._crash_checks: set[asyncio.Task[None]] = set()
         self.reach = ServerReach(
             self._list_probe_targets,
             connections,
@@ -156,6 +160,9 @@
             clock,
             random,
         )
+        self.crash_checks = CrashChecks(
+            connections, self.reach, crash_reporter, lines, clock, self._release
+        )
         self.relayer = Relayer(config, lambda: state.tables.hosts, clock, random)
         self._relayed_count = 0
 
@@ -520,37 +527,27 @@
         context.detail = "quarantined"
         return True
 
-    async def _check_crash(self, context: RequestContext, stat: ServerStat) -> None:
-        """Report a crash if a server that lost a request cannot be reached any more."""
-        opened = await self._connections.connect(
-            stat.row.address, CONNECT_TIMEOUT_SECONDS
-        )
-        if not isinstance(opened, ExchangeFault):
-            self._release(stat, opened)
-            return
-        record_unreachable(stat, self._clock())
-        self._connections.close_idle(stat.row.address)
-        self.reach.record_failure(stat.row.address)
-        is_reported = await self.reach.check(stat.row.address)
-        fingerprint = self._get_fingerprint(context)
-        self._lines.add(
-            "server-lost",
-            id=context.request_id.decode("latin-1"),
-            server=stat.row.name,
-            fingerprint=fingerprint[:16],
-            detail=opened.detail,
-            reported=is_reported,
-        )
-        if not is_reported:
-            # It may be this host's links that were lost, and not the server.
-            return
+    def _check_crash(
+        self, context: RequestContext, stat: ServerStat, *, was_early: bool
+    ) -> None:
+        """Begin to check whether a server ended while it ran a request."""
         request = context.request
-        self._crash_reporter.report_crash(
-            fingerprint,
+        lost = LostRequest(
+            context.request_id.decode("latin-1"),
+            self._make_request_key(context),
+            self._get_fingerprint(context),
             request.method.decode("latin-1"),
-            request.target.decode("latin-1"),
-            stat.row.name,
+            request.target[:MAX_REPORTED_TARGET_BYTES].decode("latin-1"),
+            was_early,
         )
+        self.crash_checks.begin(lost, stat)
+
+    @staticmethod
+    def _make_request_key(context: RequestContext) -> int:
+        """Return a key that is the same for equal requests within this process."""
+        method, target, _, body = context.request
+        start = body[:MAX_KEY_BODY_BYTES]
+        return hash((method, context.route.host, target, len(body), start))
 
     def _choose_server(
         self, context: RequestContext, now: float
@@ -680,13 +677,9 @@
             lost = result.kind == FaultKind.CONNECTION_LOST
             if lost and not reused:
                 self.reach.record_failure(address)
-            if lost and ended - now >= OVERLOAD_RESET_SECONDS:
-                # The request does not wait for this check: a server without power
-                # never responds, so the check may last until its timeout.
-                check = asyncio.create_task(self._check_crash(context, stat))
-                self._crash_checks.add(check)
-                check.add_done_callback(self._crash_checks.discard)
             lost_at_once = lost and ended - now < OVERLOAD_RESET_SECONDS
+            if lost:
+                self._check_crash(context, stat, was_early=lost_at_once)
             if lost_at_once and reused and backlog < stat.slots:
                 # The server is not full. It has closed its idle connections, so the
                 # other idle ones to it are closed too.
@@ -872,6 +865,7 @@
             if context.route.is_idempotent and self._claim_retry(context):
                 return None
             return self._answer_failure(context)
+        self.crash_checks.record_answer(self._make_request_key(context))
         quarantines = self._state.tables.quarantines
         if quarantines and self._get_fingerprint(context) in quarantines:
             self._crash_reporter.clear_suspect(context.fingerprint)
--- a/tests/router/harness.py
+++ b/tests/router/harness.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         """Create a recorder without reports."""
         self.crashed_servers: list[str] = []
+        self.reported_targets: list[str] = []
         self.cleared_fingerprints: list[str] = []
 
     def report_crash(
@@ -61,6 +62,7 @@
     ) -> None:
         """Record a crash report."""
         self.crashed_servers.append(server)
+        self.reported_targets.append(target)
 
     def clear_suspect(self, fingerprint: str) -> None:
         """Record a cleared suspect."""
