Entry: on the product's own port a lost connection is no crash by itself

Two such losses within a minute quarantined an innocent request for an hour.

The event 'connection-lost' says what was found. Reported targets have 256 characters at most.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -76,6 +76,8 @@
 
 PLATFORM_THREAD_COUNT: Final = 24
 OPERATOR_THREAD_COUNT: Final = 4
+# Part of a target that is reported; the fingerprint is of all of it.
+MAX_REPORTED_TARGET_LENGTH: Final = 256
 CONTROL_CALL_TIMEOUT_SECONDS: Final = 2.0
 REVISION_POLL_SECONDS: Final = 0.02
 # Time for the loop to send the messages with which this host leaves.
@@ -307,7 +309,7 @@
                 request.fingerprint,
                 customer,
                 request.method,
-                request.target,
+                request.target[:MAX_REPORTED_TARGET_LENGTH],
                 holder,
                 int(time.time() * 1000),
             )
--- a/src/dragonflyrock/entry/dispatch.py
+++ b/src/dragonflyrock/entry/dispatch.py
@@ -21,6 +21,7 @@
 from .forward import Forwarder, ServerRequest, ServerResponse
 from .gate import Gate, InFlightRequest
 from .request import CallerRequest
+from .server_check import has_server_ended
 
 __all__ = ["Dispatcher"]
 
@@ -41,6 +42,7 @@
         report_crash: Callable[[CallerRequest, str], None],
         clear_suspect: Callable[[CallerRequest], None],
         begin_suspect_run: Callable[[CallerRequest, str], bool],
+        has_server_ended: Callable[[str], bool] = has_server_ended,
     ) -> None:
         """Set up a dispatcher without retry budgets.
 
@@ -48,6 +50,7 @@
         while it ran the request. ``clear_suspect`` receives a quarantined request
         that was answered. ``begin_suspect_run`` returns whether a suspect may be sent
         to a holder now, as no host may be running another one there.
+        ``has_server_ended`` returns it for a server's address, after a lost connection.
         """
         self._gate = gate
         self._forwarder = forwarder
@@ -58,6 +61,7 @@
         self._report_crash = report_crash
         self._clear_suspect = clear_suspect
         self._begin_suspect_run = begin_suspect_run
+        self._has_server_ended = has_server_ended
         self._policy = RetryPolicy()
         self._budgets: dict[str, CustomerRetryBudget] = {}
 
@@ -161,7 +165,11 @@
         if refusal.reason == Reason.DEADLINE and refusal.outcome == Outcome.UNKNOWN:
             self._forwarder.cancel(in_flight, request.request_id)
         if refusal.reason == Reason.CONNECTION_LOST:
-            self._report_crash(request, in_flight.server.holder)
+            has_ended = self._has_server_ended(in_flight.server.address)
+            detail = "the server ended" if has_ended else "the server runs on"
+            self._record_event("connection-lost", request, in_flight, detail)
+            if has_ended:
+                self._report_crash(request, in_flight.server.holder)
 
     @staticmethod
     def _make_server_request(request: CallerRequest) -> ServerRequest:
--- a/tests/entry/test_suspects_over_hosts.py
+++ b/tests/entry/test_suspects_over_hosts.py
@@ -73,6 +73,7 @@
             self.report_crash,
             lambda request: self.apply(c.ClearSuspect(request.fingerprint)),
             self.begin_run,
+            lambda address: True,
         )
 
     def start_server(self) -> None:
