--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -12,6 +12,7 @@
 import itertools
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -311,7 +312,7 @@
 class Deployment:
     """The nodes of a small deployment, on a loopback network of their own."""
 
-    def __init__(self, record: Record, entries: int = 2) -> None:
+    def __init__(self, record: Record, entries: int = 3) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         system = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
@@ -475,6 +476,7 @@
         self.running = 0
         self.has_ended = False
         self.beats: asyncio.Task[None] | None = None
+        self._random = random.Random(name)
         self._seen: list[tuple[int, int, int]] = []
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -529,6 +531,7 @@
         }
         path = f"/-/instances/{self.name}/heartbeat"
         nodes = [node.address for node in self.deployment.controls]
+        self._random.shuffle(nodes)
         nodes.sort(key=lambda address: address != self.heartbeat_address)
         for address in nodes:
             answer = await call(address, "POST", path, json.dumps(body).encode())
@@ -544,10 +547,11 @@
             )
             if answer is not None and 200 <= answer.status < 300:
                 named = json.loads(answer.body or b"{}").get("heartbeatAddress", "")
-                self.heartbeat_address = named or address
+                self.heartbeat_address = named or self.heartbeat_address
                 self.acknowledged.append((at, state))
                 return True
-            self.heartbeat_address = ""
+            if address == self.heartbeat_address:
+                self.heartbeat_address = ""
         return False
 
     async def _serve(
