--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,67 +1,154 @@
-"""Case 6: the heartbeat of another writer ends the control nodes."""
+"""Case 6: a control node that starts again takes the answer to a call of its former process."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from stand_ins_2 import HEARTBEAT_SECONDS, ROUTES, ZONES, Callers, Server, call, run_case
-
-WATCH_SECONDS = 30.0
-# More than any 64-bit number.
-ODD_SEQUENCE = 2**64 + 4
-
-
-async def write_otherwise(deployment, record) -> None:
-    """Announce a server that is none of ours, as its own kind of writer does."""
-    body = {
-        "service": "ledger",
-        "address": f"{deployment.make_ip(9, 9)}:9000",
-        "zone": ZONES[0],
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "warmupRemainingMs": 2000,
-        "sequence": ODD_SEQUENCE,
-    }
-    path = "/-/instances/other-writer/heartbeat"
-    while True:
-        # As PROTOCOL says: the next node is called where one does not acknowledge.
+from stand_ins_2 import CONTROL_PORT, ROUTES, CannotRunError, call, run_case
+
+RUN_SECONDS = 100.0
+# The kill comes while the order is on its way; a commit takes 3 to 5 ms here.
+KILL_AFTER_SECONDS = (0.0015, 0.002, 0.0025, 0.003, 0.0035)
+DOWN_SECONDS = 0.2
+LATER_SECONDS = 0.3
+SETTLE_SECONDS = 1.5
+
+
+async def find_leader(deployment):
+    """Return the control node whose metrics say that it leads."""
+    for _ in range(100):
         for node in deployment.controls:
-            answer = await call(node.address, "POST", path, json.dumps(body).encode())
-            status = answer.status if answer is not None else "none"
-            record.add("odd-heartbeat", node=node.name, status=status)
-            if answer is not None and 200 <= answer.status < 300:
+            page = await call(f"{node.ip}:9464", "GET", "/metrics", timeout=0.5)
+            for line in (page.body.decode() if page is not None else "").splitlines():
+                if "leading" in line and "control" in line and line.endswith(" 1.0"):
+                    return node
+        await asyncio.sleep(0.1)
+    raise CannotRunError("no control node says that it leads")
+
+
+class Change:
+    """An order of one operator: a new timeout, on top of a version."""
+
+    def __init__(self, deployment, config, operator: str, base: int, timeout_ms: int):
+        self.deployment, self.operator, self.base = deployment, operator, base
+        changed = json.loads(json.dumps(config))
+        changed["version"] = f"r{base + 1}"
+        changed["listeners"][0]["rules"][0]["action"]["timeoutMs"] = timeout_ms
+        self.body = json.dumps(changed).encode()
+        self.timeout_ms = timeout_ms
+        self.status = 0
+
+    async def send(self, node) -> bool:
+        """Send it to a node; return whether there is a clear answer."""
+        headers = {"X-Dragonflyrock-Base-Version": f"r{self.base}"}
+        answer = await call(node.address, "POST", "/-/config/put", self.body, headers)
+        status = answer.status if answer is not None else 0
+        self.deployment.record.add(
+            "change",
+            operator=self.operator,
+            base=self.base,
+            timeout_ms=self.timeout_ms,
+            node=node.name,
+            status=status or "none",
+        )
+        if status in (200, 400, 409, 412, 413, 422):
+            self.status = status
+        return bool(self.status)
+
+    async def send_on(self, nodes) -> None:
+        """Send it again, unchanged, until there is a clear answer."""
+        for pause in (0.25, 0.5, 1.0, 1.0, 1.0, 1.0):
+            for node in nodes:
+                if await self.send(node):
+                    return
+            await asyncio.sleep(pause)
+
+
+async def read_config(deployment):
+    answer = await deployment.operate("GET", "/-/config/get")
+    return json.loads(answer.body)
+
+
+def read_version(config) -> int:
+    return int(config["version"][1:])
+
+
+async def start_later(node) -> None:
+    """Start a process a little later than the other one."""
+    await asyncio.sleep(LATER_SECONDS)
+    await node.start()
+
+
+async def play_round(deployment, record, trouble, kill_after) -> list[str]:
+    leader = await find_leader(deployment)
+    follower, other = [node for node in deployment.controls if node is not leader]
+    if trouble:
+        await follower.kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        await follower.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        if await find_leader(deployment) is not leader:
+            return []
+    answer = await call(leader.address, "GET", "/-/config/get")
+    if answer is None or answer.status != 200:
+        return []
+    config = json.loads(answer.body)
+    base = read_version(config)
+    one = Change(deployment, config, "one", base, 1200 + base)
+    two = Change(deployment, config, "two", base, 1300 + base)
+    if trouble:
+        first = asyncio.create_task(one.send(follower))
+        await asyncio.sleep(kill_after)
+        # Two of the three processes are killed at the same moment, and start again.
+        record.add("herd-kill", nodes=f"{follower.name},{other.name}")
+        await asyncio.gather(follower.kill(), other.kill())
+        await first
+        await asyncio.sleep(DOWN_SECONDS)
+        await follower.start()
+        restart = asyncio.create_task(start_later(other))
+        # The second operator calls the node as soon as it is there.
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(follower.ip, CONTROL_PORT)
+                writer.close()
                 break
-        await asyncio.sleep(HEARTBEAT_SECONDS)
+            except OSError:
+                await asyncio.sleep(0.005)
+        await two.send(follower)
+        await restart
+    else:
+        await asyncio.gather(one.send(follower), two.send(follower))
+    nodes = [leader, follower, other]
+    for change in (one, two):
+        if not change.status:
+            await change.send_on(nodes)
+    await asyncio.sleep(0.5)
+    final = await read_config(deployment)
+    rule = final["listeners"][0]["rules"][0]["action"]
+    record.add("read", version=final["version"], timeout_ms=rule["timeoutMs"])
+    if one.status == two.status == 200:
+        return [
+            f"two changes on top of r{base} were both acknowledged, with timeouts of"
+            f" {one.timeout_ms} and {two.timeout_ms} ms; in force is {rule['timeoutMs']} ms"
+        ]
+    return []
 
 
 async def play(deployment, record, trouble) -> list[str]:
     await deployment.start()
-    for number, zone in enumerate(ZONES):
-        for kind, service in enumerate(("finder", "engage")):
-            ip = deployment.make_ip(3 + kind, number + 1)
-            await Server(deployment, f"i-{service}-{number}", service, zone, ip).start()
     await deployment.put_config(1, ROUTES)
-    await deployment.wait_ready()
-    callers = Callers(deployment)
-    callers.start("/search/", 10)
-    callers.start("/book/", 10, "POST")
-    await asyncio.sleep(8)
-    writer = asyncio.create_task(write_otherwise(deployment, record)) if trouble else None
-    await asyncio.sleep(WATCH_SECONDS)
-    if writer is not None:
-        writer.cancel()
-    await callers.stop()
-    ends = {node.name: len(node.own_ends) for node in deployment.nodes}
-    record.add("own-ends", **{name: count for name, count in ends.items()})
-    # RULES, Fault: on half of the core, processes end by themselves three times.
-    core = [node.name for node in deployment.controls if len(node.own_ends) >= 3]
-    if 2 * len(core) >= len(deployment.controls):
-        return [f"processes ended by themselves, without any fault of a machine: {ends}"]
+    for number, kill_after in enumerate(itertools.cycle(KILL_AFTER_SECONDS)):
+        if record.now() > (RUN_SECONDS if trouble else RUN_SECONDS / 3):
+            break
+        record.add("round", number=number, kill_after=kill_after)
+        broken = await play_round(deployment, record, trouble, kill_after)
+        if broken:
+            return broken
     return []
 
 
