--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,8 +12,10 @@
 from stand_ins_2 import CONTROL_PORT, ROUTES, CannotRunError, call, run_case
 
 RUN_SECONDS = 100.0
-# The kill comes while the order is on its way; a commit takes 3 to 5 ms here.
-KILL_AFTER_SECONDS = (0.0015, 0.002, 0.0025, 0.003, 0.0035)
+# The kill comes while the order is on its way: after these shares of the time that a change
+# takes through such a node on this machine.
+KILL_AFTER_SHARES = (0.4, 0.5, 0.6, 0.7, 0.3)
+MEASURED_CHANGES = 7
 DOWN_SECONDS = 0.2
 LATER_SECONDS = 0.3
 SETTLE_SECONDS = 1.5
@@ -78,6 +80,21 @@
     return int(config["version"][1:])
 
 
+async def measure_change(deployment) -> float:
+    """Return the median time of a change that a node passes to the leader."""
+    leader = await find_leader(deployment)
+    follower = next(node for node in deployment.controls if node is not leader)
+    times = []
+    for number in range(MEASURED_CHANGES):
+        config = await read_config(deployment)
+        change = Change(deployment, config, "one", read_version(config), 1100 + number)
+        began = deployment.record.now()
+        if not await change.send(follower):
+            await change.send_on([leader])
+        times.append(deployment.record.now() - began)
+    return sorted(times)[len(times) // 2]
+
+
 async def start_later(node) -> None:
     """Start a process a little later than the other one."""
     await asyncio.sleep(LATER_SECONDS)
@@ -142,10 +159,13 @@
 async def play(deployment, record, trouble) -> list[str]:
     await deployment.start()
     await deployment.put_config(1, ROUTES)
-    for number, kill_after in enumerate(itertools.cycle(KILL_AFTER_SECONDS)):
+    usual = await measure_change(deployment)
+    record.add("usual", seconds_of_a_change=f"{usual:.4f}")
+    for number, share in enumerate(itertools.cycle(KILL_AFTER_SHARES)):
+        kill_after = usual * share
         if record.now() > (RUN_SECONDS if trouble else RUN_SECONDS / 3):
             break
-        record.add("round", number=number, kill_after=kill_after)
+        record.add("round", number=number, kill_after=f"{kill_after:.4f}")
         broken = await play_round(deployment, record, trouble, kill_after)
         if broken:
             return broken
