--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from stand_ins_2 import CONTROL_PORT, ROUTES, CannotRunError, call, run_case
 
-RUN_SECONDS = 100.0
+RUN_SECONDS = 90.0
 # The kill comes while the order is on its way: after these shares of the time that a change
 # takes through such a node on this machine.
 KILL_AFTER_SHARES = (0.4, 0.5, 0.6, 0.7, 0.3)
