--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from stand_ins_2 import CONTROL_PORT, ROUTES, CannotRunError, call, run_case
+from stand_ins_2 import CONTROL_PORT, ROUTES, CannotRunError, call, find_leader, run_case
 
 RUN_SECONDS = 90.0
 # The kill comes while the order is on its way: after these shares of the time that a change
@@ -21,18 +21,6 @@
 SETTLE_SECONDS = 1.5
 
 
-async def find_leader(deployment):
-    """Return the control node whose metrics say that it leads."""
-    for _ in range(100):
-        for node in deployment.controls:
-            page = await call(f"{node.ip}:9464", "GET", "/metrics", timeout=0.5)
-            for line in (page.body.decode() if page is not None else "").splitlines():
-                if "leading" in line and "control" in line and line.endswith(" 1.0"):
-                    return node
-        await asyncio.sleep(0.1)
-    raise CannotRunError("no control node says that it leads")
-
-
 class Change:
     """An order of one operator: a new timeout, on top of a version."""
 
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -431,6 +431,18 @@
                     await asyncio.sleep(0.1)
 
 
+async def find_leader(deployment: Deployment) -> Node:
+    """Return the control node whose metrics say that it leads."""
+    for _ in range(100):
+        for node in deployment.controls:
+            page = await call(f"{node.ip}:9464", "GET", "/metrics", timeout=0.5)
+            for line in (page.body.decode() if page is not None else "").splitlines():
+                if "leading" in line and "control" in line and line.endswith(" 1.0"):
+                    return node
+        await asyncio.sleep(0.1)
+    raise CannotRunError("no control node says that it leads")
+
+
 def make_route(name: str, kind: str, prefix: str, service: str) -> dict[str, object]:
     """Return a route of the configuration."""
     return {
