--- a/src/dragonflyrock/transport/calls.py
+++ b/src/dragonflyrock/transport/calls.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Final
 
 from .messages import CallAnswer, CallRequest
@@ -14,6 +15,8 @@
 RESEND_INTERVAL_SECONDS: Final = 0.25
 # Delay before a call is sent again after a redirect or a failed send.
 RETRY_DELAY_SECONDS: Final = 0.03
+# Ids fit in 63 bits, with room above the random first one.
+FIRST_ID_BITS: Final = 62
 
 OnAnswer = Callable[[bytes | None], None]
 Send = Callable[[str, CallRequest], object]
@@ -35,21 +38,25 @@
     """The calls that are not yet answered; not thread-safe.
 
     A call may reach more than one leader and be executed twice, so every call
-    must be idempotent.
+    must be idempotent. A leader may answer a call after its caller has started again,
+    so ids are counted from a random number: no process uses those of a former one.
     """
 
-    def __init__(self, members: tuple[str, ...], send: Send) -> None:
+    def __init__(
+        self, members: tuple[str, ...], send: Send, random: Random | None = None
+    ) -> None:
         """Initialize a table without calls.
 
         ``members`` are the names of the nodes that may lead a group. ``send`` sends a
-        request to a node and returns whether it was sent.
+        request to a node and returns whether it was sent. ``random`` must differ from
+        that of any other process of this node; by default the system seeds it.
         """
         self.members = members
         self._configured = members
         self._send = send
         self._leaders: dict[str, str] = {}
         self._calls: dict[int, _Call] = {}
-        self._next_id = 1
+        self._next_id = (random or Random()).getrandbits(FIRST_ID_BITS)
 
     def start(
         self, group: str, body: bytes, timeout: float, on_answer: OnAnswer, now: float
--- a/tests/control/test_repeated_calls.py
+++ b/tests/control/test_repeated_calls.py
@@ -18,6 +18,7 @@
 from dragonflyrock.observe import EventRing, HybridClock
 from dragonflyrock.observe.metrics import Metrics
 from dragonflyrock.routes import RouteDocument
+from dragonflyrock.transport.calls import CallTable
 from dragonflyrock.transport.messages import CallAnswer, CallRequest, LinkMessage
 
 
@@ -126,3 +127,40 @@
     leader.call(2, 2)
     leader.member.flush(leader.now)
     assert leader.state.route_store.document.version == 2
+
+
+# Guards against CONFIG: two changes on top of one version are both acknowledged, since
+# a control node that was killed after it passed on the first one answers the second
+# operator with the leader's answer to the first.
+def test_a_change_is_not_acknowledged_by_the_answer_to_a_former_process(
+    leader: Leader,
+) -> None:
+    def make_caller() -> CallTable:
+        """Return the calls of a process of "node", which reach the leader."""
+
+        def send(peer: str, request: CallRequest) -> bool:
+            leader.member.receive_call("node", request, leader.now)
+            return True
+
+        return CallTable(("me",), send)
+
+    def put(table: CallTable, digest: str) -> list[bytes | None]:
+        """Send a change on top of version 0; return the list of its answers."""
+        command = c.PutRoutes(0, digest, RouteDocument(1))
+        body = calls.CALLS.encode(calls.Propose(c.COMMANDS.encode(command)))
+        answers: list[bytes | None] = []
+        table.start(CONTROL_GROUP, body, 0.9, answers.append, leader.now)
+        return answers
+
+    put(make_caller(), "operator one")
+    present = make_caller()
+    answers = put(present, "operator two")
+    leader.member.flush(leader.now)
+    for _, message in leader.sent:
+        if isinstance(message, CallAnswer):
+            present.answer("me", message, leader.now)
+    (body,) = answers
+    assert body is not None
+    result = c.RESULTS.decode(body)
+    assert isinstance(result, Refusal)
+    assert result.reason == Reason.VERSION_CONFLICT
