Entry hosts: no lease from an answer to a former process

What callers would see: a host whose machine was started again may serve from rows that are outdated, as it takes a lease for valid for hours.

Cause: an answer to a renewal repeats the time at which the renewal was sent, by the host's clock, and the lease starts at that time. Control nodes keep a renewal for up to a lease while there is no leader and answer it to the host's name, so its successor may get the answer. The clock of a machine begins anew when the machine starts: with a sent_at of the former clock the lease, and the time at which the rows were confirmed, lie far in the future.

Evidence: the test gives a host that started at second 100 an answer to a renewal of second 5000; its lease ran until second 5001.5.

Fix: an answer counts as one only if it names a time since the start of the process and up to now. The rows of any other are applied, as they are committed; its lease and its confirmation are not.

Test, which failed before: tests/entry/test_agent.py (an_answer_to_a_former_process...).

--- a/src/dragonflyrock/entry/agent.py
+++ b/src/dragonflyrock/entry/agent.py
@@ -104,6 +104,7 @@
         self._state = state
         self._send = send
         self._clock = clock
+        self._started_at = clock()
         self._leader = ""
         self._term = 0
         self._leaders: dict[str, None] = {}
@@ -126,8 +127,11 @@
         """Apply an update.
 
         The next tick renews, if new rows have to be acknowledged at once or rows
-        between the update and the present revision are missing.
+        between the update and the present revision are missing. Of an answer to a
+        renewal of a former process only the rows count.
         """
+        if update.sent_at and not self._started_at <= update.sent_at <= now:
+            update = update._replace(sent_at=0.0, lease_ms=0)
         if update.term >= self._term:
             self._term = update.term
             self._leader = update.leader
--- a/tests/entry/test_agent.py
+++ b/tests/entry/test_agent.py
@@ -179,3 +179,21 @@
         ("other", "", "named"),
         ("", "other", "released"),
     ]
+
+
+# Guards against a restarted host that holds the lease of its former process: the clock
+# of a machine that was started again begins anew, so the lease would last for hours.
+def test_an_answer_to_a_former_process_gives_rows_but_no_lease() -> None:
+    for sent_at in (5000.0, 99.0):
+        host = AgentHost()
+        delta = Delta(0, 7, full=True)
+        update = HostUpdate(1, "leader", sent_at, 1500, delta, 0, ())
+        host.agent.receive(update, host.now + 0.5)
+        tables = host.state.tables
+        assert tables.revision == 7
+        assert tables.lease_until < host.now
+        assert tables.confirmed_at < host.now
+        host.now += 0.5
+        host.run(0.2)
+        renewals = [sent for _, sent in host.sent if isinstance(sent, HostRenew)]
+        assert renewals[0].answered_at == 0.0
