Limits: grants and numbers of a former process of a host do not count

What callers would see: more requests at once than a customer's contract allows, or than a server named as its limit.

Cause: (1) a grant of permits is held until PERMIT_LEASE_SECONDS after the time at which it was demanded, by the host's clock; a grant that was demanded before the machine started again lies in the future by its new clock, so the permits were held for as long. (2) Demands for tokens of a server were numbered from the host's clock, which begins anew with the machine: the number may be the last one of the former process, and the limiter then takes the demand for a repeat and grants the same tokens once more.

Fix: (1) a grant counts only if it was demanded since the start of the process and up to now. (2) Numbers start at a random 62-bit number.

--- a/src/dragonflyrock/entry/limits.py
+++ b/src/dragonflyrock/entry/limits.py
@@ -41,6 +41,7 @@
         self._admission = admission
         self._send = send
         self._clock = clock
+        self._started_at = clock()
         self._limiter = Limiter()
         self._standby = Limiter()
         self._hosts: tuple[str, ...] = ()
@@ -86,7 +87,9 @@
         return self._limiter.allocate(row.contract, sender, limit_request, since, now)
 
     def receive_grant(self, grant: RateGrant) -> None:
-        """Add a grant to this host's share."""
+        """Add a grant to this host's share, unless a former process demanded it."""
+        if not self._started_at <= grant.sent_at <= self._clock():
+            return
         limit_grant = LimitGrant(
             grant.tokens, grant.permits, grant.wait, grant.limited, grant.settling
         )
--- a/src/dragonflyrock/entry/server_rates.py
+++ b/src/dragonflyrock/entry/server_rates.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Final
 
 from ..const import NEVER
@@ -28,8 +29,8 @@
 # A limit that a server goes on naming is reported again after this time.
 REPORT_INTERVAL_SECONDS: Final = 5.0
 CLEANUP_INTERVAL_SECONDS: Final = 1.0
-# A process numbers its demands from its start on, and sends fewer than this.
-DEMANDS_PER_SECOND: Final = 1000
+# Numbers of demands fit in 63 bits, with room above the random first one.
+FIRST_NUMBER_BITS: Final = 62
 # The number of a demand without tokens, whose answer is not awaited.
 ANNOUNCEMENT_NUMBER: Final = 0
 
@@ -62,7 +63,9 @@
         self._send = send
         self._lock = threading.RLock()
         self._named = NamedLimitTable()
-        self._tokens = HostTokens(first_number=1 + int(clock() * DEMANDS_PER_SECOND))
+        self._tokens = HostTokens(
+            first_number=1 + Random().getrandbits(FIRST_NUMBER_BITS)
+        )
         self._limiter = ServerLimiter()
         self._standby = ServerLimiter()
         self._unannounced: set[str] = set()
--- a/src/dragonflyrock/systems/server_rates.py
+++ b/src/dragonflyrock/systems/server_rates.py
@@ -154,8 +154,8 @@
 class HostTokens:
     """The tokens of this host for servers that named a limit, by holder.
 
-    Demands are numbered from ``first_number``, which must be above the numbers of an
-    earlier process of this host: a limiter takes the last number again for a repeat.
+    Demands are numbered from ``first_number``. No number of a former process of this
+    host may come again: a limiter takes the last number again for a repeat.
     """
 
     def __init__(self, first_number: int = 1) -> None:
--- a/tests/systems/test_server_rates.py
+++ b/tests/systems/test_server_rates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import combinations
+
 import pytest
 
 from dragonflyrock.entry.server_rates import ServerRateAgent
@@ -172,6 +174,9 @@
 
 
 # Guards against a restarted host whose first demand is taken for a repeat of one of its
-# former process, and gets the same tokens once more.
+# former process, and gets the same tokens once more. The clock may show the same time:
+# it begins anew when the machine starts again.
 def test_a_restarted_host_numbers_its_demands_anew() -> None:
-    assert 0 < find_first_number(50.0) < find_first_number(50.5)
+    numbers = [find_first_number(now) for now in (50.0, 50.0, 50.5)]
+    assert all(0 < number < 2**63 for number in numbers)
+    assert all(abs(one - other) > 1_000_000 for one, other in combinations(numbers, 2))
