Control: the answer to a report confirms the rows as of that report

What callers would see: requests handled by an outdated document at hosts that get their rows from a control node which was paused or started again (CONFIG).

Cause: a follower sends rows to hosts of its zone while a leader with a quorum confirms its reports. The answer (ServeNear) named no report, and counted from its arrival. A follower that resumes after a pause, or has started again, reads an answer to an earlier report, or to one of its former process, and takes its rows for current although the leader may have lost its quorum meanwhile.

Fix: a report has the time at which it was sent, the answer repeats it, and the rows count as confirmed as of that time; answers to a former process count for nothing. Both fields are added at the end, with a default, so former builds ignore them; an answer of a former build counts from its arrival, as before.

Tests, which failed before: tests/control/test_near_member.py (an_answer_to_an_earlier_report..., a_leader_repeats_the_time...).

--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -123,6 +123,7 @@
         self.cold = ColdServers()
         self._evacuated_zones = frozenset[str]()
         self._stopping = False
+        self._started_at = clock()
         self._confirmed_at = float("-inf")
         self._pusher = self._make_pusher(post)
 
@@ -238,7 +239,7 @@
         if leader is not None:
             self._run_effects(leader.receive_near_report(sender, report, now))
             if report.zone:
-                self._send(sender, ServeNear(sender))
+                self._send(sender, ServeNear(sender, report.sent_at))
 
     def receive_leaving_servers(self, message: LeavingServers, now: float) -> None:
         """Mark reported servers as stopping, or pass the report on to the leader."""
@@ -265,9 +266,16 @@
         if needs:
             self._send(name, ServerNeeds(needs, forwarded=True))
 
-    def confirm_near_report(self, now: float) -> None:
-        """Record that a leader with a quorum has confirmed this member's report."""
-        self._confirmed_at = now
+    def confirm_near_report(self, now: float, reported_at: float = 0.0) -> None:
+        """Record that a leader with a quorum has confirmed this member's report.
+
+        ``reported_at`` is when the report was sent; a leader of a former build does not
+        say it. An answer to a report of a former process shows nothing.
+        """
+        if not reported_at:
+            self._confirmed_at = now
+        elif self._started_at <= reported_at <= now:
+            self._confirmed_at = max(self._confirmed_at, reported_at)
 
     def _has_current_rows(self, now: float) -> bool:
         """Return whether this is a follower that applies what is committed.
--- a/src/dragonflyrock/control/near.py
+++ b/src/dragonflyrock/control/near.py
@@ -155,6 +155,7 @@
             self._loads,
             self._pop_speeds(now),
             tuple(self._ended_servers),
+            now,
         )
         self._unreported, self._stopped_hosts, self._ended_servers = {}, {}, {}
         self._loads = {}
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -494,8 +494,8 @@
                 self._member.receive_renewal(sender, message, now)
             case NearRenew():
                 self._member.receive_near_renewal(sender, message, now)
-            case ServeNear():
-                self._member.confirm_near_report(now)
+            case ServeNear(_, reported_at):
+                self._member.confirm_near_report(now, reported_at)
             case LeavingServers():
                 self._member.receive_leaving_servers(message, now)
             case ServerNeeds():
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -208,9 +208,14 @@
 
 
 class ServeNear(NamedTuple):
-    """Assign an entry host to the control node that sends it rows; empty for none."""
+    """Assign an entry host to the control node that sends it rows; empty for none.
+
+    The leader sends it to that control node too, as the answer to a ``HostsNear``;
+    ``reported_at`` repeats its ``sent_at``, and is 0 in all others.
+    """
 
     node: str
+    reported_at: float = 0.0
 
 
 class ControlMembers(NamedTuple):
@@ -317,7 +322,8 @@
 
     ``new_hosts`` are not committed yet. ``live_hosts`` have the holder and revision of
     each host that renewed since the last report, ``stopped_hosts`` the holders of
-    hosts that stopped. ``loads`` counts requests by service and key hash.
+    hosts that stopped. ``loads`` counts requests by service and key hash. ``sent_at``
+    is the control node's clock in seconds, which the answer repeats.
     """
 
     zone: str
@@ -327,6 +333,7 @@
     loads: dict[str, dict[int, int]] = {}  # noqa: RUF012 (never changed)
     speeds: tuple[ServerSpeed, ...] = ()
     ended_servers: tuple[str, ...] = ()
+    sent_at: float = 0.0
 
 
 LinkMessage = (
--- a/tests/control/test_near_member.py
+++ b/tests/control/test_near_member.py
@@ -123,8 +123,12 @@
 
     def send_heartbeat(self) -> None:
         """Deliver a heartbeat of the leader without a confirmation of reports."""
+
+        def ignore(now: float, reported_at: float = 0.0) -> None:
+            """Confirm nothing."""
+
         confirmed = self.member.confirm_near_report
-        self.member.confirm_near_report = lambda now: None  # type: ignore[method-assign]
+        self.member.confirm_near_report = ignore  # type: ignore[method-assign]
         self.append()
         self.member.confirm_near_report = confirmed  # type: ignore[method-assign]
 
@@ -247,6 +251,34 @@
     assert ("host", ServeNear("")) in follower.sent
 
 
+# Guards against a follower that resumes after a pause, or starts again, and takes the
+# answer to an earlier report for a sign that its leader has a quorum now.
+@pytest.mark.parametrize("reported_at", [10.1, 9.0, 5000.0])
+def test_an_answer_to_an_earlier_report_does_not_confirm_the_rows(
+    tmp_path: Path, reported_at: float
+) -> None:
+    follower = Follower(tmp_path)
+    follower.append(c.RegisterHost(HOST), make_change(1))
+    follower.renew()
+    for _ in range(10):
+        follower.pass_time(0.1)
+        follower.send_heartbeat()
+        follower.member.confirm_near_report(follower.now, reported_at)
+    assert ("host", ServeNear("")) in follower.sent
+
+
+# Guards against a leader whose answer does not say which report it answers.
+def test_a_leader_repeats_the_time_of_a_report(tmp_path: Path) -> None:
+    leader = Leader(tmp_path)
+    leader.member.receive_near_report("other", HostsNear("b", sent_at=3.5), leader.now)
+    assert leader.sent[-1] == ServeNear("other", 3.5)
+    follower = Follower(tmp_path / "follower")
+    follower.append()
+    follower.member.tick(follower.now)
+    reports = [sent for _, sent in follower.sent if isinstance(sent, HostsNear)]
+    assert [report.sent_at for report in reports] == [follower.now]
+
+
 def _fall_behind_by_disk(follower: Follower) -> None:
     """Have the leader commit a change that the follower's disk refuses."""
     follower.refuse_writes()
