--- a/src/dragonflyrock/control/cold_servers.py
+++ b/src/dragonflyrock/control/cold_servers.py
@@ -15,6 +15,8 @@
 PEER_TIMEOUT_SECONDS: Final = 3.0
 # More in one message than any zone has servers.
 MAX_COLD_SERVERS: Final = 1_000
+# Heartbeats of further servers are not recorded: they may come from anyone.
+MAX_KNOWN_SERVERS: Final = 10_000
 
 
 class ColdNews(NamedTuple):
@@ -52,6 +54,8 @@
         name = heartbeat.name
         if heartbeat.ended or not (heartbeat.cold_ms or self.table.is_known(name)):
             return False
+        if len(self.table) >= MAX_KNOWN_SERVERS and not self.table.is_known(name):
+            return False
         notice = ColdNotice(name, heartbeat.sequence, heartbeat.cold_ms / 1000)
         changed = self.table.record(notice, now)
         if changed or heartbeat.cold_ms > 0:
--- a/src/dragonflyrock/platform/documents.py
+++ b/src/dragonflyrock/platform/documents.py
@@ -22,6 +22,7 @@
     ServiceShare,
 )
 from ..tables import MAX_COLD_SECONDS
+from .fields import Count, Integer, Milliseconds, Path, Seconds, Weight
 
 __all__ = [
     "UnreadableError",
@@ -38,6 +39,9 @@
 IDEMPOTENT_KINDS: Final = frozenset(("safe", "download"))
 # A rate of cold servers above this one limits nothing.
 MAX_WARMUP_PER_SECOND: Final = 100_000.0
+# Hosts read no longer version in each other's requests.
+MAX_VERSION_DIGITS: Final = 18
+MAX_LOGGED_LENGTH: Final = 60
 
 
 class UnreadableError(Exception):
@@ -95,14 +99,14 @@
     """A service and its weight in a traffic split."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class _Action(msgspec.Struct):
     """The target of a route: one service, or a split between several."""
 
-    timeout_ms: float = msgspec.field(name="timeoutMs")
-    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    timeout_ms: Milliseconds = msgspec.field(name="timeoutMs")
+    max_attempts: Count = msgspec.field(name="maxAttempts", default=1)
     service: str = ""
     split: list[_Share] = msgspec.field(name="trafficSplit", default_factory=list)
 
@@ -114,18 +118,18 @@
     kind: str
     match: _Match
     action: _Action
-    target_ms: float | None = msgspec.field(name="targetLatencyMs", default=None)
-    priority: int = 0
+    target_ms: Milliseconds | None = msgspec.field(name="targetLatencyMs", default=None)
+    priority: Integer = 0
 
 
 class _Cluster(msgspec.Struct):
     """A service; the keys of a "sharded" one are divided among its servers."""
 
     name: str
-    health_path: str = msgspec.field(name="healthCheckPath", default="/health")
-    max_connections: int = msgspec.field(name="maxConnections", default=0)
+    health_path: Path = msgspec.field(name="healthCheckPath", default="/health")
+    max_connections: Count = msgspec.field(name="maxConnections", default=0)
     sharded: bool = False
-    warm_s: float = msgspec.field(name="warmS", default=0.0)
+    warm_s: Seconds = msgspec.field(name="warmS", default=0.0)
 
 
 class _Warmup(msgspec.Struct):
@@ -138,16 +142,16 @@
 class _Limits(msgspec.Struct):
     """Limits of callers."""
 
-    header_bytes: int = msgspec.field(
+    header_bytes: Count = msgspec.field(
         name="maxHeaderBytes", default=DEFAULT_LIMITS.header_bytes
     )
-    body_bytes: int = msgspec.field(
+    body_bytes: Count = msgspec.field(
         name="maxBodyBytes", default=DEFAULT_LIMITS.body_bytes
     )
-    header_timeout_ms: float = msgspec.field(
+    header_timeout_ms: Milliseconds = msgspec.field(
         name="headerTimeoutMs", default=DEFAULT_LIMITS.header_timeout_ms
     )
-    idle_timeout_ms: float = msgspec.field(
+    idle_timeout_ms: Milliseconds = msgspec.field(
         name="idleTimeoutMs", default=DEFAULT_LIMITS.idle_timeout_ms
     )
 
@@ -168,7 +172,12 @@
     """
     digits = text[1:] if text.startswith("r") else text
     if not digits.isascii() or not digits.isdecimal():
-        raise UnreadableError(f"version {text!r}: expected r and a number")
+        shown = text[:MAX_LOGGED_LENGTH]
+        raise UnreadableError(f"version {shown!r}: expected r and a number")
+    if len(digits) > MAX_VERSION_DIGITS:
+        shown = text[:MAX_LOGGED_LENGTH]
+        detail = f"more than {MAX_VERSION_DIGITS} digits"
+        raise UnreadableError(f"version {shown!r}: {detail}")
     return int(digits)
 
 
--- a/src/dragonflyrock/platform/heartbeats.py
+++ b/src/dragonflyrock/platform/heartbeats.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from ..addresses import is_address
 from ..control.calls import HeartbeatAccepted
 from ..control.directed_models import FreedPart, HeldPart, ServerHeartbeat
 from .documents import UnreadableError
+from .fields import Count, InstanceText, Integer, Text
 from .names import KEY_SHIFT_BITS
 
 __all__ = ["decode_heartbeat", "encode_acknowledgement", "make_deregistration"]
@@ -17,40 +19,42 @@
 # More rows, and longer tokens, than any server can have been told.
 MAX_ROW_COUNT: Final = 1_000
 MAX_TOKEN_LENGTH: Final = 32
+MAX_LOGGED_LENGTH: Final = 60
 
 
 class _HeartbeatBody(msgspec.Struct):
     """The body of a heartbeat; the request's path names the instance of the server."""
 
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
-    sequence: int
-    holds: tuple[tuple[int, int, int], ...] = ()
+    service: Text
+    address: Text
+    zone: Text
+    slots: Count
+    state: Text
+    sequence: Integer
+    holds: tuple[tuple[int, int, Integer], ...] = ()
     freed: tuple[tuple[int, int, str], ...] = ()
     warmup_ms: float = msgspec.field(name="warmupRemainingMs", default=0.0)
 
 
 _Row = TypeVar("_Row", tuple[int, int, int], tuple[int, int, str])
 
-_DECODER = msgspec.json.Decoder(_HeartbeatBody)
+_DECODER: Final = msgspec.json.Decoder(_HeartbeatBody)
 
 
 def decode_heartbeat(name: str, body: bytes) -> ServerHeartbeat:
     """Decode the heartbeat of instance ``name``, or raise ``UnreadableError``.
 
     A "draining" server accepts no new requests but finishes those in progress. Nothing
-    of a heartbeat counts whose rows of keys cannot be read.
+    of a heartbeat counts of which a field cannot be read or is out of its range.
     """
+    _check_name(name)
     try:
         heartbeat = _DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise UnreadableError(f"heartbeat of {name}: {error}") from error
     if heartbeat.state not in ("ready", "draining"):
         raise UnreadableError(f"heartbeat of {name}: state {heartbeat.state!r}")
-    if not name or not heartbeat.address.rpartition(":")[2].isdecimal():
+    if not is_address(heartbeat.address):
         raise UnreadableError(f"heartbeat of {name!r}: address {heartbeat.address!r}")
     return ServerHeartbeat(
         name,
@@ -72,6 +76,16 @@
     )
 
 
+def _check_name(name: str) -> None:
+    """Raise ``UnreadableError`` unless a name can be that of an instance."""
+    try:
+        msgspec.convert(name, InstanceText)
+    except msgspec.ValidationError as error:
+        raise UnreadableError(
+            f"instance {name[:MAX_LOGGED_LENGTH]!r}: {error}"
+        ) from error
+
+
 def _check_rows(name: str, rows: tuple[_Row, ...]) -> tuple[_Row, ...]:
     """Return the rows, or raise ``UnreadableError`` if there are too many.
 
@@ -108,5 +122,9 @@
 
 
 def make_deregistration(name: str) -> ServerHeartbeat:
-    """Return the announcement that instance ``name`` is about to end."""
+    """Return the announcement that instance ``name`` is about to end.
+
+    Raise ``UnreadableError`` if no instance can have this name.
+    """
+    _check_name(name)
     return ServerHeartbeat(name, "", "", "", 1, 0, leaving=True, ended=True)
--- a/src/dragonflyrock/settings.py
+++ b/src/dragonflyrock/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 from zmq.utils import z85
 
+from .addresses import is_address
 from .consensus import Timing
 from .control.leader import ServicePolicy
 from .control.tables import LeaderTiming
@@ -284,7 +285,7 @@
     problems = [
         _format_problem(path, address, allowed)
         for path, address in addresses
-        if not _is_address(address)
+        if not is_address(address)
     ]
     names = [peer.name for peer in settings.hosts]
     if settings.host.name not in names:
@@ -296,15 +297,6 @@
     return problems
 
 
-def _is_address(address: str) -> bool:
-    """Return whether a text is ``ip:port`` with an IPv4 address."""
-    ip, _, port = address.rpartition(":")
-    octets = ip.split(".")
-    if len(octets) != 4 or not port.isdecimal() or not 0 < int(port) < 65536:
-        return False
-    return all(octet.isdecimal() and int(octet) < 256 for octet in octets)
-
-
 def _check_control(settings: Settings) -> list[str]:
     """Check the table ``control``."""
     control = settings.control
--- a/src/dragonflyrock/tables/cold.py
+++ b/src/dragonflyrock/tables/cold.py
@@ -56,6 +56,10 @@
         """Start without cold servers."""
         self._rows: dict[str, _ColdRow] = {}
 
+    def __len__(self) -> int:
+        """Return the number of servers that are known, cold or warm."""
+        return len(self._rows)
+
     def record(self, notice: ColdNotice, now: float) -> bool:
         """Record a notice; return whether it made the server cold, or warm."""
         if not 0 <= notice.seconds <= MAX_COLD_SECONDS:
