Links: a message that cannot be sent or handled does not end a node

What callers would see: a node that ends by one message. (1) A value without an encoding raised OverflowError in a tick. (2) A frame with the stamp 2^64 - 1 moved the clock of its receiver there, which then could encode no message of its own. (3) On the product's own daemon, a demand for tokens with the limit inf ended the main loop; the nodes of the platform drop such a message. (4) Numbers of announcements and contracts beyond 64 bits gave 500, or a message that another host cannot handle.

Fix: Codec.encode raises CodecError for a value without an encoding, and Links.send drops the message, counts it and logs the first of its type. A stamp more than an hour ahead of the wall time is not followed. The daemon's loop drops a message that its role cannot handle, unless it belongs to the replicated log. Announcements and contracts are checked for their ranges.

Tests, which failed before: tests/transport/test_links.py (2), tests/test_bad_input.py (7 cases).

--- a/src/dragonflyrock/codec.py
+++ b/src/dragonflyrock/codec.py
@@ -91,11 +91,17 @@
         return tuple(self._types.values())
 
     def encode(self, record: object) -> bytes:
-        """Return the encoded record, or raise ``CodecError`` for another type."""
+        """Return the encoded record.
+
+        Raise ``CodecError`` for another type, or for a value that has no encoding.
+        """
         name = get_outer_name(type(record))
         if name not in self._types:
             raise CodecError(f"{name} is not a record type of this codec")
-        return self._encoder.encode((name, record))
+        try:
+            return self._encoder.encode((name, record))
+        except (OverflowError, TypeError, ValueError) as error:
+            raise CodecError(f"{name} cannot be encoded: {error}") from error
 
     def decode(self, data: bytes) -> Any:
         """Return the decoded record, or raise ``CodecError``."""
--- a/src/dragonflyrock/entry/announcements.py
+++ b/src/dragonflyrock/entry/announcements.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..addresses import is_address
 from ..codec import CodecError
 from ..control.calls import CALLS, Announcement, GrantSet
 from ..control.pusher import encode_grants
@@ -22,6 +23,9 @@
 MAX_ANNOUNCEMENT_BYTES: Final = 16 * 1024
 ANNOUNCE_TIMEOUT_SECONDS: Final = 1.0
 ANNOUNCE_RETRY_MS: Final = 1000
+# The largest integer of the links and the log.
+MAX_INTEGER: Final = 2**63 - 1
+MAX_COUNT: Final = 2**40
 
 
 class AnnouncementBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -122,8 +126,10 @@
             "slots and connections must be positive, and the name must not contain '@'"
         )
         return Refusal(Reason.BAD_REQUEST, Step.PARSE, name, detail)
-    ip, _, port = fields.address.rpartition(":")
-    if not ip or not port.isdecimal():
+    problem = _find_range_problem(fields)
+    if problem:
+        return Refusal(Reason.BAD_REQUEST, Step.PARSE, name, problem)
+    if not is_address(fields.address):
         return Refusal(Reason.BAD_REQUEST, Step.PARSE, name, "address is not ip:port")
     announcement = Announcement(
         name,
@@ -141,11 +147,26 @@
     )
     try:
         CALLS.encode(announcement)
-    except (CodecError, OverflowError) as error:
+    except CodecError as error:
         return Refusal(Reason.BAD_REQUEST, Step.PARSE, name, str(error))
     return announcement
 
 
+def _find_range_problem(fields: AnnouncementBody) -> str:
+    """Return the first number that is out of its range, or an empty text."""
+    for field, value, maximum in (
+        ("incarnation", fields.incarnation, MAX_INTEGER),
+        ("sequence", fields.sequence, MAX_INTEGER),
+        ("grant_revision", fields.grant_revision, MAX_INTEGER),
+        ("slots", fields.slots, MAX_COUNT),
+        ("connections", fields.connections, MAX_COUNT),
+        ("load", fields.load, MAX_COUNT),
+    ):
+        if not 0 <= value <= maximum:
+            return f"{field}: found {value!r}; allowed: 0 to {maximum}"
+    return ""
+
+
 def _respond_text(
     start_response: StartResponse, status: int, text: str
 ) -> Iterable[bytes]:
--- a/src/dragonflyrock/entry/operators.py
+++ b/src/dragonflyrock/entry/operators.py
@@ -304,7 +304,7 @@
     if not 0 <= contract.retry_percent <= 100:
         found = contract.retry_percent
         return f"contract.retry_percent: found {found!r}; allowed: 0 to 100"
-    if fields.expected_version < 0:
+    if not 0 <= fields.expected_version < 2**63:
         return f"expected_version: found {fields.expected_version}; allowed: 0 or more"
     for token in contract.token_sha256:
         if len(token) != 64 or not set(token) <= set("0123456789abcdef"):
--- a/src/dragonflyrock/observe/stamps.py
+++ b/src/dragonflyrock/observe/stamps.py
@@ -9,11 +9,16 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 __all__ = ["HybridClock", "Stamp"]
 
 
+# A received stamp that is further ahead of the wall time here is not followed.
+MAX_AHEAD_MS: Final = 3_600_000
+MAX_COUNTER: Final = 2**32
+
+
 class Stamp(NamedTuple):
     """Wall time in milliseconds, and a counter that orders stamps of equal time."""
 
@@ -24,6 +29,8 @@
 class HybridClock:
     """A clock whose stamps are later than all its own and all received stamps.
 
+    A stamp that no clock near the right time can have made is ignored.
+
     >>> clock = HybridClock(lambda: 1.0)
     >>> clock.stamp(), clock.stamp()
     (Stamp(wall_ms=1000, counter=0), Stamp(wall_ms=1000, counter=1))
@@ -45,6 +52,9 @@
 
     def update(self, received: Stamp) -> None:
         """Advance the clock past a stamp received from another process."""
+        is_ahead = received.wall_ms > self._wall() * 1000 + MAX_AHEAD_MS
+        if is_ahead or received.counter > MAX_COUNTER:
+            return
         with self._lock:
             self._advance(max(self._last, received))
 
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -66,6 +66,7 @@
         os.set_blocking(self._wake_write, False)
         self._local_messages: deque[ReceivedMessage] = deque()
         self._stopping = False
+        self._failed_kinds: set[str] = set()
         self.member: ControlMember | None = None
         self.agent: EntryAgent | None = None
         self.calls: CallTable | None = None
@@ -165,7 +166,24 @@
             )
             if received is None:
                 return
+            self._deliver(received, now)
+
+    def _deliver(self, received: ReceivedMessage, now: float) -> None:
+        """Pass a message to its role; drop one that it cannot handle.
+
+        An error in a message of the replicated log ends the loop: what it has changed
+        by then might be acknowledged.
+        """
+        try:
             self._handle(received, now)
+        except Exception:
+            if isinstance(received.message, ConsensusMessage):
+                raise
+            self._metrics.dropped_frames.inc()
+            kind = get_outer_name(type(received.message))
+            if kind not in self._failed_kinds:
+                self._failed_kinds.add(kind)
+                _LOGGER.exception("step=receive peer=%s: %s", received.sender, kind)
 
     def _handle(self, received: ReceivedMessage, now: float) -> None:
         """Pass a message to the role that handles it."""
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -80,6 +80,7 @@
         self.receiver.bind(f"tcp://{bind}")
         self._senders: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[str, str] = {}
+        self._unsendable_kinds: set[str] = set()
 
     def _start_authenticator(
         self, keys: CurveKeys | None
@@ -139,11 +140,20 @@
         self._addresses.pop(peer, None)
 
     def send(self, peer: str, message: LinkMessage) -> bool:
-        """Send a message, or return False if the peer is not connected."""
+        """Send a message, or return False if it cannot be sent.
+
+        The peer may not be connected, or the message may have a value that has no
+        encoding. Such a message is dropped, so that it does not end the node.
+        """
         socket = self._senders.get(peer)
         if socket is None:
             return False
-        envelope = Envelope(self.name, self._clock.stamp(), MESSAGES.encode(message))
+        try:
+            body = MESSAGES.encode(message)
+        except CodecError as error:
+            self._report_unsendable(peer, message, error)
+            return False
+        envelope = Envelope(self.name, self._clock.stamp(), body)
         frame = MESSAGES.encode(envelope)
         try:
             socket.send(frame, zmq.NOBLOCK)
@@ -152,6 +162,16 @@
         self._count("sent", message, len(frame))
         return True
 
+    def _report_unsendable(
+        self, peer: str, message: LinkMessage, error: CodecError
+    ) -> None:
+        """Count a message that cannot be encoded, and log the first of its type."""
+        self._metrics.dropped_frames.inc()
+        kind = get_outer_name(type(message))
+        if kind not in self._unsendable_kinds:
+            self._unsendable_kinds.add(kind)
+            _LOGGER.error("step=send peer=%s: dropped: %s", peer, error)
+
     def receive(self) -> ReceivedMessage | None:
         """Return the next message, or None if none is pending."""
         while True:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -16,7 +16,7 @@
 from dragonflyrock.codec import Codec
 from dragonflyrock.observe import Stamp
 from dragonflyrock.settings import SettingsError, load_settings
-from dragonflyrock.transport.messages import MESSAGES, Envelope
+from dragonflyrock.transport.messages import MESSAGES, Envelope, ServerRateDemand
 from dragonflyrock.trial import OPERATOR_TOKEN, SINGLE, Fleet
 
 from .common import find_free_port_block
@@ -226,7 +226,13 @@
     BadCall("platform", make_announcement(color="red"), 400, "color"),
     BadCall("platform", make_announcement(service="nothing"), 404, "allowed: finder"),
     BadCall("platform", make_announcement(address="here"), 400, "ip:port"),
+    BadCall("platform", make_announcement(address="127.0.0.1:99999"), 400, "ip:port"),
     BadCall("platform", make_announcement(incarnation=2**70), 400, ""),
+    BadCall("platform", make_announcement(sequence=2**64 + 4), 400, "sequence"),
+    BadCall("platform", make_announcement(sequence=-1), 400, "sequence"),
+    BadCall("platform", make_announcement(slots=2**62), 400, "slots"),
+    BadCall("platform", make_announcement(load=1e308), 400, "load"),
+    BadCall("platform", make_announcement(grant_revision=2**63), 400, "grant_revision"),
     BadCall(
         "platform",
         make_request_with_body(
@@ -351,6 +357,14 @@
         Envelope("stranger", Stamp(0, 0), Codec([Stamp]).encode(Stamp(1, 2)))
     ),
     MESSAGES.encode(Envelope("x" * 100_000, Stamp(0, 0), b"\xc1")),
+    # A message that the role cannot handle: no limit is divided by such a number.
+    MESSAGES.encode(
+        Envelope(
+            "stranger",
+            Stamp(0, 0),
+            MESSAGES.encode(ServerRateDemand("x@1", float("inf"), 0.0, 1, 1)),
+        )
+    ),
 ]
 
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -4,11 +4,13 @@
 
 from typing import Final
 
+import pytest
 import zmq
 
-from dragonflyrock.observe import HybridClock
+from dragonflyrock.observe import HybridClock, Stamp
 from dragonflyrock.observe.metrics import Metrics
 from dragonflyrock.transport.links import Links
+from dragonflyrock.transport.messages import MESSAGES, Envelope, ServersHeard
 from tests.common import free_port
 
 MAX_RECONNECT_MS: Final = 600
@@ -43,3 +45,32 @@
             assert link.getsockopt(zmq.TCP_KEEPALIVE) == -1
     finally:
         links.close()
+
+
+# Guards against Fault: a message with a number that no link can carry ends the node, as
+# it is sent in a tick.
+def test_a_message_that_cannot_be_encoded_is_dropped() -> None:
+    metrics = Metrics()
+    links = Links("me", f"127.0.0.1:{free_port()}", HybridClock(), metrics, None)
+    try:
+        links.connect("peer", f"127.0.0.1:{free_port()}")
+        for _ in range(3):
+            assert not links.send("peer", ServersHeard((("server", 2**64 + 4),)))
+        assert b"dropped_frames_total 3.0" in metrics.render()
+    finally:
+        links.close()
+
+
+# Guards against one frame with a stamp of the far future, after which no stamp of this
+# node could be encoded, so that it sent nothing any more and ended.
+@pytest.mark.parametrize(
+    "stamp", [Stamp(2**64 - 1, 0), Stamp(0, 2**64 - 1), Stamp(2**62, 2**62)]
+)
+def test_a_stamp_that_no_clock_can_have_made_is_ignored(stamp: Stamp) -> None:
+    clock = HybridClock()
+    before = clock.stamp()
+    clock.update(stamp)
+    after = clock.stamp()
+    assert before < after
+    assert after.wall_ms < before.wall_ms + 10_000
+    MESSAGES.encode(Envelope("me", after, b""))
