Requests: numbers of any length in headers, addresses that cannot exist

Fix: parse_number clamps, whatever the length. A connection that cannot be opened because its address is invalid is a fault before anything was sent. Texts in lines are cut off at 512 characters.

Tests, which failed before: tests/router/test_exchange.py, tests/http/test_client.py, tests/observe/test_lines.py; tests/router/test_headers.py is new with the function.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -455,6 +455,9 @@
             return ExchangeFault(FaultKind.NOT_CONNECTED, "connection timed out")
         except OSError as error:
             return ExchangeFault(FaultKind.NOT_CONNECTED, error.strerror or str(error))
+        except (ValueError, OverflowError) as error:
+            detail = f"invalid address {address!r}: {error}"
+            return ExchangeFault(FaultKind.NOT_CONNECTED, detail)
         return connection
 
     def count_idle(self, address: str) -> int:
--- a/src/dragonflyrock/observe/lines.py
+++ b/src/dragonflyrock/observe/lines.py
@@ -13,6 +13,7 @@
 
 MAX_QUEUED_LINES: Final = 2_000
 MAX_WRITE_BYTES: Final = 64 * 1024
+MAX_TEXT_LENGTH: Final = 512
 
 
 class LineLog:
@@ -41,7 +42,10 @@
             os.set_blocking(file, False)
 
     def add(self, event: str, **fields: object) -> None:
-        """Queue a line for an event; fields with empty strings are left out."""
+        """Queue a line for an event.
+
+        Fields with empty strings are left out, and long texts are cut off.
+        """
         if len(self._lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
@@ -50,7 +54,11 @@
             "host": self._host,
             "event": event,
         }
-        line.update((name, value) for name, value in fields.items() if value != "")
+        line.update(
+            (name, value[:MAX_TEXT_LENGTH] if isinstance(value, str) else value)
+            for name, value in fields.items()
+            if value != ""
+        )
         self._lines.append(msgspec.json.encode(line) + b"\n")
 
     def flush(self) -> None:
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -38,6 +38,7 @@
     make_server_request,
     parse_key,
     parse_load_report,
+    parse_number,
 )
 from .models import (
     CrashReporter,
@@ -106,6 +107,7 @@
 MIN_RETRY_AFTER_SECONDS: Final = 0.05
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
+MAX_DEADLINE_MS: Final = 3_600_000
 # Older rows do not show that there is no route: a newer document may have it.
 MAX_ROWS_AGE_SECONDS: Final = 1.0
 
@@ -318,10 +320,9 @@
 
     async def _wait_for_document(self, request: Request, now: float) -> None:
         """Wait for the first rows after a start, for a share of the time left."""
-        value = find_header(request.headers, self._config.header_names.time_left_ms)
-        seconds_left = (
-            int(value) / 1000 if value is not None and value.isdigit() else 1.0
-        )
+        seconds_left = self._read_seconds_left(request)
+        if seconds_left is None:
+            seconds_left = 1.0
         until = now + seconds_left * DOCUMENT_WAIT_SHARE
         while not self._state.tables.document_version:
             seconds_left = until - self._clock()
@@ -331,6 +332,12 @@
                 self._state.changed, min(seconds_left, OWNER_WAIT_SECONDS)
             )
 
+    def _read_seconds_left(self, request: Request) -> float | None:
+        """Return the time that a caller will wait; None if it does not say."""
+        value = find_header(request.headers, self._config.header_names.time_left_ms)
+        milliseconds = parse_number(value, MAX_DEADLINE_MS)
+        return None if milliseconds is None else milliseconds / 1000
+
     def _answer_unrouted(
         self,
         request_id: bytes,
@@ -379,18 +386,18 @@
     ) -> RequestContext:
         """Create the context of a request, and count it unless it was relayed."""
         names = self._config.header_names
-        value = find_header(request.headers, names.time_left_ms)
+        named_seconds = self._read_seconds_left(request)
         seconds_left = DEFAULT_DEADLINE_SECONDS
-        if value is not None and value.isdigit():
-            seconds_left = int(value) / 1000
+        if named_seconds is not None:
+            seconds_left = named_seconds
         # Callers send the same time left with each first attempt; less means a retry.
         # The difference is the time that has passed since the first attempt.
         deadlines = self._state.longest_deadlines
         longest = max(deadlines.get(route.name, 0.0), seconds_left)
-        if value is not None:
+        if named_seconds is not None:
             deadlines[route.name] = longest
         since_first_attempt = (
-            min(longest - seconds_left, longest) if value is not None else 0.0
+            min(longest - seconds_left, longest) if named_seconds is not None else 0.0
         )
         service = self._splitter.pick(route, self._split_offset)
         self._state.add_service_stat(service, route.target_ms / 1000)
--- a/src/dragonflyrock/router/headers.py
+++ b/src/dragonflyrock/router/headers.py
@@ -18,6 +18,7 @@
     "parse_cold_seconds",
     "parse_key",
     "parse_load_report",
+    "parse_number",
 ]
 
 # Any larger number is outside of the key space.
@@ -26,6 +27,8 @@
 MIN_LOAD_FIGURES: Final = 3
 MAX_LOAD_FIGURES: Final = 4
 MAX_FIGURE_DIGITS: Final = 9
+# A number in a header is clamped from here on, as its digits alone can take long.
+MAX_NUMBER_DIGITS: Final = 18
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b"connection",
@@ -107,6 +110,21 @@
     return ""
 
 
+def parse_number(value: bytes | None, maximum: int) -> int | None:
+    """Return the number in a header, ``maximum`` for a larger one; None without one.
+
+    >>> parse_number(b"800", 1000), parse_number(b"9" * 5000, 1000)
+    (800, 1000)
+    >>> parse_number(b"-1", 1000), parse_number(None, 1000)
+    (None, None)
+    """
+    if value is None or not value.isdigit():
+        return None
+    if len(value.lstrip(b"0")) > MAX_NUMBER_DIGITS:
+        return maximum
+    return min(int(value.lstrip(b"0") or b"0"), maximum)
+
+
 def parse_key(request: Request, names: HeaderNames) -> int | None:
     """Return the hash of a request's key, 0 without one; None for an invalid key."""
     value = find_header(request.headers, names.key)
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -19,7 +19,7 @@
     find_header,
     make_response,
 )
-from .headers import drop_hop_by_hop_headers, make_forwarded_request
+from .headers import drop_hop_by_hop_headers, make_forwarded_request, parse_number
 from .models import RelayNotice, RequestContext, RouterConfig
 from .reach import CONNECT_TIMEOUT_SECONDS
 
@@ -234,8 +234,8 @@
 
 def read_notice(request: Request) -> RelayNotice:
     """Return what the other host says with a relayed request."""
-    value = find_header(request.headers, EARLIER_SENDS) or b""
-    earlier_sends = min(int(value), MAX_EARLIER_SENDS) if value.isdigit() else 0
+    value = find_header(request.headers, EARLIER_SENDS)
+    earlier_sends = parse_number(value, MAX_EARLIER_SENDS) or 0
     return RelayNotice(earlier_sends, read_document_version(request.headers))
 
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -284,3 +284,16 @@
         server.close()
 
     asyncio.run(run())
+
+
+# Guards against an order, or a probe of servers, that never ends as its task failed on
+# an address that cannot be connected to.
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:x", "127.0.0.1:"])
+def test_an_address_that_cannot_be_connected_to_is_a_fault(address: str) -> None:
+    async def run() -> None:
+        fault = await ConnectionPool().connect(address, 1.0)
+        assert isinstance(fault, ExchangeFault)
+        assert fault.kind == FaultKind.NOT_CONNECTED
+        assert await ConnectionPool().probe(address, "/health", 1.0) is None
+
+    asyncio.run(run())
--- a/tests/observe/test_lines.py
+++ b/tests/observe/test_lines.py
@@ -54,3 +54,12 @@
         output += os.read(pipe[0], 1 << 20)
         log.add("more")
     assert b'"count":3' in output
+
+
+# Guards against a queue that holds megabytes, since callers choose texts in its lines.
+def test_long_texts_in_lines_are_cut_off(pipe: tuple[int, int]) -> None:
+    log = LineLog("h", pipe[1], lambda: 1.5)
+    log.add("call-unreadable", path="/" + "x" * 16_000)
+    log.flush()
+    line = json.loads(os.read(pipe[0], 65_536))
+    assert len(line["path"]) == lines.MAX_TEXT_LENGTH
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -18,6 +18,7 @@
 )
 from dragonflyrock.models import QuarantineRow, ServerRow
 from dragonflyrock.router.decision import LEAVING_GRACE_SECONDS, OWNER_WAIT_SECONDS
+from dragonflyrock.router.relay import EARLIER_SENDS
 from dragonflyrock.router.server_stats import estimate_error_rate
 from dragonflyrock.routes import RouteKind
 from tests.common import free_port
@@ -449,3 +450,26 @@
         assert response.status == 200
 
     run_scenario(scenario)
+
+
+# Guards against a 500 for a deadline of thousands of digits, on the port of callers and
+# on that of other hosts, with rows and without.
+@pytest.mark.parametrize("digits", [12, 400, 5000])
+def test_a_deadline_of_any_length_is_taken(digits: int) -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        value = b"9" * digits
+        headers = (
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"id-1"),
+            (b"X-Request-Timeout-Ms", value),
+            (EARLIER_SENDS, value),
+        )
+        request = Request(b"GET", b"/p/x", headers, b"")
+        waiting = asyncio.create_task(harness.router.handle(request))
+        await asyncio.sleep(0)
+        harness.apply_update()
+        assert (await waiting).status == 200
+        assert (await harness.router.handle_relayed(request)).status == 200
+
+    run_scenario(scenario)
--- a/tests/router/test_headers.py
+++ b/tests/router/test_headers.py
@@ -10,6 +10,7 @@
     find_response_error,
     parse_cold_seconds,
     parse_load_report,
+    parse_number,
 )
 from dragonflyrock.router.server_stats import (
     MAX_WORK_PERCENT,
@@ -75,3 +76,27 @@
 ) -> None:
     response = make_response(200, b"", ((b"X-Server-Cold-Ms", value),))
     assert parse_cold_seconds(response, NAMES) == seconds
+
+
+# Guards against an internal error for a number of thousands of digits, which Python
+# refuses to read, or that no float holds.
+@pytest.mark.parametrize(
+    ("value", "number"),
+    [
+        (b"800", 800),
+        (b"1001", 1000),
+        (b"9" * 400, 1000),
+        (b"9" * 5000, 1000),
+        (b"0" * 5000 + b"7", 7),
+        (b"0", 0),
+        (b"", None),
+        (b"-1", None),
+        (b"1.5", None),
+        (b"\xb2", None),
+        (None, None),
+    ],
+)
+def test_a_number_of_any_length_is_read_or_clamped(
+    value: bytes | None, number: int | None
+) -> None:
+    assert parse_number(value, 1000) == number
