Responses in very small parts no longer take the time of other requests

The report of other operators: a faulty backend sends bytes that are no answer, without end. Their bytes were bounded here already (heads, interim responses, framing, bodies); the time they take was not.

Cause: up to 256 KB are received at once, 43,000 parts of a byte, and parsed in one callback of the event loop, at a microsecond a part.

Fix: 16 KB are parsed at a time, and parts beyond 1,000 an exchange (and one for each 256 bytes of body) are charged to one account of the process, 50,000 a second. Past it the connection pauses reading, and others go on. Ordinary responses are never charged: 1 KB chunks of an 8 MB body pass without a pause.

The answers to orders and probes may have 64 KB now, in place of 32 MB each: a control node has 296 MB, and none of these answers needs more.

Line responses-paced, metric dragonflyrock_response_pauses.

--- a/src/dragonflyrock/http/__init__.py
+++ b/src/dragonflyrock/http/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .buffered_bodies import BufferedBodies
-from .client import ConnectionPool, ServerConnection
+from .client import MAX_SMALL_BODY_BYTES, ConnectionPool, ServerConnection
 from .memory import ClientMemory
 from .models import (
     ExchangeFault,
@@ -15,10 +15,12 @@
     find_header,
     make_response,
 )
+from .part_pacer import PartPacer
 from .server import CANCELLED_BY_HOST, HttpServer, StopCounts
 
 __all__ = [
     "CANCELLED_BY_HOST",
+    "MAX_SMALL_BODY_BYTES",
     "BufferedBodies",
     "ClientMemory",
     "ConnectionPool",
@@ -26,6 +28,7 @@
     "FaultKind",
     "Headers",
     "HttpServer",
+    "PartPacer",
     "Request",
     "Response",
     "ServerConnection",
--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -21,8 +21,9 @@
     encode_head,
     find_header,
 )
+from .part_pacer import FREE_PARTS, SMALL_PART_BYTES, PartPacer
 
-__all__ = ["ConnectionPool", "ServerConnection"]
+__all__ = ["MAX_SMALL_BODY_BYTES", "ConnectionPool", "ServerConnection"]
 
 # The idle timeout of a server that does not announce one.
 DEFAULT_IDLE_TIMEOUT_SECONDS: Final = 4.0
@@ -38,12 +39,16 @@
 # A connection is closed once it has failed so many requests, whose ids it remembers.
 MAX_FAILED_IDS: Final = 16
 MAX_BODY_BYTES: Final = 32 * 1024 * 1024
+# The answer to a probe or an order says little.
+MAX_SMALL_BODY_BYTES: Final = 64 * 1024
 # All bodies that are being read; a host has 200 MB of memory or more.
 MAX_BUFFERED_BODY_BYTES: Final = 48 * 1024 * 1024
 # What an exchange may receive besides bodies: heads, interim responses, and the framing
 # of chunks, which is at most so many times the body.
 MAX_HEAD_BYTES: Final = 64 * 1024
 MAX_FRAMING_FACTOR: Final = 8
+# Bytes that are parsed before the time that they took is accounted for.
+PARSED_PART_BYTES: Final = 16 * 1024
 # A larger request is written in parts of this size.
 WRITTEN_PART_BYTES: Final = 64 * 1024
 NO_BYTES: Final = memoryview(b"")
@@ -60,18 +65,25 @@
         address: str,
         loop: asyncio.AbstractEventLoop,
         bodies: BufferedBodies,
+        pacer: PartPacer,
         open_counts: Counter[str],
     ) -> None:
         """Initialize a connection that is not yet established.
 
-        ``bodies`` bounds the bodies of all connections of a pool, and ``open_counts``
-        counts its open connections by address.
+        ``bodies`` bounds the bodies of all connections of a pool and ``pacer`` the time
+        that they take; ``open_counts`` counts its open connections by address.
         """
         self._open_counts = open_counts
         self.address = address
         self._bodies = bodies
-        self._received_bytes = 0
+        self._pacer = pacer
+        self._parsed_bytes = 0
         self._received_body_bytes = 0
+        self._max_body_bytes = MAX_BODY_BYTES
+        self._part_count = 0
+        self._charged_parts = 0
+        self._unparsed = NO_BYTES
+        self._resume_timer: asyncio.TimerHandle | None = None
         self.usable_until = float("inf")
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -120,9 +132,13 @@
         request_id: bytes = b"",
         *,
         needs_id: bool = True,
+        max_body_bytes: int = 0,
     ) -> Response | ExchangeFault:
         """Send a request and return its complete response, or why there is none.
 
+        A response with a body of more than ``max_body_bytes`` is a fault; 0 stands for
+        the largest body that any response may have.
+
         A response is skipped if its header ``id_header``, named in lower case, has
         another value than ``request_id``. One without this header is a fault if there
         was a response on this connection before, as it may be a copy of that one;
@@ -135,7 +151,9 @@
         self._id_header, self._request_id = id_header, request_id
         self._needs_id = needs_id
         self._is_head_request = request.method == b"HEAD"
-        self._received_bytes = self._received_body_bytes = 0
+        self._max_body_bytes = max_body_bytes or MAX_BODY_BYTES
+        self._parsed_bytes = self._received_body_bytes = 0
+        self._part_count = self._charged_parts = 0
         if self._is_closed:
             self._fail(FaultKind.NOT_CONNECTED, "connection was closed while idle")
         else:
@@ -150,6 +168,9 @@
                 # The server would take the next request for the rest of this body.
                 self._may_reuse = False
                 self._unsent = NO_BYTES
+            if self._unparsed:
+                self._may_reuse = False
+            self._stop_reading()
             self._response_future = None
             self._bodies.remove(self)
 
@@ -251,13 +272,62 @@
             self._may_reuse = False
             self.abort()
             return
-        self._received_bytes += len(data)
+        self._unparsed = memoryview(data)
+        self._parse_received()
+
+    def _parse_received(self) -> None:
+        """Parse what was received; read on later if its parts take too much time.
+
+        Once the exchange has its result, the rest is discarded at its end.
+        """
+        future = self._response_future
+        assert future is not None
+        while self._unparsed and not self._is_closed and not future.done():
+            part = self._unparsed[:PARSED_PART_BYTES]
+            self._unparsed = self._unparsed[PARSED_PART_BYTES:]
+            self._parse(part)
+            wait = self._charge_parts()
+            if wait > 0 and not self._is_closed and not future.done():
+                assert self._transport is not None
+                self._transport.pause_reading()
+                self._resume_timer = self._loop.call_later(wait, self._resume_reading)
+                return
+
+    def _charge_parts(self) -> float:
+        """Charge for the parts parsed last; return the time until reading goes on."""
+        free = FREE_PARTS + self._received_body_bytes // SMALL_PART_BYTES
+        count = self._part_count - free - self._charged_parts
+        if count <= 0:
+            return 0.0
+        self._charged_parts += count
+        return self._pacer.charge(count, self._loop.time())
+
+    def _resume_reading(self) -> None:
+        """Go on with a response whose parts took too much time."""
+        self._resume_timer = None
+        self._parse_received()
+        if self._resume_timer is None and not self._is_closed:
+            assert self._transport is not None
+            self._transport.resume_reading()
+
+    def _stop_reading(self) -> None:
+        """Discard what was not parsed, at the end of an exchange."""
+        self._unparsed = NO_BYTES
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
+            self._resume_timer = None
+            self._may_reuse = False
+
+    def _parse(self, data: memoryview) -> None:
+        """Parse a part, and end the exchange if it is no part of a response."""
+        assert self._response_future is not None
+        self._parsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._give_up(str(error))
             return
-        overhead = self._received_bytes - self._received_body_bytes
+        overhead = self._parsed_bytes - self._received_body_bytes
         allowed = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self._received_body_bytes
         if overhead > allowed and not self._response_future.done():
             self._give_up(f"response heads exceed {allowed} bytes")
@@ -281,6 +351,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the exchange in progress with a fault."""
         self._is_closed = True
+        self._stop_reading()
         self._open_counts[self.address] -= 1
         if not self._open_counts[self.address]:
             del self._open_counts[self.address]
@@ -295,6 +366,7 @@
         self._is_closed = True
         # The parser refers to this connection, so both stay in memory for a while.
         self._reset_message()
+        self._stop_reading()
         if self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
@@ -311,6 +383,7 @@
     def on_message_begin(self) -> None:
         """Start reading a response; an unexpected one rules out reuse."""
         self._reset_message()
+        self._part_count += 1
         self._has_begun = True
         if self._response_future is None or self._response_future.done():
             self._may_reuse = False
@@ -321,6 +394,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, without decoding it."""
+        self._part_count += 1
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -337,9 +411,10 @@
         """Add a part of the body and reject a body that is too large."""
         if self._is_closed:
             return
+        self._part_count += 1
         self._received_body_bytes += len(body)
-        if self._received_body_bytes > MAX_BODY_BYTES:
-            self._give_up(f"response body exceeds {MAX_BODY_BYTES} bytes")
+        if self._received_body_bytes > self._max_body_bytes:
+            self._give_up(f"response body exceeds {self._max_body_bytes} bytes")
             return
         self._body.write(body)
         self._bodies.add(self, len(body))
@@ -371,8 +446,16 @@
 class ConnectionPool:
     """Idle connections to servers by address; the last one released is reused first."""
 
-    def __init__(self, bodies: BufferedBodies | None = None) -> None:
-        """Initialize an empty pool; ``bodies`` bounds the responses being read."""
+    def __init__(
+        self,
+        bodies: BufferedBodies | None = None,
+        pacer: PartPacer | None = None,
+    ) -> None:
+        """Initialize an empty pool.
+
+        ``bodies`` bounds the responses being read, and ``pacer`` the time for them.
+        """
+        self.pacer = pacer or PartPacer()
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
         self.bodies = bodies or BufferedBodies(MAX_BUFFERED_BODY_BYTES)
         self._open_counts: Counter[str] = Counter()
@@ -429,7 +512,8 @@
         try:
             async with asyncio.timeout(timeout):
                 answer = await opened.exchange(
-                    Request(b"GET", path.encode(), headers, b"")
+                    Request(b"GET", path.encode(), headers, b""),
+                    max_body_bytes=MAX_SMALL_BODY_BYTES,
                 )
         except TimeoutError:
             return None
@@ -446,7 +530,7 @@
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
-                        address, loop, self.bodies, self._open_counts
+                        address, loop, self.bodies, self.pacer, self._open_counts
                     ),
                     host,
                     int(port),
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -138,6 +138,7 @@
         self._had_lease = False
         self._voters: tuple[str, ...] = ()
         self._load_hub = ""
+        self._reported_pauses = 0
 
     def _make_rate_agent(self) -> ServerRateAgent:
         """Return the agent that divides the limits of servers with other hosts."""
@@ -389,8 +390,18 @@
             self._router.relayer.close_expired(now)
             self._update_server_notices(now)
             self._guard.report(self._loop.lines, self._loop.metrics)
+            self._report_response_pauses()
             self._loop.metrics.revision.set(self.state.tables.revision)
 
+    def _report_response_pauses(self) -> None:
+        """Log that servers send responses in very small parts, at most once a second."""
+        pauses = self._connections.pacer.pause_count - self._reported_pauses
+        if not pauses:
+            return
+        self._reported_pauses += pauses
+        self._loop.metrics.response_pauses.labels().inc(pauses)
+        self._loop.lines.add("responses-paced", pauses=pauses)
+
 
 def _make_budget_policy(settings: NodeSettings) -> BudgetPolicy:
     """Return the policy of the retry budget."""
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -166,6 +166,12 @@
             "reason",
             is_counter=True,
         )
+        self.response_pauses = Family(
+            Value,
+            "dragonflyrock_response_pauses",
+            "Pauses in reading responses that servers send in very small parts",
+            is_counter=True,
+        )
         self._servers_cold = Family(
             Value,
             "dragonflyrock_servers_cold",
@@ -310,6 +316,7 @@
             self._servers_limited,
             self._client_bytes,
             self.clients_refused,
+            self.response_pauses,
             self._servers_cold,
             self.zone_evacuated,
             self.limited_sends,
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -17,6 +17,7 @@
     ReleaseOrder,
 )
 from ..http import (
+    MAX_SMALL_BODY_BYTES,
     ConnectionPool,
     ExchangeFault,
     FaultKind,
@@ -66,7 +67,11 @@
                     )
                 request = _make_request(order, request_id)
                 result = await connection.exchange(
-                    request, REQUEST_ID, request_id, needs_id=False
+                    request,
+                    REQUEST_ID,
+                    request_id,
+                    needs_id=False,
+                    max_body_bytes=MAX_SMALL_BODY_BYTES,
                 )
         except TimeoutError:
             outcome = OrderOutcome.UNKNOWN if connection else OrderOutcome.NOT_SENT
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -167,7 +167,12 @@
             connections, self.reach, crash_reporter, lines, clock, self._release
         )
         self.relayer = Relayer(
-            config, lambda: state.tables.hosts, clock, random, connections.bodies
+            config,
+            lambda: state.tables.hosts,
+            clock,
+            random,
+            connections.bodies,
+            connections.pacer,
         )
         self._relayed_count = 0
 
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -13,6 +13,7 @@
     ExchangeFault,
     FaultKind,
     Headers,
+    PartPacer,
     Request,
     Response,
     ServerConnection,
@@ -76,16 +77,17 @@
         clock: Callable[[], float],
         random: Random,
         bodies: BufferedBodies | None = None,
+        pacer: PartPacer | None = None,
     ) -> None:
         """Relay to the hosts of ``list_hosts``, at ``config.relay_port`` of each.
 
-        ``bodies`` bounds the responses being read.
+        ``bodies`` bounds the responses being read, and ``pacer`` the time for them.
         """
         self._config = config
         self._list_hosts = list_hosts
         self._clock = clock
         self._random = random
-        self._connections = ConnectionPool(bodies)
+        self._connections = ConnectionPool(bodies, pacer)
         self._in_flight: dict[str, int] = {}
         self._unfit_until: dict[str, float] = {}
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -31,6 +31,7 @@
         request_id: bytes,
         *,
         needs_id: bool,
+        max_body_bytes: int,
     ) -> Response:
         """Wait for ever."""
         await asyncio.Event().wait()
