--- a/src/dragonflyrock/entry/forward.py
+++ b/src/dragonflyrock/entry/forward.py
@@ -11,14 +11,16 @@
 from dataclasses import dataclass
 from functools import partial
 from http.client import HTTPException
+from io import BytesIO
 from typing import Final, NamedTuple
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util.connection import is_connection_dropped
 
 from ..errors import Outcome, Reason, Refusal, Step
+from ..http import BufferedBodies, PartPacer
+from ..http.part_pacer import FREE_PARTS, SMALL_PART_BYTES
 from ..models import ServerRow
 from .gate import InFlightRequest
 from .server_connection import ServerConnection
@@ -46,6 +48,9 @@
 MAX_IDLE_CONNECTIONS_PER_SERVER: Final = 32
 CANCEL_TIMEOUT_SECONDS: Final = 0.5
 REFUSED_RETRY_MS: Final = 200
+MAX_ALL_ANSWER_BYTES: Final = 256 * 1024 * 1024
+# A part takes several times as long here as in the asynchronous client.
+PART_COST: Final = 10
 
 
 class ServerRequest(NamedTuple):
@@ -73,6 +78,29 @@
     detail: str
 
 
+class _Reading:
+    """A response that is being read; ``given_up`` is why it is not read on."""
+
+    def __init__(self, in_flight: InFlightRequest) -> None:
+        """Start to read the response to a request."""
+        self.given_up = ""
+        self.body = BytesIO()
+        self.charged_parts = 0
+        self._in_flight = in_flight
+
+    def give_up_body(self, detail: str) -> None:
+        """End the exchange, whose thread may be waiting for more of the body."""
+        self.given_up = detail
+        if self._in_flight.close is not None:
+            self._in_flight.close()
+
+
+class _CancelConnection(ServerConnection):
+    """A connection for a call whose answer is not waited for longer."""
+
+    answer_timeout = CANCEL_TIMEOUT_SECONDS
+
+
 def _ignore_response(
     server: ServerRow, response: ServerResponse, sent_at: float
 ) -> None:
@@ -99,10 +127,12 @@
             [ServerRow, ServerResponse, float], None
         ] = _ignore_response,
         recheck: Callable[[InFlightRequest], Refusal | None] = _accept_dispatch,
+        max_all_answer_bytes: int = MAX_ALL_ANSWER_BYTES,
     ) -> None:
         """Start without connections.
 
-        Responses with a body of more than ``max_answer_bytes`` are refused.
+        Responses with a body of more than ``max_answer_bytes`` are refused, and the
+        largest one if all that are being read exceed ``max_all_answer_bytes``.
         ``on_response`` receives the server, each complete response, and the time before
         which its request was not sent. ``recheck`` returns why a request must not be
         sent any more once its connection is open.
@@ -115,6 +145,9 @@
             list
         )
         self._lock = threading.Lock()
+        self._bodies = BufferedBodies(max_all_answer_bytes)
+        self._pacer = PartPacer()
+        self._bodies_lock = threading.Lock()
 
     def forward(
         self, in_flight: InFlightRequest, request: ServerRequest
@@ -181,7 +214,7 @@
 
     def _send_request(
         self,
-        connection: HTTPConnection,
+        connection: ServerConnection,
         in_flight: InFlightRequest,
         request: ServerRequest,
     ) -> None:
@@ -219,20 +252,56 @@
             raise _BadAnswerError(
                 "the response has neither Content-Length nor chunked encoding"
             )
-        chunks: list[bytes] = []
-        size = 0
-        for chunk in response.stream(READ_CHUNK_BYTES, decode_content=False):
-            size += len(chunk)
+        reading = _Reading(in_flight)
+        try:
+            self._read_body(connection, response, in_flight, reading)
+        except (OSError, HTTPError, HTTPException) as error:
+            if reading.given_up:
+                raise _BadAnswerError(reading.given_up) from error
+            raise
+        finally:
+            with self._bodies_lock:
+                self._bodies.remove(reading)
+        headers = _remove_hop_by_hop(response.headers.items())
+        return ServerResponse(response.status, headers, reading.body.getvalue())
+
+    def _read_body(
+        self,
+        connection: ServerConnection,
+        response: BaseHTTPResponse,
+        in_flight: InFlightRequest,
+        reading: _Reading,
+    ) -> None:
+        """Read the body of a response within its bounds."""
+        # The parts of a few bytes that a server may send are not kept one by one.
+        parts = response.stream(READ_CHUNK_BYTES, decode_content=False)
+        for count, part in enumerate(parts, 1):
+            size = reading.body.tell() + len(part)
             if size > self._max_answer_bytes:
                 raise _BadAnswerError(
                     f"the response body exceeds {self._max_answer_bytes} bytes"
                 )
-            chunks.append(chunk)
+            reading.body.write(part)
+            with self._bodies_lock:
+                self._bodies.add(reading, len(part))
+            if reading.given_up:
+                raise _BadAnswerError(reading.given_up)
             seconds_left = in_flight.deadline - self._clock()
+            self._pace(reading, count, seconds_left)
             if connection.sock is not None:
                 connection.sock.settimeout(max(seconds_left, 0.001))
-        headers = _remove_hop_by_hop(response.headers.items())
-        return ServerResponse(response.status, headers, b"".join(chunks))
+
+    def _pace(self, reading: _Reading, count: int, seconds_left: float) -> None:
+        """Pause a response that comes in very small parts, so that others go on."""
+        free = FREE_PARTS + reading.body.tell() // SMALL_PART_BYTES
+        charged = count - free - reading.charged_parts
+        if charged <= 0:
+            return
+        reading.charged_parts += charged
+        with self._bodies_lock:
+            wait = self._pacer.charge(charged * PART_COST, time.monotonic())
+        if wait > 0:
+            time.sleep(min(wait, max(seconds_left, 0.0)))
 
     def _convert_error(self, in_flight: InFlightRequest, error: Exception) -> Refusal:
         """Return the refusal for a failed exchange; the request may have run."""
@@ -247,7 +316,7 @@
     def cancel(self, in_flight: InFlightRequest, request_id: str) -> None:
         """Ask a server to cancel a request; failures are ignored."""
         host, _, port = in_flight.server.address.rpartition(":")
-        connection = HTTPConnection(host, int(port), timeout=CANCEL_TIMEOUT_SECONDS)
+        connection = _CancelConnection(host, int(port), timeout=CANCEL_TIMEOUT_SECONDS)
         try:
             connection.request("POST", f"/cancel/{request_id}")
             connection.getresponse()
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -394,7 +394,7 @@
             self._loop.metrics.revision.set(self.state.tables.revision)
 
     def _report_response_pauses(self) -> None:
-        """Log that servers send responses in very small parts, at most once a second."""
+        """Log that servers send responses in very small parts."""
         pauses = self._connections.pacer.pause_count - self._reported_pauses
         if not pauses:
             return
