--- a/soak/servers.py
+++ b/soak/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import Any, Final
 
 from dragonflyrock.http import (
@@ -33,12 +34,16 @@
 
 
 class StandIn:
-    """A server over its instances; each instance has its own name."""
+    """A server over its lives; each has its own name in the history.
+
+    Some servers start again under the id that they had, others with a new one.
+    """
 
     def __init__(self, context: RunContext, number: int) -> None:
         """Prepare a server; its number determines its address and service."""
         self.label = f"server-{number}"
-        self.name = ""
+        self.name = self.id = ""
+        self._keeps_id = number % 2 == 0
         self.is_slow = False
         self.addresses = context.layout.get_server_addresses(number)
         self._is_sharded = number <= const.SHARDED_SERVER_COUNT
@@ -58,6 +63,8 @@
         """Start a new instance without grants."""
         self._instance_count += 1
         self.name = f"{self.label}.{self._instance_count}"
+        self.id = self.label if self._keeps_id else self.name
+        self._born = int(time.time() * 1000)
         self._grants: list[Grant] = []
         self._held = HeldKeys()
         self._heartbeat_address = ""
@@ -80,7 +87,7 @@
         await asyncio.sleep(HEARTBEAT_LAG_SECONDS)
         self._state = "draining"
         await asyncio.sleep(const.DRAIN_SECONDS + LEAVE_DELAY_SECONDS)
-        await self._call("deregister", b"{}")
+        await self._call("deregister", b'{"born": %d}' % self._born)
         while self._running:
             await asyncio.sleep(RELEASE_POLL_SECONDS)
         await self.crash()
@@ -102,7 +109,13 @@
             state, address = self._state, self.addresses[0]
             rows, sent_at = self._make_rows(), self._history.now()
             heartbeat = wire.encode_heartbeat(
-                self._service, address, self._zone, state, sequence, rows
+                self._service,
+                address,
+                self._zone,
+                state,
+                sequence,
+                rows,
+                self._born,
             )
             node, response = await self._call("heartbeat", heartbeat)
             if response is not None:
@@ -141,7 +154,7 @@
 
         Return None as the answer if none accepted the call.
         """
-        path = wire.make_announcement_path(self.name, call)
+        path = wire.make_announcement_path(self.id, call)
         for node in self._list_targets():
             response = await wire.call(node.address, "POST", path, body)
             if response is not None and 200 <= response.status < 300:
@@ -152,10 +165,10 @@
         """Answer a control call or a request; cancelled if the client disconnects."""
         expected = find_header(request.headers, wire.HEADER_NAMES.expected_server)
         if request.target == wire.HEALTH_PATH:
-            identity = ((wire.HEADER_NAMES.server_name, self.name.encode()),)
+            identity = ((wire.HEADER_NAMES.server_name, self.id.encode()),)
             return make_response(200 if self._state == "ready" else 503, b"", identity)
-        if expected not in (None, self.name.encode()):
-            return wire.make_refusal(request, 421, self.name)
+        if expected not in (None, self.id.encode()):
+            return wire.make_refusal(request, 421, self.id)
         if request.target == wire.names.GRANT_PATH:
             return self._apply_grant(request)
         if request.target == wire.names.RELEASE_PATH:
@@ -177,7 +190,7 @@
         """Turn a request away, and ask for a pause of the time that is left."""
         seconds = self.paused_until - self._history.now()
         self._history.add(Told(_read_request_id(request), self.name, "pause", seconds))
-        response = wire.make_refusal(request, 503, self.name)
+        response = wire.make_refusal(request, 503, self.id)
         pause = (wire.RETRY_AFTER, b"%.3f" % seconds)
         return response._replace(headers=(*response.headers, pause))
 
@@ -186,7 +199,7 @@
         low, high, fence, hold_seconds = wire.read_grant(request.body)
         for received in self._received_grants:
             if received.low <= high and low <= received.high and received.fence > fence:
-                return wire.make_refusal(request, 409, self.name)
+                return wire.make_refusal(request, 409, self.id)
         grant = Grant(
             low, high, fence, self._history.now() + hold_seconds * LEASE_CLOCK_FACTOR
         )
@@ -221,7 +234,7 @@
             return self._ask_for_pause(request)
         until = arrived + float(time_left_ms) / 1000
         if self._queued_count >= const.MAX_QUEUED_COUNT:
-            return wire.make_refusal(request, 503, self.name)
+            return wire.make_refusal(request, 503, self.id)
         self._queued_count += 1
         try:
             await self._slots.acquire()
@@ -229,7 +242,7 @@
             self._queued_count -= 1
         try:
             if self._history.now() > until:
-                return wire.make_refusal(request, 503, self.name)
+                return wire.make_refusal(request, 503, self.id)
             return await self._run(request, arrived, until)
         finally:
             self._slots.release()
@@ -241,7 +254,7 @@
             key = int(find_header(request.headers, names.key) or b"-1")
             grant = self._find_grant(key)
             if grant is None:
-                return wire.make_refusal(request, 421, self.name)
+                return wire.make_refusal(request, 421, self.id)
             fence, lease = grant.fence, grant.until
         request_id = _read_request_id(request)
         work_seconds = float(find_header(request.headers, wire.WORK_MS) or b"20") / 1000
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -137,8 +137,13 @@
     state: str,
     sequence: int,
     rows: dict[str, Any],
+    born: int = 0,
 ) -> bytes:
-    """Return the body of a heartbeat; ``rows`` are the lists of keys, if any."""
+    """Return the body of a heartbeat.
+
+    ``rows`` are the lists of keys, if any; ``born`` is the start of the server in
+    milliseconds, 0 if it does not say it.
+    """
     heartbeat = {"service": service, "address": address, "zone": zone, "state": state}
     constant_fields = {
         "version": "v1",
@@ -146,6 +151,8 @@
         "warmupRemainingMs": 0,
     }
     fields = heartbeat | constant_fields | {"sequence": sequence} | rows
+    if born:
+        fields["born"] = born
     return json.dumps(fields).encode()
 
 
--- a/src/dragonflyrock/control/by_heartbeat.py
+++ b/src/dragonflyrock/control/by_heartbeat.py
@@ -238,7 +238,12 @@
                 server=heartbeat.name,
                 detail=f"epoch {hold.epoch}; a newer one is committed",
             )
-            part = c.RangePart(hold.low, hold.high, hold.epoch, f"{heartbeat.name}@0")
+            part = c.RangePart(
+                hold.low,
+                hold.high,
+                hold.epoch,
+                self._tables.find_holder(heartbeat.name),
+            )
             commands.append(c.AssignRanges(hold.service, (part,)))
         return commands
 
@@ -272,6 +277,8 @@
 
     def _list_told_parts(self, hold: HeldRange) -> list[tuple[int, int]]:
         """Return the parts of a hold that are not left out."""
+        if hold.needs_epoch:
+            return []
         moves = self._tables.find_moves(hold)
         return exclude_moves(hold, (move for move in moves if move.stage in _LEFT_OUT))
 
--- a/src/dragonflyrock/control/by_order.py
+++ b/src/dragonflyrock/control/by_order.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from ..models import ServerRow
 from ..tables import SpanIndex
 from . import commands as c
 from .directed_models import (
@@ -139,7 +140,7 @@
         for hold in due:
             if len(self._tables.orders) >= MAX_QUEUED_RENEWALS:
                 break
-            if self.is_pending(hold):
+            if hold.needs_epoch or self.is_pending(hold):
                 continue
             row = self._tables.state.servers.get(hold.owner.name)
             address = row.address if row is not None else hold.owner.address
@@ -152,6 +153,9 @@
                 # delays a new owner of the range by another hold.
                 failing.add(hold.owner.name)
                 continue
+            if row is not None and self._lacks_connection(hold, row):
+                hold.needs_epoch = True
+                continue
             if self._tables.is_part_moving(hold):
                 self._renew_unmoved_parts(hold, now)
                 continue
@@ -161,6 +165,19 @@
         for name in failing:
             self._probe(name, now)
 
+    @staticmethod
+    def _lacks_connection(hold: HeldRange, row: ServerRow) -> bool:
+        """Return whether an epoch may be another life's, as its connection is gone.
+
+        A server may start again between two heartbeats. Only a connection that has
+        carried the epoch leads to the life that has it.
+        """
+        return (
+            bool(row.incarnation)
+            and hold.granted_epoch >= hold.epoch > 0
+            and (not hold.granted_on)
+        )
+
     def _probe(self, name: str, now: float) -> None:
         """Probe a server whose orders fail, to find out if it can be reached again."""
         row = self._tables.state.servers.get(name)
@@ -182,8 +199,16 @@
         """Return the order that grants a part of a hold, and record it as pending."""
         owner = self._tables.state.servers.get(hold.owner.name, hold.owner)
         hold_ms = int(self._tables.timing.hold * 1000)
+        is_granted = bool(owner.incarnation) and hold.granted_epoch >= hold.epoch
         order = GrantOrder(
-            owner, hold.service, low, high, hold.epoch, hold_ms, hold.handover
+            owner,
+            hold.service,
+            low,
+            high,
+            hold.epoch,
+            hold_ms,
+            hold.handover,
+            hold.granted_on if is_granted else 0,
         )
         self._pending_grants.add(order.service, order.low, order.high, order)
         return order
@@ -208,16 +233,20 @@
             match result.outcome:
                 case OrderOutcome.DONE:
                     hold.confirmed_until = max(hold.confirmed_until, until)
+                    self._record_granted(hold, order, result.connection)
                     if is_current:
                         hold.handover = ""
                         self._end_earlier_epochs(hold, order)
                 case OrderOutcome.NEWER_EPOCH if is_current:
                     part = c.RangePart(
-                        hold.low, hold.high, hold.epoch, f"{hold.owner.name}@0"
+                        hold.low, hold.high, hold.epoch, hold.owner.holder
                     )
                     hold.renew_at = now + self._tables.timing.renew_interval
                     command = c.AssignRanges(hold.service, (part,))
+                case OrderOutcome.NO_CONNECTION if is_current:
+                    hold.needs_epoch = True
                 case OrderOutcome.UNKNOWN:
+                    self._record_granted(hold, order, 0)
                     hold.possible_until = max(hold.possible_until, until)
                     hold.possible_epoch = max(hold.possible_epoch, order.epoch)
                     hold.renew_at = now + self._tables.timing.retry_interval
@@ -225,6 +254,18 @@
                     hold.renew_at = now + self._tables.timing.retry_interval
         return command
 
+    @staticmethod
+    def _record_granted(hold: HeldRange, order: GrantOrder, connection: int) -> None:
+        """Record that the owner may have an epoch, and by which connection.
+
+        Parts of one hold that were granted on two connections may be two lives'.
+        """
+        if order.epoch < hold.granted_epoch:
+            return
+        is_other = hold.granted_epoch == order.epoch and hold.granted_on != connection
+        hold.granted_on = 0 if is_other else connection
+        hold.granted_epoch = order.epoch
+
     def _find_holds(self, order: GrantOrder) -> list[HeldRange]:
         """Return the holds that a grant covers in part or whole."""
         spans = self._tables.held_spans
--- a/src/dragonflyrock/control/directed.py
+++ b/src/dragonflyrock/control/directed.py
@@ -2,7 +2,8 @@
 
 A server that is granted its ranges by orders is called directed. It announces
 itself with a ``ServerHeartbeat`` and holds each range for a limited time, which the
-leader renews. A restarted server is a new instance with a new name.
+leader renews. A restarted server is a new instance with a new name, or a new life of
+the same one; see ``docs/design/lives.md``.
 """
 
 from __future__ import annotations
@@ -129,11 +130,16 @@
         """Handle an announcement of a server.
 
         Return a command that must be committed before it is acknowledged, a
-        refusal, or None when there is nothing to commit.
+        refusal if it is not taken, or None when there is nothing to commit.
         """
         row = self._state.servers.get(heartbeat.name)
         if row is None:
             return self._instances.register(heartbeat, now)
+        if heartbeat.born and row.incarnation and heartbeat.born != row.incarnation:
+            if heartbeat.born > row.incarnation:
+                self._granting.forget(heartbeat.name)
+                return self._instances.register_next(heartbeat, row, now)
+            return _refuse_late(heartbeat, "a later life of the server is registered")
         if not heartbeat.ended and (row.service, row.address) != (
             heartbeat.service,
             heartbeat.address,
@@ -143,12 +149,15 @@
         liveness = self._tables.get_liveness(heartbeat.name, now)
         liveness.announced_at = now
         if not heartbeat.ended and not self._is_latest(heartbeat, liveness, now):
-            return None
+            return _refuse_late(heartbeat, "a later heartbeat has been received")
         if not heartbeat.ended:
             liveness.sequence = heartbeat.sequence
             liveness.sequence_at = now
         if (heartbeat.leaving or heartbeat.ended) and not row.stopping:
             return c.StopServer(heartbeat.name)
+        if heartbeat.born and not row.incarnation and not row.stopping:
+            # The row was registered by a former build.
+            return c.RegisterServer(row._replace(incarnation=heartbeat.born))
         return None
 
     def _is_latest(
@@ -222,7 +231,7 @@
                 detail=f"to {move.high}, from {move.source}, free for"
                 f" {now - move.free_at:.2f} s",
             )
-        return _make_assignments([(move, move.target) for move in ready])
+        return self._make_assignments([(move, move.target) for move in ready])
 
     def _is_idle(self, row: ServerRow, owners: list[Owner]) -> bool:
         """Return whether a server may own a free part although it was not chosen."""
@@ -259,22 +268,40 @@
         return HeartbeatAccepted(rows, int(self._timing.hold * 1000))
 
     def receive_heard_servers(
-        self, sequences: tuple[tuple[str, int], ...], now: float
+        self,
+        sequences: tuple[tuple[str, int], ...],
+        now: float,
+        lives: tuple[int, ...] = (),
     ) -> None:
-        """Record servers that announced themselves to a follower, with sequences."""
-        for name, sequence in sequences:
+        """Record servers that announced themselves to a follower, with sequences.
+
+        A follower of a former build does not say which life it has heard.
+        """
+        known_lives = (*lives, *([0] * (len(sequences) - len(lives))))
+        for (name, sequence), born in zip(sequences, known_lives, strict=False):
             liveness = self._tables.liveness.get(name)
-            if liveness is not None and name in self._state.servers:
-                liveness.announced_at = now
+            row = self._state.servers.get(name)
+            if liveness is None or row is None:
+                continue
+            if row.incarnation and born not in (0, row.incarnation):
+                continue
+            liveness.announced_at = now
+            if born or not row.incarnation:
                 liveness.sequence = max(liveness.sequence, sequence)
 
     def drop_ended_servers(self, names: tuple[str, ...]) -> list[c.Command]:
-        """Drop servers at whose addresses entry hosts found another instance."""
-        return [
-            self._drop_ended_server(name)
-            for name in names
-            if name in self._state.servers
-        ]
+        """Drop servers at whose addresses entry hosts found another instance.
+
+        ``names`` has the holders of servers whose lives are known, else the names.
+        """
+        commands: list[c.Command] = []
+        for name in names:
+            row = self._state.servers.get(name)
+            if row is None:
+                row = self._state.find_holder(name)
+            if row is not None:
+                commands.append(self._drop_ended_server(row.name))
+        return commands
 
     def add_loads(self, loads: tuple[RangeLoad, ...]) -> None:
         """Add an entry host's counts of requests by key."""
@@ -310,6 +337,7 @@
         self._balance(now)
         commands += self._advance_moves(now)
         commands += self._join_ranges(now)
+        commands += self._assign_newer_epochs()
         self._granting.renew(now)
         return commands, self._dequeue_orders(now)
 
@@ -624,8 +652,8 @@
                     move.stage = MoveStage.COMMITTING
                     ready.append(move)
         return [
-            *_make_assignments([(move, move.source) for move in fences]),
-            *_make_assignments([(move, move.target) for move in ready]),
+            *self._make_assignments([(move, move.source) for move in fences]),
+            *self._make_assignments([(move, move.target) for move in ready]),
         ]
 
     def _retarget(self, move: RangeMove, targets: _Targets) -> None:
@@ -648,6 +676,23 @@
             move.low, move.high, targets.utilization, others, loads
         )
 
+    def _assign_newer_epochs(self) -> list[c.Command]:
+        """Assign ranges to their servers under newer epochs, where these are needed.
+
+        Another life of the server may have the epoch that they have now.
+        """
+        parts: dict[str, list[c.RangePart]] = {}
+        for hold in self._tables.holds.values():
+            if not hold.needs_epoch:
+                continue
+            row = self._state.servers.get(hold.owner.name)
+            if row is None or row.stopping or self._tables.is_part_moving(hold):
+                continue
+            parts.setdefault(hold.service, []).append(
+                c.RangePart(hold.low, hold.high, hold.epoch, row.holder)
+            )
+        return [c.AssignRanges(service, tuple(p)) for service, p in parts.items()]
+
     def _join_ranges(self, now: float) -> list[c.Command]:
         """Join adjacent ranges of one owner, so that fewer need renewal."""
         if now < self._next_join_at:
@@ -671,20 +716,51 @@
 
     def complete_order(self, result: OrderResult, now: float) -> c.Command | None:
         """Handle the result of an order; return a command to commit, if any."""
-        liveness = self._tables.get_liveness(result.order.server.name, NEVER)
-        if result.outcome in (OrderOutcome.DONE, OrderOutcome.NEWER_EPOCH):
-            liveness.failures = 0
-        elif result.outcome != OrderOutcome.OTHER_INSTANCE:
-            liveness.failures += 1
-            liveness.failed_at = now
+        server = result.order.server
+        row = self._state.servers.get(server.name)
+        is_present_life = row is None or row.incarnation == server.incarnation
+        if is_present_life:
+            self._record_order(result, now)
         is_found = result.outcome == OrderOutcome.DONE
         if is_found and isinstance(result.order, ProbeOrder):
             self._instances.confirm(result.order.server.name)
         command = self._granting.complete(result, now)
-        if result.outcome == OrderOutcome.OTHER_INSTANCE:
-            return self._drop_ended_server(result.order.server.name)
+        if result.outcome == OrderOutcome.OTHER_INSTANCE and is_present_life:
+            return self._drop_ended_server(server.name)
         return command
 
+    def _record_order(self, result: OrderResult, now: float) -> None:
+        """Record whether a server could be reached by an order."""
+        liveness = self._tables.get_liveness(result.order.server.name, NEVER)
+        match result.outcome:
+            case OrderOutcome.DONE | OrderOutcome.NEWER_EPOCH:
+                liveness.failures = 0
+            case OrderOutcome.UNKNOWN | OrderOutcome.NOT_SENT:
+                liveness.failures += 1
+                liveness.failed_at = now
+
+    def _make_assignments(self, owners: list[tuple[RangeMove, str]]) -> list[c.Command]:
+        """Return commands, one a service, that assign the parts of moves to owners.
+
+        Each move records its command.
+        """
+        commands: list[c.Command] = []
+        for service in dict.fromkeys(move.service for move, _ in owners):
+            chosen = [item for item in owners if item[0].service == service]
+            command = c.AssignRanges(
+                service,
+                tuple(
+                    c.RangePart(
+                        move.low, move.high, move.epoch, self._tables.find_holder(owner)
+                    )
+                    for move, owner in chosen
+                ),
+            )
+            for move, _ in chosen:
+                move.command = command
+            commands.append(command)
+        return commands
+
     def _drop_ended_server(self, name: str) -> c.Command:
         """End the holds of a server instance that has ended, and drop it."""
         self._granting.forget(name)
@@ -699,22 +775,6 @@
         return c.DropServer(name)
 
 
-def _make_assignments(owners: list[tuple[RangeMove, str]]) -> list[c.Command]:
-    """Return commands, one a service, that assign the parts of moves to owners.
-
-    Each move records its command.
-    """
-    commands: list[c.Command] = []
-    for service in dict.fromkeys(move.service for move, _ in owners):
-        chosen = [item for item in owners if item[0].service == service]
-        command = c.AssignRanges(
-            service,
-            tuple(
-                c.RangePart(move.low, move.high, move.epoch, f"{owner}@0")
-                for move, owner in chosen
-            ),
-        )
-        for move, _ in chosen:
-            move.command = command
-        commands.append(command)
-    return commands
+def _refuse_late(heartbeat: ServerHeartbeat, detail: str) -> Refusal:
+    """Return the refusal of an announcement that comes too late to be taken."""
+    return Refusal(Reason.OLD_INCARNATION, Step.ANNOUNCE, heartbeat.name, detail)
--- a/src/dragonflyrock/control/directed_models.py
+++ b/src/dragonflyrock/control/directed_models.py
@@ -93,7 +93,9 @@
     ``sequence`` grows while one instance of the server runs. ``leaving`` means that
     the server accepts no new work, ``ended`` that it announces its end. Servers that
     are granted their ranges by heartbeat say what they hold and have freed. ``cold_ms``
-    is how long the server stays cold.
+    is how long the server stays cold. ``born`` is the Unix time in milliseconds at
+    which the server started; it tells this life from others under its name, and is 0
+    if the server does not say it.
     """
 
     name: str
@@ -107,10 +109,15 @@
     held: tuple[HeldPart, ...] = ()
     freed: tuple[FreedPart, ...] = ()
     cold_ms: float = 0.0
+    born: int = 0
 
 
 class GrantOrder(NamedTuple):
-    """Grant a server a range for ``hold_ms`` from the arrival of the order."""
+    """Grant a server a range for ``hold_ms`` from the arrival of the order.
+
+    If ``connection`` is set, the order is sent on that connection only: another life of
+    the server must not get an epoch that this one may have.
+    """
 
     server: ServerRow
     service: str
@@ -119,6 +126,7 @@
     epoch: int
     hold_ms: int
     handover: str
+    connection: int = 0
 
 
 class ReleaseOrder(NamedTuple):
@@ -142,22 +150,30 @@
 
 
 class OrderOutcome(StrEnum):
-    """How an order ended; ``UNKNOWN`` may still be carried out."""
+    """How an order ended; ``UNKNOWN`` may still be carried out.
+
+    ``NO_CONNECTION`` means that the connection that an order needs is closed.
+    """
 
     DONE = "done"
     NEWER_EPOCH = "newer-epoch"
     OTHER_INSTANCE = "other-life"
     NOT_SENT = "not-sent"
+    NO_CONNECTION = "no-connection"
     UNKNOWN = "unknown"
 
 
 class OrderResult(NamedTuple):
-    """The result of an order; ``handover`` is the token of a completed release."""
+    """The result of an order; ``handover`` is the token of a completed release.
+
+    ``connection`` is the number of the connection that carried a grant.
+    """
 
     order: Order
     outcome: OrderOutcome
     handover: str = ""
     detail: str = ""
+    connection: int = 0
 
 
 @dataclass(slots=True)
@@ -180,7 +196,10 @@
     from a grant without an answer, of ``possible_epoch`` at most. Such a grant may
     still be carried out later, so neither a release nor an answer to a grant of the
     same epoch shortens ``possible_until``. ``told_epoch`` is the one in
-    the latest answer to a heartbeat of the owner.
+    the latest answer to a heartbeat of the owner. ``granted_epoch`` is the highest one
+    that the owner may have by an order, and ``granted_on`` the connection of that
+    order; 0 if it is not known. With ``needs_epoch`` the owner is granted the range
+    again only under a newer epoch.
     """
 
     service: str
@@ -194,6 +213,9 @@
     renew_at: float = NEVER
     handover: str = ""
     told_epoch: int = 0
+    granted_epoch: int = 0
+    granted_on: int = 0
+    needs_epoch: bool = False
 
     @property
     def held_until(self) -> float:
--- a/src/dragonflyrock/control/directed_tables.py
+++ b/src/dragonflyrock/control/directed_tables.py
@@ -47,6 +47,11 @@
     orders: list[Order] = field(default_factory=list)
     handover_tokens: dict[tuple[str, int], str] = field(default_factory=dict)
 
+    def find_holder(self, name: str) -> str:
+        """Return the holder to which ranges of a server are assigned now."""
+        row = self.state.servers.get(name)
+        return row.holder if row is not None else f"{name}@0"
+
     def sync_holds(self, now: float, inherited: float) -> None:
         """Rebuild the holds from the committed rows.
 
@@ -70,24 +75,37 @@
 
         ``previous`` are the holds that overlap the row. The row may be a part of one
         of them, or a join of several.
+
+        The times are kept for another life of the owner: it may have been granted the
+        range before anybody knew of it. It is granted the range again only under an
+        epoch that the former life cannot have.
         """
-        name = row.owner.rpartition("@")[0]
+        name, _, incarnation = row.owner.rpartition("@")
         parts = [hold for hold in previous if hold.owner.name == name]
-        dropped = ServerRow(name, row.service, "", "", 0, 0, 0, True)
+        born = int(incarnation)
+        if not born:
+            # Assigned before the start of its owner was known, or by a former build.
+            born = max((part.owner.incarnation for part in parts), default=0)
+        dropped = ServerRow(name, row.service, "", "", born, 0, 0, True)
         owner = self.state.servers.get(name) or (parts[0].owner if parts else dropped)
         hold = HeldRange(row.service, row.low, row.high, owner, row.epoch)
+        hold.needs_epoch = bool(born) and owner.incarnation not in (0, born)
         hold.confirmed_until = hold.possible_until = inherited
         if inherited != NEVER:
             hold.possible_epoch = row.epoch
+            hold.granted_epoch = row.epoch
         hold.renew_at = now
         hold.handover = self.handover_tokens.pop((row.service, row.low), "")
         for part in parts:
             hold.confirmed_until = max(hold.confirmed_until, part.confirmed_until)
             hold.possible_until = max(hold.possible_until, part.possible_until)
             hold.possible_epoch = max(hold.possible_epoch, part.possible_epoch)
+            hold.granted_epoch = max(hold.granted_epoch, part.granted_epoch)
+            hold.needs_epoch |= part.needs_epoch and part.epoch == row.epoch
         if len(parts) == 1:
             hold.handover = hold.handover or parts[0].handover
             hold.told_epoch = parts[0].told_epoch
+            hold.granted_on = parts[0].granted_on
         if len(parts) == 1 and parts[0].epoch == row.epoch:
             hold.renew_at = parts[0].renew_at
             if (parts[0].low, parts[0].high) != (row.low, row.high):
--- a/src/dragonflyrock/control/instances.py
+++ b/src/dragonflyrock/control/instances.py
@@ -39,8 +39,8 @@
         """Start at the election, at ``now``."""
         self._tables = tables
         self._elected_at = now
-        self._ended: dict[str, None] = {}
-        self._dropped: set[str] = set()
+        self._ended: dict[str, int] = {}
+        self._dropped: dict[str, int] = {}
         self._knows_all = not tables.state.has_known_servers
         self._confirmed: set[str] = set()
         self._probed_at: dict[str, float] = {}
@@ -52,20 +52,59 @@
         """Handle the first announcement of a server instance."""
         if heartbeat.ended:
             return None
-        if heartbeat.name in self._ended:
+        if self._has_ended(heartbeat):
             return _refuse(heartbeat, "this instance of the server has ended")
+        refusal = self._check_address(heartbeat, now)
+        if refusal is not None:
+            return refusal
+        row = _make_row(heartbeat)
+        if not self._is_new(heartbeat):
+            self._probe(row, now)
+            detail = "the instance has announced itself before, and is probed first"
+            return _refuse(heartbeat, detail)
+        return self._accept(row, heartbeat, now)
+
+    def register_next(
+        self, heartbeat: ServerHeartbeat, row: ServerRow, now: float
+    ) -> c.Command | Refusal | None:
+        """Handle the first announcement of the life after that of a row.
+
+        The life of the row has ended, also if the new one only announces its own end.
+        """
+        if heartbeat.ended:
+            return None if row.stopping else c.StopServer(row.name)
+        refusal = self._check_address(heartbeat, now)
+        if refusal is not None:
+            return refusal
+        self._tables.report(
+            "server-restarted",
+            server=heartbeat.name,
+            detail=f"born {heartbeat.born}, the former life {row.incarnation}",
+        )
+        return self._accept(_make_row(heartbeat), heartbeat, now)
+
+    def _has_ended(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether the life that announces itself is known to have ended."""
+        name, born = heartbeat.name, heartbeat.born
+        if name in self._ended and (not born or born <= self._ended[name]):
+            return True
+        return bool(born) and born == self._tables.state.find_ended_life(name)
+
+    def _check_address(self, heartbeat: ServerHeartbeat, now: float) -> Refusal | None:
+        """Refuse an announcement from the address of another server that is alive."""
         for other in self._tables.state.servers.values():
-            if other.address != heartbeat.address:
+            if other.address != heartbeat.address or other.name == heartbeat.name:
                 continue
             if self._has_announced_itself(other.name, now):
                 detail = f"{other.name} at {other.address} announced itself just now"
                 return _refuse(heartbeat, detail)
             self._probe(other, now)
-        row = _make_row(heartbeat)
-        if not self._is_new(heartbeat):
-            self._probe(row, now)
-            detail = "the instance has announced itself before, and is probed first"
-            return _refuse(heartbeat, detail)
+        return None
+
+    def _accept(
+        self, row: ServerRow, heartbeat: ServerHeartbeat, now: float
+    ) -> c.Command:
+        """Return the command that registers a life of a server."""
         self._confirmed.discard(row.name)
         self._probed_at.pop(row.name, None)
         first = self._registrations.get(row.service, _Registrations(now, now)).first_at
@@ -82,6 +121,13 @@
 
     def _is_new(self, heartbeat: ServerHeartbeat) -> bool:
         """Return whether a heartbeat cannot be a late one of a server that has left."""
+        if heartbeat.born:
+            left = max(
+                self._dropped.get(heartbeat.name, 0),
+                self._tables.state.find_ended_life(heartbeat.name),
+            )
+            if left:
+                return heartbeat.born > left or heartbeat.name in self._confirmed
         if heartbeat.sequence <= FIRST_SEQUENCES or heartbeat.name in self._confirmed:
             return True
         return self._knows_all and heartbeat.name not in self._dropped
@@ -104,15 +150,16 @@
 
     def record_dropped(self, name: str) -> None:
         """Record an instance whose late heartbeats must not register it again."""
-        self._dropped.add(name)
+        row = self._tables.state.servers.get(name)
+        self._dropped[name] = row.incarnation if row is not None else 0
         if len(self._dropped) > MAX_ENDED_INSTANCES:
             self._dropped.clear()
             self._knows_all = False
 
     def record_ended(self, name: str) -> None:
-        """Record an instance that is not registered again in any case."""
+        """Record a life of a server that is not registered again in any case."""
         self.record_dropped(name)
-        self._ended[name] = None
+        self._ended[name] = self._dropped[name]
         if len(self._ended) > MAX_ENDED_INSTANCES:
             del self._ended[next(iter(self._ended))]
 
@@ -136,7 +183,7 @@
         heartbeat.service,
         heartbeat.address,
         heartbeat.zone,
-        0,
+        heartbeat.born,
         heartbeat.slots,
         0,
         True,
--- a/src/dragonflyrock/control/leader.py
+++ b/src/dragonflyrock/control/leader.py
@@ -116,11 +116,14 @@
         return self._directed.answer_heartbeat(heartbeat, received_at, now)
 
     def receive_heard_servers(
-        self, sequences: tuple[tuple[str, int], ...], now: float
+        self,
+        sequences: tuple[tuple[str, int], ...],
+        now: float,
+        lives: tuple[int, ...] = (),
     ) -> None:
         """Record servers that announced themselves to a follower."""
         if self._directed is not None:
-            self._directed.receive_heard_servers(sequences, now)
+            self._directed.receive_heard_servers(sequences, now, lives)
 
     def complete_order(self, result: OrderResult, now: float) -> list[Effect]:
         """Handle the result of an order to a directed server."""
--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -436,9 +436,14 @@
         return answer
 
     def _receive_heartbeat(
-        self, heartbeat: ServerHeartbeat, sender: str, call_id: int, now: float
+        self, heartbeat: ServerHeartbeat, sender: str, call_id: int, received_at: float
     ) -> None:
-        """Answer a server's heartbeat, after its command is committed."""
+        """Answer a server's heartbeat, after its commands are committed.
+
+        A command may need another one, as of a new life that leaves already: what is
+        acknowledged was taken as a whole.
+        """
+        now = self._clock()
         leader = self._settled_leader(now)
         if leader is None:
             self._send(sender, CallAnswer(call_id, True, "", b""))
@@ -451,14 +456,16 @@
             self._answer(sender, call_id, calls.CALLS.encode(command))
             return
         if command is None:
-            self._answer_heartbeat(heartbeat, sender, call_id, now)
+            self._answer_heartbeat(heartbeat, sender, call_id, received_at)
             return
 
         def notify(result: object) -> None:
             if result is None:
                 self._send(sender, CallAnswer(call_id, True, "", b""))
+            elif isinstance(result, Refusal):
+                self._answer(sender, call_id, calls.CALLS.encode(result))
             else:
-                self._answer_heartbeat(heartbeat, sender, call_id, now)
+                self._receive_heartbeat(heartbeat, sender, call_id, received_at)
 
         self._events.add(
             "server-changed",
@@ -498,11 +505,14 @@
             answer()
 
     def receive_heard_servers(
-        self, sequences: tuple[tuple[str, int], ...], now: float
+        self,
+        sequences: tuple[tuple[str, int], ...],
+        now: float,
+        lives: tuple[int, ...] = (),
     ) -> None:
         """Record servers that announced themselves to a follower, while leading."""
         if self._leader is not None and self._control.replica.role == Role.LEADER:
-            self._leader.receive_heard_servers(sequences, now)
+            self._leader.receive_heard_servers(sequences, now, lives)
 
     def complete_order(self, result: OrderResult, now: float) -> None:
         """Handle the result of an order, also as a leader without a lease."""
--- a/src/dragonflyrock/control/rows.py
+++ b/src/dragonflyrock/control/rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from ..models import (
     ContractRow,
@@ -19,6 +20,9 @@
 __all__ = ["Rows", "WarmupReader"]
 
 
+# Ended lives whose late heartbeats are told from those of a new one.
+MAX_ENDED_LIVES: Final = 10_000
+
 WarmupReader = Callable[[RoutedService], ServiceWarmup | None]
 
 
@@ -42,6 +46,21 @@
         self._warmups: dict[str, ServiceWarmup] = {}
         self._warmups_source: tuple[RoutedService, ...] = ()
         self.journal = ChangeJournal()
+        # Follows from the log, and is not in snapshots, which former builds must read.
+        self._ended_lives: dict[str, int] = {}
+
+    def record_ended_life(self, server: ServerRow) -> None:
+        """Record that a life of a server has announced its end and was dropped."""
+        if not server.incarnation:
+            return
+        self._ended_lives.pop(server.name, None)
+        self._ended_lives[server.name] = server.incarnation
+        if len(self._ended_lives) > MAX_ENDED_LIVES:
+            del self._ended_lives[next(iter(self._ended_lives))]
+
+    def find_ended_life(self, name: str) -> int:
+        """Return the incarnation of a server's life that has ended, or 0."""
+        return self._ended_lives.get(name, 0)
 
     def record(self, row: ChangedRow) -> None:
         """Record that a row has changed at this revision."""
--- a/src/dragonflyrock/control/server_changes.py
+++ b/src/dragonflyrock/control/server_changes.py
@@ -44,8 +44,11 @@
 
 def drop_server(rows: Rows, name: str) -> c.Result:
     """Drop a server that has ended."""
-    if rows.servers.pop(name, None) is not None:
+    server = rows.servers.pop(name, None)
+    if server is not None:
         rows.record(ChangedRow("servers", name))
+        if server.stopping:
+            rows.record_ended_life(server)
     return c.Done(rows.revision)
 
 
--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 import struct
 from collections import Counter, defaultdict
@@ -52,6 +53,7 @@
 # A larger request is written in parts of this size.
 WRITTEN_PART_BYTES: Final = 64 * 1024
 NO_BYTES: Final = memoryview(b"")
+_CONNECTION_NUMBERS: Final = itertools.count(1)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -84,6 +86,7 @@
         self._charged_parts = 0
         self._unparsed = NO_BYTES
         self._resume_timer: asyncio.TimerHandle | None = None
+        self.number = next(_CONNECTION_NUMBERS)
         self.usable_until = float("inf")
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -109,6 +112,11 @@
         self._ends_at_close = False
         self._has_begun = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether an exchange is in progress on the open connection."""
+        return not self._is_closed and self._response_future is not None
+
     @property
     def is_reusable(self) -> bool:
         """Return whether another exchange may follow on this connection."""
@@ -478,6 +486,19 @@
                 return connection
         return None
 
+    def acquire(self, connection: ServerConnection, request_id: bytes) -> bool:
+        """Take one connection that is idle; return whether it may carry a request."""
+        idle = self._idle.get(connection.address, [])
+        if connection not in idle:
+            return False
+        idle.remove(connection)
+        now = asyncio.get_running_loop().time()
+        is_usable = connection.is_reusable and now < connection.usable_until
+        if is_usable and connection.may_carry(request_id):
+            return True
+        connection.close()
+        return False
+
     async def connect(
         self, address: str, timeout: float
     ) -> ServerConnection | ExchangeFault:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -101,6 +101,7 @@
 
     sequence: int
     received_at: float
+    born: int
 
 
 class ControlNode:
@@ -273,7 +274,7 @@
         told = self._is_told_by_heartbeat(heartbeat)
         if not told and self._repeats_committed_row(heartbeat):
             self._unreported[heartbeat.name] = UnreportedHeartbeat(
-                heartbeat.sequence, self._loop.clock()
+                heartbeat.sequence, self._loop.clock(), heartbeat.born
             )
             return HeartbeatAccepted()
         answer = await self._call(heartbeat)
@@ -351,6 +352,7 @@
         return (
             row is not None
             and not heartbeat.ended
+            and heartbeat.born in (0, row.incarnation)
             and (row.service, row.address, row.stopping)
             == (heartbeat.service, heartbeat.address, heartbeat.leaving)
         )
@@ -368,7 +370,8 @@
         if not leader or not recent:
             return
         sequences = tuple((name, heard.sequence) for name, heard in recent.items())
-        if self._loop.send(leader, ServersHeard(sequences)):
+        lives = tuple(heard.born for heard in recent.values())
+        if self._loop.send(leader, ServersHeard(sequences, lives=lives)):
             self._unreported = {}
 
     async def put_routes(self, command: PutRoutes | ChangeRoutes) -> Done | Refusal:
@@ -508,8 +511,8 @@
                 self._member.receive_call(sender, message, now)
             case CallAnswer():
                 self._calls.answer(sender, message, now)
-            case ServersHeard(sequences, cold):
-                self._member.receive_heard_servers(sequences, now)
+            case ServersHeard(sequences, cold, lives):
+                self._member.receive_heard_servers(sequences, now, lives)
                 self._member.cold.receive_news(cold, now)
 
     def _tick(self, now: float) -> None:
--- a/src/dragonflyrock/platform/control_calls.py
+++ b/src/dragonflyrock/platform/control_calls.py
@@ -18,7 +18,11 @@
     digest_change,
     encode_document,
 )
-from .heartbeats import decode_heartbeat, encode_acknowledgement, make_deregistration
+from .heartbeats import (
+    decode_deregistration,
+    decode_heartbeat,
+    encode_acknowledgement,
+)
 from .names import (
     BASE_VERSION,
     CONFIG_GET_PATH,
@@ -106,7 +110,7 @@
         if call == "heartbeat":
             heartbeat = decode_heartbeat(name, request.body)
         elif call == "deregister":
-            heartbeat = make_deregistration(name)
+            heartbeat = decode_deregistration(name, request.body)
         else:
             return _make_error(404, f"no such call: {path}")
         result = await self._node.receive_heartbeat(heartbeat)
--- a/src/dragonflyrock/platform/heartbeats.py
+++ b/src/dragonflyrock/platform/heartbeats.py
@@ -13,7 +13,7 @@
 from .fields import Count, InstanceText, Integer, Text
 from .names import KEY_SHIFT_BITS
 
-__all__ = ["decode_heartbeat", "encode_acknowledgement", "make_deregistration"]
+__all__ = ["decode_deregistration", "decode_heartbeat", "encode_acknowledgement"]
 
 MAX_KEY: Final = 65_535
 # More rows, and longer tokens, than any server can have been told.
@@ -34,11 +34,19 @@
     holds: tuple[tuple[int, int, Integer], ...] = ()
     freed: tuple[tuple[int, int, str], ...] = ()
     warmup_ms: float = msgspec.field(name="warmupRemainingMs", default=0.0)
+    born: Integer = 0
+
+
+class _DeregistrationBody(msgspec.Struct):
+    """The body of a deregistration, which may be empty."""
+
+    born: Integer = 0
 
 
 _Row = TypeVar("_Row", tuple[int, int, int], tuple[int, int, str])
 
 _DECODER: Final = msgspec.json.Decoder(_HeartbeatBody)
+_DEREGISTRATION: Final = msgspec.json.Decoder(_DeregistrationBody)
 
 
 def decode_heartbeat(name: str, body: bytes) -> ServerHeartbeat:
@@ -73,6 +81,7 @@
             for low, high, token in _check_rows(name, heartbeat.freed)
         ),
         cold_ms=heartbeat.warmup_ms,
+        born=heartbeat.born,
     )
 
 
@@ -121,10 +130,15 @@
     return msgspec.json.encode(body)
 
 
-def make_deregistration(name: str) -> ServerHeartbeat:
-    """Return the announcement that instance ``name`` is about to end.
+def decode_deregistration(name: str, body: bytes) -> ServerHeartbeat:
+    """Decode the announcement that instance ``name`` is about to end.
 
-    Raise ``UnreadableError`` if no instance can have this name.
+    Raise ``UnreadableError`` if no instance can have this name, or if there is a body
+    that cannot be read.
     """
     _check_name(name)
-    return ServerHeartbeat(name, "", "", "", 1, 0, leaving=True, ended=True)
+    try:
+        born = _DEREGISTRATION.decode(body).born if body.strip() else 0
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise UnreadableError(f"deregistration of {name}: {error}") from error
+    return ServerHeartbeat(name, "", "", "", 1, 0, leaving=True, ended=True, born=born)
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import secrets
+from typing import Final
 
 import msgspec
 
@@ -39,6 +40,11 @@
 
 __all__ = ["OrderClient"]
 
+# Interval at which a grant looks whether its connection is free.
+BUSY_POLL_SECONDS: Final = 0.005
+# Closed connections among them are forgotten beyond this number.
+MAX_KEPT_CONNECTIONS: Final = 1_000
+
 
 class OrderClient:
     """Send orders to backend servers over pooled connections."""
@@ -46,6 +52,7 @@
     def __init__(self) -> None:
         """Initialize without connections."""
         self._connections = ConnectionPool()
+        self._grant_connections: dict[int, ServerConnection] = {}
         self._ids = itertools.count(1)
         self._id_prefix = secrets.token_hex(4)
 
@@ -61,6 +68,12 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._connect(order, request_id, timeout)
+                if connection is None:
+                    return OrderResult(
+                        order,
+                        OrderOutcome.NO_CONNECTION,
+                        detail="the connection that has carried the epoch is closed",
+                    )
                 if isinstance(connection, ExchangeFault):
                     return OrderResult(
                         order, OrderOutcome.NOT_SENT, detail=connection.detail
@@ -78,6 +91,7 @@
             return OrderResult(order, outcome, detail="no answer in time")
         if isinstance(order, GrantOrder):
             self._connections.release(connection)
+            self._keep(connection)
         else:
             # A second answer may have no id. That of a release would say that the work
             # on other keys has ended.
@@ -87,13 +101,37 @@
             if result.kind == FaultKind.NOT_CONNECTED:
                 outcome = OrderOutcome.NOT_SENT
             return OrderResult(order, outcome, detail=result.detail)
-        return _read_result(order, result)
+        return _read_result(order, result)._replace(connection=connection.number)
+
+    def _keep(self, connection: ServerConnection) -> None:
+        """Keep a connection for the grants that must be sent on it."""
+        if connection.is_reusable:
+            self._grant_connections[connection.number] = connection
+        else:
+            self._grant_connections.pop(connection.number, None)
+        if len(self._grant_connections) > MAX_KEPT_CONNECTIONS:
+            self._grant_connections = {
+                number: each
+                for number, each in self._grant_connections.items()
+                if each.is_reusable or each.is_busy
+            }
 
     async def _connect(
         self, order: Order, request_id: bytes, timeout: float
-    ) -> ServerConnection | ExchangeFault:
-        """Return an idle connection for a grant, or a new one for any other order."""
+    ) -> ServerConnection | ExchangeFault | None:
+        """Return an idle connection for a grant, or a new one for any other order.
+
+        Return None if a grant needs one connection and this is closed.
+        """
         address = order.server.address
+        if isinstance(order, GrantOrder) and order.connection:
+            known = self._grant_connections.get(order.connection)
+            while known is not None and known.is_busy:
+                await asyncio.sleep(BUSY_POLL_SECONDS)
+            if known is not None and self._connections.acquire(known, request_id):
+                return known
+            self._grant_connections.pop(order.connection, None)
+            return None
         if isinstance(order, GrantOrder):
             connection = self._connections.acquire_idle(address, request_id)
             if connection is not None:
--- a/src/dragonflyrock/router/state.py
+++ b/src/dragonflyrock/router/state.py
@@ -306,10 +306,14 @@
     def mark_ended(self, stat: ServerStat) -> None:
         """Mark a server as ended, as another server answers at its address."""
         stat.ended = True
-        self._ended.add(stat.row.name)
+        row = stat.row
+        self._ended.add(row.holder if row.incarnation else row.name)
 
     def pop_ended_servers(self) -> tuple[str, ...]:
-        """Return the names of the servers marked as ended since the last call."""
+        """Return the servers marked as ended since the last call.
+
+        They are holders where the life is known, else names.
+        """
         ended, self._ended = self._ended, set()
         return tuple(sorted(ended))
 
--- a/src/dragonflyrock/transport/messages.py
+++ b/src/dragonflyrock/transport/messages.py
@@ -200,11 +200,13 @@
     """Servers whose heartbeats a control node received, with their latest sequences.
 
     The leader learns from ``sequences`` that they live, and every control node from
-    ``cold`` which of them are cold, or no longer.
+    ``cold`` which of them are cold, or no longer. ``lives`` has when each server of
+    ``sequences`` started, see ``ServerHeartbeat.born``; a former build sends none.
     """
 
     sequences: tuple[tuple[str, int], ...]
     cold: tuple[ColdServer, ...] = ()
+    lives: tuple[int, ...] = ()
 
 
 class ServeNear(NamedTuple):
--- a/tests/control/directed_world.py
+++ b/tests/control/directed_world.py
@@ -45,7 +45,10 @@
 
 @dataclass(slots=True)
 class ServerInstance:
-    """An instance of a server, with the keys that it holds."""
+    """An instance of a server, with the keys that it holds.
+
+    ``born`` tells its lives apart, and ``connection`` is that of the leader's orders.
+    """
 
     name: str
     address: str
@@ -57,6 +60,8 @@
     cold_seconds: float = 0.0
     cut_off: bool = False
     keys: dict[int, HeldKey] = field(default_factory=dict)
+    born: int = 0
+    connection: int = 1
 
 
 @dataclass(slots=True)
@@ -69,10 +74,15 @@
 
 
 class DirectedWorld:
-    """A leader, its servers, and the messages in transit between them."""
+    """A leader, its servers, and the messages in transit between them.
+
+    With ``says_born`` servers say when they started.
+    """
 
-    def __init__(self, seed: int, servers: int = 4) -> None:
+    def __init__(self, seed: int, servers: int = 4, *, says_born: bool = False) -> None:
         """Start with a document and servers that announce themselves."""
+        self._says_born = says_born
+        self._connection_count = 1
         self.random = Random(seed)
         self.now = 100.0
         self.state = ControlState()
@@ -120,6 +130,8 @@
             self.random.uniform(0, MAX_SLOWNESS_SHARE),
             zone=zone,
         )
+        if self._says_born:
+            self._begin_life(instance)
         self.instances[instance.name] = instance
         self._schedule(
             self.now + self.random.uniform(0, HEARTBEAT_INTERVAL_SECONDS),
@@ -127,6 +139,29 @@
         )
         return instance
 
+    def _begin_life(self, instance: ServerInstance) -> None:
+        """Have an instance run, without knowledge of a former life."""
+        instance.born = round(self.now * 1000)
+        instance.keys, instance.sequence = {}, 0
+        instance.running, instance.leaving = True, False
+        self._open_connection(instance)
+
+    def _open_connection(self, instance: ServerInstance) -> None:
+        """Have the leader's next orders to an instance go over a new connection."""
+        self._connection_count += 1
+        instance.connection = self._connection_count
+
+    def restart_later(self, instance: ServerInstance, down: float) -> None:
+        """Stop an instance without notice; it starts again under its name later."""
+        instance.running = False
+        instance.keys = {}
+        self._schedule(self.now + down, ("restart", instance.name))
+
+    def reset_connections(self) -> None:
+        """Break the connections of all instances."""
+        for instance in self.instances.values():
+            self._open_connection(instance)
+
     def crash(self, instance: ServerInstance, down: float) -> None:
         """Stop an instance without notice; another starts at its address later."""
         instance.running = False
@@ -163,16 +198,17 @@
                 self._send_heartbeat(self.instances[name])
             case ("start", str(address)):
                 self.start_server(address)
+            case ("restart", str(name)):
+                self._begin_life(self.instances[name])
+                self._schedule(self.now + self.random.uniform(0, 1.0), ("beat", name))
             case ("commit", DirectedLeader() as leader, command):
                 if leader is self.leader:
                     self.commit(command)  # type: ignore[arg-type]
                     leader.complete_proposal(command)  # type: ignore[arg-type]
             case ("arrive", leader, tuple() as order, bool(answered), float(wait)):
                 self._arrive(leader, order, answered, wait)  # type: ignore[arg-type]
-            case ("apply", GrantOrder() as order, float(arrived)):
-                self._apply_grant(order, arrived)
-            case ("apply", ReleaseOrder() as order, float()):
-                self._apply_release(order)
+            case ("apply", tuple() as order, float(arrived), int(born)):
+                self._apply_late(order, arrived, born)  # type: ignore[arg-type]
             case ("result", leader, OrderResult() as result):
                 if leader is self.leader:
                     command = self.leader.complete_order(result, self.now)
@@ -196,11 +232,15 @@
             instance.sequence,
             instance.leaving,
             cold_ms=instance.cold_seconds * 1000,
+            born=instance.born,
         )
         notice = ColdNotice(instance.name, instance.sequence, instance.cold_seconds)
         self.cold.record(notice, self.now)
-        command = self.leader.receive_heartbeat(heartbeat, self.now)
-        if command is not None and not isinstance(command, Refusal):
+        while (
+            command := self.leader.receive_heartbeat(heartbeat, self.now)
+        ) is not None:
+            if isinstance(command, Refusal):
+                return
             self.commit(command)
 
     def _report_loads(self) -> None:
@@ -224,6 +264,9 @@
         draw = self.random.random()
         delay = self.random.uniform(0.001, 0.04)
         instance = self._find(order.server.address)
+        if not _is_connected(order, instance):
+            self._answer(order, OrderOutcome.NO_CONNECTION, 0.001)
+            return
         if instance is None or instance.cut_off or draw < self.faults.lost:
             self._answer(order, OrderOutcome.NOT_SENT, 1.0)
             return
@@ -232,12 +275,13 @@
             # It arrives now, is executed seconds later, and is never answered.
             arrived = self.now + delay
             wait = self.random.uniform(2, 12)
-            self._schedule(arrived + wait, ("apply", order, arrived))
+            event = ("apply", order, arrived, instance.born)
+            self._schedule(arrived + wait, event)
             self._answer(order, OrderOutcome.UNKNOWN, TIMING.order_timeout)
             return
         answered = self.random.random() >= self.faults.unanswered
-        event = ("arrive", self.leader, order, answered, delay)
-        self._schedule(self.now + delay, event)
+        arrival = ("arrive", self.leader, order, answered, delay)
+        self._schedule(self.now + delay, arrival)
 
     def _answer(
         self, order: Order, outcome: OrderOutcome, wait: float, token: str = ""
@@ -252,7 +296,7 @@
         """Have a server receive and execute an order."""
         instance = self._find(order.server.address)
         outcome = OrderOutcome.DONE
-        if instance is None:
+        if instance is None or not _is_connected(order, instance):
             outcome = OrderOutcome.UNKNOWN
         elif instance.name != order.server.name:
             outcome = OrderOutcome.OTHER_INSTANCE
@@ -266,9 +310,21 @@
             outcome = OrderOutcome.DONE
         if not answered:
             outcome, wait = OrderOutcome.UNKNOWN, TIMING.order_timeout
-        result = OrderResult(order, outcome, "token")
+        connection = instance.connection if instance is not None else 0
+        result = OrderResult(order, outcome, "token", connection=connection)
         self._schedule(self.now + wait, ("result", leader, result))
 
+    def _apply_late(self, order: Order, arrived: float, born: int) -> None:
+        """Have the life that received an order execute it, if it still runs."""
+        instance = self._find(order.server.address)
+        if instance is None or instance.born != born:
+            return
+        match order:
+            case GrantOrder():
+                self._apply_grant(order, arrived)
+            case ReleaseOrder():
+                self._apply_release(order)
+
     def _apply_grant(self, order: GrantOrder, arrived: float) -> bool:
         """Have a server hold keys; return False if it has seen a newer fence."""
         instance = self._find(order.server.address)
@@ -283,7 +339,8 @@
         for key in keys:
             held = instance.keys.get(key, HeldKey(order.epoch, 0.0))
             instance.keys[key] = HeldKey(order.epoch, max(held.until, until))
-            self._check_fence(key, order.epoch, instance.name)
+            life = f"{instance.name} of {instance.born}"
+            self._check_fence(key, order.epoch, instance.name, life)
             self._check_sole_holder(key)
         return True
 
@@ -297,14 +354,14 @@
             if held is not None and held.fence <= order.epoch:
                 instance.keys[key] = HeldKey(held.fence, 0.0)
 
-    def _check_fence(self, key: int, fence: int, name: str) -> None:
-        """Record a key that is granted to another server without a higher fence."""
+    def _check_fence(self, key: int, fence: int, name: str, life: str) -> None:
+        """Record a key that is granted to another life without a higher fence."""
         highest_fence, holder = self.highest_fence.get(key, (0, ""))
         late = self.holders(key) != [name]
-        if holder not in ("", name) and fence <= highest_fence and not late:
+        if holder not in ("", life) and fence <= highest_fence and not late:
             self.violations.append(f"key {key}: fence {fence} after {highest_fence}")
         if fence > highest_fence:
-            self.highest_fence[key] = (fence, name)
+            self.highest_fence[key] = (fence, life)
 
     def holders(self, key: int) -> list[str]:
         """Return the servers that hold a key now."""
@@ -342,6 +399,13 @@
         return sorted(missing)
 
 
+def _is_connected(order: Order, instance: ServerInstance | None) -> bool:
+    """Return whether an order that needs one connection can be sent on it."""
+    if not isinstance(order, GrantOrder) or not order.connection:
+        return True
+    return instance is not None and instance.connection == order.connection
+
+
 def _keys(low: int, high: int) -> range:
     """Return the keys of a range."""
     return range(low // KEY_STEP, high // KEY_STEP + 1)
--- a/tests/control/heartbeat_world.py
+++ b/tests/control/heartbeat_world.py
@@ -52,7 +52,7 @@
         """Start with servers that announce themselves."""
         self.told: dict[str, ToldServer] = {}
         self.rows_at_once = 0
-        super().__init__(seed, servers)
+        super().__init__(seed, servers, says_born=True)
 
     def _make_leader(self) -> DirectedLeader:
         """Return a newly elected leader that answers heartbeats with holds."""
@@ -60,9 +60,8 @@
         return DirectedLeader(self.state, timing, lambda *_, **__: None, self.now)
 
     def restart(self, instance: ServerInstance) -> None:
-        """Restart a server at once under its name; it numbers its calls anew."""
-        instance.keys.clear()
-        instance.sequence = 0
+        """Restart a server at once under its name."""
+        self._begin_life(instance)
         self.told[instance.name] = ToldServer()
 
     def freeze(self, instance: ServerInstance, seconds: float) -> None:
@@ -119,6 +118,7 @@
             instance.leaving,
             held=tuple(HeldPart(*_span(k), fence) for k, fence in held.items()),
             freed=tuple(FreedPart(*_span(k), t) for k, t in told.freed.items()),
+            born=instance.born,
         )
         delay = self.random.uniform(0.001, 0.04)
         if self.random.random() < self.faults.late:
@@ -128,10 +128,11 @@
 
     def _receive_call(self, leader: DirectedLeader, heartbeat: ServerHeartbeat) -> None:
         """Have the leader receive a heartbeat; a delayed one reaches the new leader."""
-        command = self.leader.receive_heartbeat(heartbeat, self.now)
-        if isinstance(command, Refusal):
-            return
-        if command is not None:
+        while (
+            command := self.leader.receive_heartbeat(heartbeat, self.now)
+        ) is not None:
+            if isinstance(command, Refusal):
+                return
             self.commit(command)
         commands = self.leader.receive_holds(heartbeat, self.now)
         for each in commands:
@@ -166,6 +167,8 @@
             return
         if heartbeat.sequence != instance.sequence or overdue:
             return
+        if heartbeat.born != instance.born:
+            return
         for part in heartbeat.freed:
             told.freed.pop(part.low // KEY_STEP, None)
         if answer.held is not None:
@@ -190,7 +193,8 @@
             for key in keys:
                 held = instance.keys.get(key, HeldKey(row.epoch, 0.0))
                 instance.keys[key] = HeldKey(row.epoch, max(held.until, until))
-                self._check_fence(key, row.epoch, instance.name)
+                life = f"{instance.name} of {instance.born}"
+                self._check_fence(key, row.epoch, instance.name, life)
                 self._check_sole_holder(key)
         for key, held in list(instance.keys.items()):
             if key in named or held.until <= self.now:
--- a/tests/control/schedules.py
+++ b/tests/control/schedules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from .directed_world import TIMING, DirectedWorld
@@ -15,7 +16,7 @@
 RECOVERY_SECONDS: Final = (
     TIMING.hold_with_drift + TIMING.order_timeout + 2 * TIMING.renew_interval + 4.0
 )
-CALL_ACTIONS: Final = (
+SHARED_ACTIONS: Final = (
     "crash",
     "leave",
     "cut",
@@ -27,13 +28,14 @@
     "lost",
     "join",
 )
-HEARTBEAT_ACTIONS: Final = (*CALL_ACTIONS, "unanswered", "calm", "freeze", "restart")
+CALL_ACTIONS: Final = (*SHARED_ACTIONS, "restart", "reset")
+HEARTBEAT_ACTIONS: Final = (*SHARED_ACTIONS, "unanswered", "calm", "freeze", "restart")
 ACTIONS: Final = {"call": CALL_ACTIONS, "heartbeat": HEARTBEAT_ACTIONS}
 # A part has an owner again within this time after it was released. By heartbeat it is
 # released at one of its owner and taken at one of the next; work may go on for 1.5 s.
 HANDOVER_SECONDS: Final = {"call": 1.5, "heartbeat": 2 * BEAT_SECONDS + 2.5}
 WORLDS: Final[dict[str, Callable[[int], DirectedWorld]]] = {
-    "call": DirectedWorld,
+    "call": partial(DirectedWorld, says_born=True),
     "heartbeat": HeartbeatWorld,
 }
 
@@ -75,6 +77,10 @@
             world.freeze(instance, world.random.uniform(0.5, 9.0))
         case "restart" if instance is not None and isinstance(world, HeartbeatWorld):
             world.restart(instance)
+        case "restart" if instance is not None:
+            world.restart_later(instance, world.random.uniform(0.1, 3.0))
+        case "reset":
+            world.reset_connections()
         case _:
             _set_faults(world, action)
 
--- a/tests/control/test_heartbeat_answers.py
+++ b/tests/control/test_heartbeat_answers.py
@@ -17,7 +17,7 @@
     ServerHeartbeat,
 )
 from dragonflyrock.control.state import ControlState
-from dragonflyrock.errors import Refusal
+from dragonflyrock.errors import Reason, Refusal
 from dragonflyrock.hashing import KEY_SPACE
 from dragonflyrock.models import GrantedBy
 from dragonflyrock.routes import RouteDocument, RoutedService
@@ -128,10 +128,14 @@
 
 
 # Guards against a late heartbeat that is answered with holds: the server counts them
-# from when it sent the heartbeat, and may have sent another one since.
-def test_a_late_heartbeat_renews_nothing(tables: Tables) -> None:
+# from when it sent the heartbeat, and may have sent another one since. It is refused,
+# as what is acknowledged must have been taken.
+def test_a_late_heartbeat_is_refused_and_renews_nothing(tables: Tables) -> None:
     call(tables, beat(LEFT, 5), 2.0)
-    assert call(tables, beat(LEFT, 4), 2.1).held is None
+    refusal = tables.leader.receive_heartbeat(beat(LEFT, 4), 2.1)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == Reason.OLD_INCARNATION
+    assert tables.leader.answer_heartbeat(beat(LEFT, 4), 2.1, 2.1).held is None
 
 
 # Guards against an answer given after a later heartbeat was received, as the one
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -203,11 +203,12 @@
     heartbeat = ServerHeartbeat(
         "s1", "finder", "10.0.0.1:80", "a", 2, 3, leaving=True, ended=False
     )
-    # The encoding now, that of versions before servers said how long they stay cold,
-    # and that of versions before they reported what they hold.
+    # The encoding now, that of versions before servers said when they started, before
+    # they said how long they stay cold, and before they reported what they hold.
     for record, payload, *formers in (
         (
             heartbeat,
+            b"\x92\xaaServerBeat\x9c" + fields + b"\x90\x90\xcb" + bytes(9),
             b"\x92\xaaServerBeat\x9b" + fields + b"\x90\x90\xcb" + bytes(8),
             b"\x92\xaaServerBeat\x9a" + fields + b"\x90\x90",
             b"\x92\xaaServerBeat\x98" + fields,
--- a/tests/node/test_control_disk.py
+++ b/tests/node/test_control_disk.py
@@ -163,12 +163,14 @@
 
         monkeypatch.setattr(node._loop, "send", send)
         now = node._loop.clock()
-        node._unreported["server"] = UnreportedHeartbeat(7, now)
-        node._unreported["silent"] = UnreportedHeartbeat(9, now - UNREPORTED_SECONDS)
+        node._unreported["server"] = UnreportedHeartbeat(7, now, 5)
+        node._unreported["silent"] = UnreportedHeartbeat(9, now - UNREPORTED_SECONDS, 0)
         for leader in ("", "unreachable", "leader", "leader"):
             node._group.replica.leader = leader
             node._report_servers()
         node._loop.close()
         return sent
 
-    assert asyncio.run(report_twice()) == [("leader", ServersHeard((("server", 7),)))]
+    assert asyncio.run(report_twice()) == [
+        ("leader", ServersHeard((("server", 7),), lives=(5,)))
+    ]
--- a/tests/platform/test_field_ranges.py
+++ b/tests/platform/test_field_ranges.py
@@ -23,7 +23,7 @@
     decode_document,
     decode_version,
 )
-from dragonflyrock.platform.heartbeats import decode_heartbeat, make_deregistration
+from dragonflyrock.platform.heartbeats import decode_deregistration, decode_heartbeat
 from dragonflyrock.transport.messages import MESSAGES, ColdServer, ServersHeard
 
 HEARTBEAT: dict[str, Any] = {
@@ -34,6 +34,7 @@
     "state": "ready",
     "sequence": 4,
     "warmupRemainingMs": 2000,
+    "born": 1_790_000_000_000,
     "holds": [[0, 3, 7]],
     "freed": [[0, 3, "t"]],
 }
@@ -131,7 +132,7 @@
     with pytest.raises(UnreadableError):
         decode_heartbeat(name, json.dumps(HEARTBEAT).encode())
     with pytest.raises(UnreadableError):
-        make_deregistration(name)
+        decode_deregistration(name, b"")
 
 
 def make_config() -> dict[str, Any]:
--- a/tests/platform/test_order_answers.py
+++ b/tests/platform/test_order_answers.py
@@ -10,6 +10,7 @@
     GrantOrder,
     Order,
     OrderOutcome,
+    OrderResult,
     ProbeOrder,
     ReleaseOrder,
 )
@@ -84,3 +85,53 @@
     first: str, second: str, expected: tuple[OrderOutcome, int]
 ) -> None:
     assert asyncio.run(_send_two(first, second)) == expected
+
+
+# Guards against OWNER: a grant of an epoch that one life of a server has goes to the
+# next life, which listens at the same address before it has announced itself.
+def test_a_grant_that_needs_a_closed_connection_is_not_sent() -> None:
+    received: list[bytes] = []
+
+    async def run() -> list[OrderResult]:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                while True:
+                    request_id = await _read_request_id(reader)
+                    received.append(request_id)
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+                    writer.write(b"X-Dragonflyrock-Request-Id: %s\r\n\r\n" % request_id)
+            except asyncio.IncompleteReadError:
+                return
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        row = ServerRow("one", "s", f"127.0.0.1:{port}", "a", 5, 2, 0, True)
+        order = GrantOrder(row, "s", 0, TOP_KEY, 5, 6_000, "")
+        client = OrderClient()
+        first = await client.send(order, 1.0)
+        again = order._replace(connection=first.connection)
+        # Several at once wait for their connection.
+        results = [first, await client.send(again, 1.0)]
+        results += await asyncio.gather(
+            client.send(again, 1.0), client.send(again, 1.0)
+        )
+        client._connections.close_idle(row.address)
+        await asyncio.sleep(0.05)
+        results.append(await client.send(again, 1.0))
+        results.append(await client.send(order, 1.0))
+        client._connections.close()
+        server.close()
+        await asyncio.sleep(0.05)
+        return results
+
+    *sent, closed, anew = asyncio.run(run())
+    assert [result.outcome for result in sent] == [OrderOutcome.DONE] * 4
+    assert len({result.connection for result in sent}) == 1
+    assert closed.outcome == OrderOutcome.NO_CONNECTION
+    assert anew.outcome == OrderOutcome.DONE
+    assert anew.connection != sent[0].connection
+    assert len(received) == 5
--- a/tests/router/test_bounded_state.py
+++ b/tests/router/test_bounded_state.py
@@ -83,3 +83,15 @@
     assert state.stats["one"] is not former
     assert not state.stats["one"].ended
     assert state.stats["one"].in_flight == 0
+
+
+# Guards against a live server that is dropped, as a host found another instance at the
+# address of its former life.
+def test_an_ended_server_is_reported_with_its_life() -> None:
+    state = RouterState(BudgetPolicy(), lambda: 100.0)
+    known = ServerRow("one", "s", "127.0.0.1:9", "a", 1_790_000_000_000, 2, 0, True)
+    unknown = ServerRow("two", "s", "127.0.0.1:8", "a", 0, 2, 0, True)
+    state.apply(make_update(1, (known, unknown)))
+    for stat in list(state.stats.values()):
+        state.mark_ended(stat)
+    assert state.pop_ended_servers() == ("one@1790000000000", "two")
