--- a/src/dragonflyrock/control/member.py
+++ b/src/dragonflyrock/control/member.py
@@ -467,6 +467,10 @@
             else:
                 self._receive_heartbeat(heartbeat, sender, call_id, received_at)
 
+        known = self._state.servers.get(heartbeat.name)
+        if isinstance(command, c.RegisterServer) and known is not None:
+            # A row of a former build has no life yet.
+            self._metrics.server_restarts.labels().inc(bool(known.incarnation))
         self._events.add(
             "server-changed",
             server=heartbeat.name,
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -255,6 +255,12 @@
             "Bytes of the latest snapshot of a group's state",
             "group",
         )
+        self.server_restarts = Family(
+            Value,
+            "dragonflyrock_server_restarts",
+            "Backend servers that started again under their names, seen by the leader",
+            is_counter=True,
+        )
         self.disk_lost = Family(
             Value,
             "dragonflyrock_disk_lost",
@@ -329,6 +335,7 @@
             self.log_syncs,
             self.log_bytes,
             self.snapshot_bytes,
+            self.server_restarts,
             self.disk_lost,
             self.disk_refusals,
             self.apply_stopped,
