Bounds on what one writer can do to others: odd deadlines, made-up servers

What callers would see: (1) after one request with a deadline of an hour, each request of the same route counts as a retry that is late by almost an hour, and is admitted as such until the host starts again: with the load it is refused sooner. (2) Control nodes whose log and rows grow with each server name that another writer makes up.

Fix: (1) a deadline above ten timeouts of its route is taken for its request alone. (2) At most 1,000 servers of services that nobody configured are registered, others get 503; servers of configured services are not counted.

Tests, which failed before: tests/router/test_exchange.py (an_odd_deadline...), tests/control/test_registration.py (...nobody_configured_are_bounded).

--- a/src/dragonflyrock/control/instances.py
+++ b/src/dragonflyrock/control/instances.py
@@ -13,6 +13,7 @@
 __all__ = ["InstanceRegistry"]
 
 MAX_ENDED_INSTANCES: Final = 10_000
+MAX_UNNAMED_SERVERS: Final = 1_000
 # An instance with a higher number in its first heartbeat here has sent others before.
 FIRST_SEQUENCES: Final = 5
 # Keys are divided at the latest so long after the first registration of a service,
@@ -54,6 +55,11 @@
             return None
         if self._has_ended(heartbeat):
             return _refuse(heartbeat, "this instance of the server has ended")
+        if self._has_no_room(heartbeat):
+            detail = (
+                f"{MAX_UNNAMED_SERVERS} servers of services that are not configured"
+            )
+            return Refusal(Reason.OVERLOADED, Step.ANNOUNCE, heartbeat.name, detail)
         refusal = self._check_address(heartbeat, now)
         if refusal is not None:
             return refusal
@@ -83,6 +89,20 @@
         )
         return self._accept(_make_row(heartbeat), heartbeat, now)
 
+    def _has_no_room(self, heartbeat: ServerHeartbeat) -> bool:
+        """Return whether too many servers are of services that nobody configured.
+
+        A few may be there before their service is.
+        """
+        state = self._tables.state
+        if len(state.servers) < MAX_UNNAMED_SERVERS:
+            return False
+        named = {service.name for service in state.route_store.document.services}
+        if heartbeat.service in named:
+            return False
+        unnamed = sum(row.service not in named for row in state.servers.values())
+        return unnamed >= MAX_UNNAMED_SERVERS
+
     def _has_ended(self, heartbeat: ServerHeartbeat) -> bool:
         """Return whether the life that announces itself is known to have ended."""
         name, born = heartbeat.name, heartbeat.born
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -108,6 +108,9 @@
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 DEFAULT_DEADLINE_SECONDS: Final = 30.0
 MAX_DEADLINE_MS: Final = 3_600_000
+# A deadline of more timeouts of its route than this is no sign of when other callers
+# sent their first attempts.
+MAX_DEADLINE_SHARE: Final = 10
 # Older rows do not show that there is no route: a newer document may have it.
 MAX_ROWS_AGE_SECONDS: Final = 1.0
 
@@ -399,7 +402,8 @@
         # The difference is the time that has passed since the first attempt.
         deadlines = self._state.longest_deadlines
         longest = max(deadlines.get(route.name, 0.0), seconds_left)
-        if named_seconds is not None:
+        timeout = route.timeout_ms / 1000
+        if named_seconds is not None and named_seconds <= timeout * MAX_DEADLINE_SHARE:
             deadlines[route.name] = longest
         since_first_attempt = (
             min(longest - seconds_left, longest) if named_seconds is not None else 0.0
--- a/tests/control/test_registration.py
+++ b/tests/control/test_registration.py
@@ -15,7 +15,7 @@
     ServerHeartbeat,
 )
 from dragonflyrock.control.state import ControlState
-from dragonflyrock.errors import Refusal
+from dragonflyrock.errors import Reason, Refusal
 from dragonflyrock.routes import RouteDocument, RoutedService
 
 SERVICE = "finder"
@@ -142,3 +142,25 @@
     for sequence in range(10):
         assert not registry.announce("s1", LATE_SEQUENCE + sequence)
     assert len(registry.tick(0.1)) == 1
+
+
+# Guards against a log and rows that grow with each name that another writer makes up.
+def test_servers_of_services_that_nobody_configured_are_bounded(
+    registry: Registry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("dragonflyrock.control.instances.MAX_UNNAMED_SERVERS", 3)
+
+    def announce(name: str, service: str) -> bool:
+        """Send a heartbeat of a server of a service."""
+        address = f"10.0.0.2:{9000 + len(registry.state.servers)}"
+        heartbeat = ServerHeartbeat(name, service, address, "a", 2, 1)
+        command = registry.leader.receive_heartbeat(heartbeat, registry.now)
+        if isinstance(command, Refusal):
+            assert command.reason == Reason.OVERLOADED
+            return False
+        assert command is not None
+        registry.commit(command)
+        return True
+
+    assert [announce(f"x{n}", "made up") for n in range(5)] == [True] * 3 + [False] * 2
+    assert all(announce(f"s{n}", SERVICE) for n in range(5))
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -473,3 +473,19 @@
         assert (await harness.router.handle_relayed(request)).status == 200
 
     run_scenario(scenario)
+
+
+# Guards against one caller with a deadline of an hour, after which the requests of all
+# others on its route count as retries that are late already.
+def test_an_odd_deadline_does_not_make_others_late() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.add_server("one")
+        harness.apply_update()
+        await harness.send_request(left_ms=900)
+        usual = dict(harness.state.longest_deadlines)
+        await harness.send_request(left_ms=3_600_000)
+        assert harness.state.longest_deadlines == usual
+        await harness.send_request(left_ms=1_000)
+        assert list(harness.state.longest_deadlines.values()) == [1.0]
+
+    run_scenario(scenario)
