--- a/tests/control/test_lives.py
+++ b/tests/control/test_lives.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dragonflyrock.control import commands as c
-from dragonflyrock.control.calls import HeartbeatAccepted
+from dragonflyrock.control.calls import CALLS, HeartbeatAccepted
 from dragonflyrock.control.directed import DirectedLeader
 from dragonflyrock.control.directed_models import (
     GrantOrder,
@@ -16,10 +16,12 @@
     ProbeOrder,
     ServerHeartbeat,
 )
+from dragonflyrock.control.member import CONTROL_GROUP
 from dragonflyrock.control.state import ControlState
 from dragonflyrock.errors import Reason, Refusal
 from dragonflyrock.models import ServerRow
 from dragonflyrock.routes import RouteDocument, RoutedService
+from dragonflyrock.transport.messages import CallAnswer, CallRequest
 
 from .directed_world import SERVICE, TIMING, DirectedWorld
 from .test_near_member import Leader
@@ -310,3 +312,70 @@
     late = leader.call(beat)
     assert isinstance(late, Refusal)
     assert late.reason == Reason.OLD_INCARNATION
+
+
+# Guards against a leader that was frozen and resumes with the row of the former life:
+# its orders must not reach the present one.
+def test_a_leader_that_resumes_grants_only_on_its_former_connections() -> None:
+    tables = Tables()
+    first = tables.run(3.0)[0]
+    tables.complete(first, OrderOutcome.DONE, connection=7)
+    tables.now += 7.0
+    _, orders = tables.leader.tick(tables.now)
+    grants = [order for order in orders if isinstance(order, GrantOrder)]
+    assert [grant.connection for grant in grants] == [7]
+
+
+# Guards against lives that are lost with all control nodes, whose disks are kept.
+def test_a_whole_loss_keeps_the_lives() -> None:
+    tables = Tables()
+    first = tables.run(3.0)[0]
+    tables.complete(first, OrderOutcome.DONE)
+    tables.announce(SECOND, 1)
+    state = ControlState()
+    state.load(tables.state.dump())
+    tables.state = state
+    tables.elect()
+    assert not tables.announce(FIRST, 90)
+    assert tables.announce(SECOND, 2)
+    newer = tables.run(1.0)[0]
+    assert newer.server.incarnation == SECOND
+    assert newer.epoch > first.epoch
+
+
+# Guards against a former build that leads for a while: it assigns ranges to no life,
+# and its servers may hold what it granted.
+def test_ranges_that_a_former_build_assigned_get_newer_epochs() -> None:
+    tables = Tables()
+    tables.run(3.0)
+    row = next(iter(tables.state.ranges))
+    part = c.RangePart(row.low, row.high, row.epoch, "s1@0")
+    tables.commit(c.AssignRanges(SERVICE, (part,)))
+    by_former = next(iter(tables.state.ranges)).epoch
+    tables.elect()
+    tables.announce(FIRST, 2)
+    hold = tables.leader._tables.holds[SERVICE, 0]
+    assert hold.held_until > tables.now
+    newer = tables.run(1.0)[0]
+    assert newer.epoch > by_former
+    assert next(iter(tables.state.ranges)).owner == f"s1@{FIRST}"
+
+
+# Guards against an acknowledgement of a registration that the group refused, since a
+# later life was registered while it waited for its commit.
+def test_a_refused_registration_is_not_acknowledged(tmp_path: Path) -> None:
+    leader = Leader(tmp_path)
+    leader.sent.clear()
+    for call_id, born in ((1, SECOND), (2, FIRST)):
+        beat = ServerHeartbeat("s1", SERVICE, "10.0.0.1:80", "a", 2, 1, born=born)
+        request = CallRequest(call_id, CONTROL_GROUP, CALLS.encode(beat))
+        leader.member.receive_call("other", request, leader.now)
+    leader.pass_time()
+    answers = {
+        message.call_id: CALLS.decode(message.body)
+        for message in leader.sent
+        if isinstance(message, CallAnswer)
+    }
+    assert answers[1] == HeartbeatAccepted()
+    assert isinstance(answers[2], Refusal)
+    assert leader.state.servers["s1"].incarnation == SECOND
