--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -176,9 +176,9 @@
                 # The server would take the next request for the rest of this body.
                 self._may_reuse = False
                 self._unsent = NO_BYTES
-            if self._unparsed:
+            if self._unparsed or self._resume_timer is not None:
                 self._may_reuse = False
-            self._stop_reading()
+                self._stop_reading()
             self._response_future = None
             self._bodies.remove(self)
 
@@ -280,6 +280,9 @@
             self._may_reuse = False
             self.abort()
             return
+        if len(data) <= PARSED_PART_BYTES and self._part_count <= FREE_PARTS:
+            self._parse(data)
+            return
         self._unparsed = memoryview(data)
         self._parse_received()
 
@@ -324,9 +327,8 @@
         if self._resume_timer is not None:
             self._resume_timer.cancel()
             self._resume_timer = None
-            self._may_reuse = False
 
-    def _parse(self, data: memoryview) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         """Parse a part, and end the exchange if it is no part of a response."""
         assert self._response_future is not None
         self._parsed_bytes += len(data)
