Clients and servers: one bound on what a process holds for both

Cause: the bytes held for clients and those being read from servers had a share of the machine each, 0.43 and 0.2, and both were used to the full at the same time (41.1 and 19.2 MB by their accounts) beside the 33 MB that the process takes itself.

The account of the clients now also knows what is being read, and both together have 0.47 of the machine. Past it, unread responses give way first, then the largest response being read. Relief of several clients is a loop, no recursion: with it taken out, 3,000 small clients that give way at once end in a RecursionError.

Why it works: what is bounded is the sum that the machine has to bear.

--- a/src/dragonflyrock/node/client_guard.py
+++ b/src/dragonflyrock/node/client_guard.py
@@ -21,6 +21,8 @@
 # them may have 32 MiB.
 SERVER_MEMORY_SHARE: Final = 0.2
 MAX_SERVER_BYTES: Final = 48 * 1024 * 1024
+# Share of the machine's memory for both together.
+JOINT_MEMORY_SHARE: Final = 0.47
 # A control node holds several copies of a document while it changes it.
 CONTROL_MEMORY_SHARE: Final = 0.25
 # Share of the descriptors for clients. The rest is for servers, other nodes and files.
@@ -32,9 +34,14 @@
 class ClientGuard:
     """The account and the bound that the HTTP servers of a node share."""
 
-    def __init__(self, memory_bytes: int, max_connections: int) -> None:
-        """Start an account; 0 stands for no bound."""
-        self.memory = ClientMemory(memory_bytes, read_clock)
+    def __init__(
+        self, memory_bytes: int, max_connections: int, joint_bytes: int
+    ) -> None:
+        """Start an account, where 0 stands for no bound.
+
+        ``joint_bytes`` also counts what servers send.
+        """
+        self.memory = ClientMemory(memory_bytes, read_clock, joint_bytes)
         self.max_connections = max_connections
         self.servers: Sequence[HttpServer] = ()
         self._reported = (0, 0)
@@ -68,14 +75,17 @@
     """Return the guard for the size of a node's machine."""
     is_control = settings.node.role == "control"
     share = CONTROL_MEMORY_SHARE if is_control else ENTRY_MEMORY_SHARE
+    joint_share = CONTROL_MEMORY_SHARE if is_control else JOINT_MEMORY_SHARE
     machine = settings.machine
     return ClientGuard(
         int(machine.memory_mb * 1_000_000 * share),
         int(machine.max_fds * CONNECTION_SHARE),
+        int(machine.memory_mb * 1_000_000 * joint_share),
     )
 
 
-def make_server_bodies(settings: NodeSettings) -> BufferedBodies:
+def make_server_bodies(settings: NodeSettings, guard: ClientGuard) -> BufferedBodies:
     """Return the bound on the responses that a node reads from servers."""
     share = int(settings.machine.memory_mb * 1_000_000 * SERVER_MEMORY_SHARE)
-    return BufferedBodies(min(share, MAX_SERVER_BYTES) or MAX_SERVER_BYTES)
+    limit = min(share, MAX_SERVER_BYTES) or MAX_SERVER_BYTES
+    return BufferedBodies(limit, guard.memory)
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -72,7 +72,8 @@
         self._settings = settings
         self._loop = NodeLoop(settings, TICK_INTERVAL_SECONDS, began_at, clock)
         self.state = RouterState(_make_budget_policy(settings), clock)
-        self._connections = ConnectionPool(make_server_bodies(settings))
+        self._guard = make_client_guard(settings)
+        self._connections = ConnectionPool(make_server_bodies(settings, self._guard))
         name = settings.node.name
         self._router = Router(
             RouterConfig(
@@ -90,7 +91,6 @@
             self,
         )
         self._calls = CallTable(settings.seed_names, self._loop.send)
-        self._guard = make_client_guard(settings)
         self._caller_server = HttpServer(
             self._router.handle,
             WireLimits(),
--- a/tests/http/test_client_memory.py
+++ b/tests/http/test_client_memory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dragonflyrock.http import (
+    BufferedBodies,
     ClientMemory,
     ConnectionPool,
     HttpServer,
@@ -318,3 +319,52 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+class Body:
+    """A connection that is reading a response."""
+
+    def __init__(self) -> None:
+        """Read on."""
+        self.was_given_up = False
+
+    def give_up_body(self, detail: str) -> None:
+        """Read no more."""
+        self.was_given_up = True
+
+
+# Guards against a host whose clients and servers take a share of its memory each, which
+# together are more than it has.
+def test_unread_responses_give_way_to_responses_being_read() -> None:
+    memory = ClientMemory(3 * LARGE, lambda: 100.0, 4 * LARGE)
+    bodies = BufferedBodies(3 * LARGE, memory)
+    small, large = make_holders(memory, LARGE, 2 * LARGE)
+    reading = Body()
+    bodies.add(reading, LARGE + 1)
+    assert (small.was_given_up, large.was_given_up) == (False, True)
+    assert not reading.was_given_up
+    bodies.remove(reading)
+    assert memory.server_bytes == 0
+
+
+# Guards against responses without bound beside requests that cannot give way.
+def test_responses_being_read_have_what_clients_leave() -> None:
+    memory = ClientMemory(3 * LARGE, lambda: 100.0, 4 * LARGE)
+    bodies = BufferedBodies(3 * LARGE, memory)
+    for holder in make_holders(memory, LARGE, LARGE, LARGE):
+        holder.is_expendable = False
+    small, large = Body(), Body()
+    bodies.add(small, LARGE // 4)
+    bodies.add(large, LARGE // 2)
+    bodies.add(small, LARGE // 4 + 1)
+    assert (small.was_given_up, large.was_given_up) == (True, False)
+    assert memory.total + memory.server_bytes <= memory.joint_limit
+
+
+# Guards against a stack that grows with the number of clients that give way at once.
+def test_many_clients_give_way_at_once() -> None:
+    memory = ClientMemory(3_000, lambda: 100.0, 3_100)
+    holders = make_holders(memory, *([1] * 3_000))
+    memory.set_server_bytes(3_100)
+    assert all(holder.was_given_up for holder in holders)
+    assert memory.total == 0
