Requests: a line without end is refused

What callers saw: 24 clients that send a header, a trailer or its like and never end the line took as much memory as they sent (105 to 122 MB of 96 at the time of the check, growing) and, as the parser copies what it has with each part, the processor: at the callers', relay, ready, metrics and control ports alike.

Cause: httptools keeps a header until it is complete. The bound on a head counts complete headers, and so does the account of the clients.

The bytes of a request that completed no item of it are counted: past the limit of a head they are refused with 431, and until then the account has them. It holds for names, values, trailers and chunk extensions.

tests/clients/test_ports.py has the crowds, one for each port; on 12 of 13 were over the bound, e.g.

header lines: callers 111.6, relay 105.4, ready 113.3, metrics 113.6 and 119.0, control 120.7 MB trailers: callers 111.6, relay 106.9, ready 111.2, metrics 114.2 and 117.9, control 121.7 MB

Crowds and bounds of the former tests are unchanged.

--- a/src/dragonflyrock/http/connection.py
+++ b/src/dragonflyrock/http/connection.py
@@ -78,6 +78,8 @@
         self._exchanges: deque[_Exchange] = deque()
         self._unparsed = b""
         self._is_parsing = False
+        self._has_parsed_item = False
+        self._unfinished_bytes = 0
         self._unsent: deque[memoryview] = deque()
         self._unsent_bytes = 0
         self._is_writing_paused = False
@@ -141,6 +143,7 @@
         self._header_bytes = 0
         self._body: BytesIO | None = None
         self._body_bytes = 0
+        self._unfinished_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and disable Nagle's algorithm."""
@@ -214,9 +217,19 @@
         self._update_held()
 
     def _feed(self, data: bytes) -> None:
-        """Parse a part; an invalid request is refused once no other is pending."""
+        """Parse a part; an invalid request is refused once no other is pending.
+
+        The parser keeps a header, trailer or chunk extension until it is complete.
+        """
+        self._has_parsed_item = False
         try:
             self._parser.feed_data(data)
+            if self._has_parsed_item:
+                self._unfinished_bytes = 0
+            else:
+                self._unfinished_bytes += len(data)
+            if self._unfinished_bytes > self._server.limits.header_bytes:
+                self._refuse(431)
         except httptools.HttpParserUpgrade:
             self._refuse(400)
         except httptools.HttpParserError as error:
@@ -245,6 +258,7 @@
     def on_message_begin(self) -> None:
         """Start reading a request."""
         self._reset_message()
+        self._has_parsed_item = True
         self._is_receiving = True
         self._has_received = True
         self._state_changed_at = self._loop.time()
@@ -261,6 +275,7 @@
 
     def _count_header(self, size: int) -> None:
         """Count bytes of the request head and refuse a head that is too large."""
+        self._has_parsed_item = True
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
             self._refuse(431)
@@ -291,6 +306,7 @@
         """Add a part of the body and refuse a body that is too large."""
         if self._refusal_status:
             return
+        self._has_parsed_item = True
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits.body_bytes:
             self._refuse(413)
@@ -485,7 +501,7 @@
         """Update the account of the bytes held for this client."""
         held = self._unsent_bytes + len(self._unparsed)
         if self._is_receiving:
-            held += self._header_bytes
+            held += self._header_bytes + self._unfinished_bytes
             held += self._body_bytes if self._body is not None else 0
         for exchange in self._exchanges:
             held += exchange.size
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -15,9 +15,15 @@
 __all__ = [
     "Crowd",
     "make_chunked",
+    "make_endless_chunk_extension",
+    "make_endless_header",
+    "make_endless_trailer",
     "make_large_body",
+    "make_link_frame",
+    "make_many_headers",
     "make_pieces",
     "make_requests_ahead",
+    "make_requests_ahead_with_headers",
     "make_short_head",
 ]
 
@@ -27,6 +33,16 @@
 # Ends a crowd to which the node goes on listening.
 MAX_SECONDS: Final = 25.0
 HOST_LINE: Final = f"Host: {wire.HOST}\r\n"
+# What a client sends that never ends a line.
+ENDLESS_BYTES: Final = 16 * 1024 * 1024
+ENDLESS_STEP_BYTES: Final = 64 * 1024
+# Headers that are short as bytes and large as objects.
+TINY_HEADER: Final = "a:b\r\n"
+# The greeting of a ZeroMQ peer without keys, and the command by which it is ready.
+LINK_GREETING: Final = (
+    b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+)
+LINK_READY: Final = b"\x05READY\x0bSocket-Type\x00\x00\x00\x04PUSH"
 
 
 class Crowd:
@@ -124,3 +140,52 @@
 def make_short_head(size: int = 16_000) -> Iterator[bytes]:
     """Yield a request head of legal size, but for its last line."""
     yield f"GET /short/x HTTP/1.1\r\n{HOST_LINE}X-Filler: ".encode() + b"f" * size
+
+
+def make_endless_header(path: str = "/short/x") -> Iterator[bytes]:
+    """Yield a request head with a line that does not end."""
+    yield f"GET {path} HTTP/1.1\r\n{HOST_LINE}X-Filler: ".encode()
+    yield from make_filler()
+
+
+def make_endless_trailer() -> Iterator[bytes]:
+    """Yield a chunked request with a trailer that does not end."""
+    yield make_head("Transfer-Encoding: chunked") + b"1\r\nx\r\n0\r\nX-Filler: "
+    yield from make_filler()
+
+
+def make_endless_chunk_extension() -> Iterator[bytes]:
+    """Yield a chunked request with a chunk extension that does not end."""
+    yield make_head("Transfer-Encoding: chunked") + b"1\r\nx\r\n1;filler="
+    yield from make_filler()
+
+
+def make_filler() -> Iterator[bytes]:
+    """Yield the bytes of a line that does not end."""
+    for _ in range(0, ENDLESS_BYTES, ENDLESS_STEP_BYTES):
+        yield b"f" * ENDLESS_STEP_BYTES
+
+
+def make_many_headers(size: int = 16_000) -> Iterator[bytes]:
+    """Yield a request head of legal size with many headers, but for its last line."""
+    head = f"GET /short/x HTTP/1.1\r\n{HOST_LINE}"
+    yield (head + TINY_HEADER * ((size - len(head)) // len(TINY_HEADER))).encode()
+
+
+def make_requests_ahead_with_headers(
+    path: str, count: int, size: int = 12_000
+) -> Iterator[bytes]:
+    """Yield requests with many headers each, sent before any answer is read."""
+    headers = TINY_HEADER * (size // len(TINY_HEADER))
+    one = f"GET {path} HTTP/1.1\r\n{HOST_LINE}{headers}\r\n".encode()
+    for _ in range(count):
+        yield one
+
+
+def make_link_frame(size: int = 60_000_000) -> Iterator[bytes]:
+    """Yield a message on a link, as a stranger would send it, but for its last byte."""
+    yield LINK_GREETING
+    yield bytes((4, len(LINK_READY))) + LINK_READY
+    yield b"\x02" + size.to_bytes(8, "big")
+    for start in range(0, size - 1, ENDLESS_STEP_BYTES):
+        yield bytes(min(ENDLESS_STEP_BYTES, size - 1 - start))
--- a/tests/clients/deployment.py
+++ b/tests/clients/deployment.py
@@ -10,7 +10,7 @@
 import json
 import os
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -26,7 +26,14 @@
 from soak import wire
 from tests.common import free_port
 
-__all__ = ["MEMORY_MB", "MAX_FDS", "MAX_BODY_BYTES", "Deployment", "Node", "run"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "ROUTES",
+    "Deployment",
+    "Machine",
+    "Node",
+    "run",
+]
 
 # The size of the machines, and the limit of a body that operators set.
 MEMORY_MB: Final = 96
@@ -47,6 +54,16 @@
 TEST_TIMEOUT_SECONDS: Final = 120.0
 
 
+class Machine(NamedTuple):
+    """The size of a node's machine, as its settings say; 0 says nothing."""
+
+    memory_mb: int = MEMORY_MB
+    max_fds: int = MAX_FDS
+
+
+SMALL_MACHINE: Final = Machine()
+
+
 class Usage(NamedTuple):
     """What a process uses: its peak memory so far, and its descriptors now."""
 
@@ -57,34 +74,38 @@
 class Node:
     """The process of a node."""
 
-    def __init__(self, folder: Path, role: str, seed: str) -> None:
+    def __init__(self, folder: Path, role: str, seed: str, machine: Machine) -> None:
         """Write the settings; ``seed`` is the address of the control node."""
         self.role = role
+        self.machine = machine
         self.address = seed if role == "control" else f"{IP}:{free_port()}"
         self.relay = f"{IP}:{free_port()}"
+        self.ready = f"{IP}:{free_port()}"
+        self.metrics = f"{IP}:{free_port()}"
+        link_ip = IP if role == "control" else "127.0.0.2"
+        self.link = f"{link_ip}:{folder_port(folder)}"
         self._log = folder / f"{role}.log"
         self._settings = folder / f"{role}.toml"
         self._process: asyncio.subprocess.Process | None = None
         lines = [
             f'seeds = ["{seed}"]',
             "[machine]",
-            f"memory_mb = {MEMORY_MB}",
-            f"max_fds = {MAX_FDS}",
+            f"memory_mb = {machine.memory_mb}",
+            f"max_fds = {machine.max_fds}",
             "[node]",
-            f'name = "{IP}"' if role == "control" else 'name = "127.0.0.2"',
+            f'name = "{link_ip}"',
             f'label = "{role}-1"',
             f'role = "{role}"',
             'availability_zone = "zone-a"',
         ]
         if role == "control":
             lines += ["forming = true", f'data_folder = "{folder / "data"}"']
-        lines.append("[listen]")
+        lines += ["[listen]", f'link = "{self.link}"', f'metrics = "{self.metrics}"']
         if role == "control":
-            lines += [f'link = "{IP}:{folder_port(folder)}"']
             lines += [f'control = "{self.address}"']
         else:
-            lines += [f'link = "127.0.0.2:{folder_port(folder)}"']
             lines += [f'callers = "{self.address}"', f'relay = "{self.relay}"']
+            lines += [f'ready = "{self.ready}"']
         self._settings.write_text("\n".join(lines) + "\n")
 
     async def start(self) -> None:
@@ -136,11 +157,19 @@
 class Deployment:
     """The nodes, and a stand-in server in this process."""
 
-    def __init__(self, folder: Path) -> None:
-        """Prepare the nodes."""
+    def __init__(
+        self,
+        folder: Path,
+        entry_machine: Machine = SMALL_MACHINE,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        routes: Sequence[wire.RouteSpec] = ROUTES,
+    ) -> None:
+        """Prepare the nodes, and a configuration with the limit of bodies."""
         seed = f"{IP}:{free_port()}"
-        self.control = Node(folder, "control", seed)
-        self.entry = Node(folder, "entry", seed)
+        self.control = Node(folder, "control", seed, SMALL_MACHINE)
+        self.entry = Node(folder, "entry", seed, entry_machine)
+        self._max_body_bytes = max_body_bytes
+        self._routes = tuple(routes)
         self.server_address = f"{IP}:{free_port()}"
         self.arrivals = 0
         self.received_bytes: list[int] = []
@@ -153,8 +182,8 @@
         await self.control.start()
         await self.entry.start()
         await self._server.start(self.server_address)
-        config = json.loads(wire.encode_config(1, ROUTES))
-        config["limits"]["maxBodyBytes"] = MAX_BODY_BYTES
+        config = json.loads(wire.encode_config(1, self._routes))
+        config["limits"]["maxBodyBytes"] = self._max_body_bytes
         body = json.dumps(config).encode()
         path = names.CONFIG_PUT_PATH
         await self._wait_for(lambda: self._put(path, body), "the configuration")
@@ -243,9 +272,10 @@
         return await self.send_request() == 200
 
 
-def run(folder: Path, scenario: Callable[[Deployment], Awaitable[Any]]) -> Deployment:
+def run(
+    deployment: Deployment, scenario: Callable[[Deployment], Awaitable[Any]]
+) -> None:
     """Run a scenario with a new deployment."""
-    deployment = Deployment(folder)
 
     async def run_scenario() -> None:
         try:
@@ -256,4 +286,3 @@
             await deployment.close()
 
     asyncio.run(run_scenario())
-    return deployment
--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -7,57 +7,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
+from .attack import CONNECTION_COUNT, CROWD_SIZE, assert_within_machine, attack
 from .crowd import (
-    Crowd,
     make_chunked,
     make_large_body,
     make_pieces,
     make_requests_ahead,
     make_short_head,
 )
-from .deployment import MAX_BODY_BYTES, MAX_FDS, MEMORY_MB, Deployment, Node, run
-
-MakeStream = Callable[[], Iterator[bytes]]
-# Each of these would hold twice the memory of the machine or more at its node.
-CROWD_SIZE = 24
-# More connections than the machine has descriptors.
-CONNECTION_COUNT = 240
-
-
-def assert_within_machine(node: Node) -> None:
-    """Assert that a node lives, and was never larger than its machine."""
-    assert node.is_alive, node.read_log()[-2000:]
-    usage = node.read_usage()
-    assert usage.peak_mb <= MEMORY_MB
-    assert usage.fds <= MAX_FDS
-
-
-def attack(
-    folder: Path,
-    make_stream: MakeStream,
-    count: int = CROWD_SIZE,
-    target: Callable[[Deployment], str] = lambda deployment: deployment.entry.address,
-) -> None:
-    """Let a crowd loose on a node, and check both nodes and one ordinary request."""
-
-    async def scenario(deployment: Deployment) -> None:
-        crowd = Crowd(target(deployment))
-        try:
-            await crowd.attack(make_stream() for _ in range(count))
-            for node in (deployment.entry, deployment.control):
-                assert_within_machine(node)
-            await deployment.wait_for_answer()
-            for node in (deployment.entry, deployment.control):
-                assert_within_machine(node)
-        finally:
-            crowd.close()
-
-    run(folder, scenario)
+from .deployment import MAX_BODY_BYTES, Deployment, run
 
 
 # Guards against a host that runs out of memory by many bodies of legal size, each of
@@ -141,4 +103,4 @@
         for node in (deployment.entry, deployment.control):
             assert_within_machine(node)
 
-    run(tmp_path, scenario)
+    run(Deployment(tmp_path), scenario)
--- /dev/null
+++ b/tests/clients/test_ports.py
@@ -0,0 +1,61 @@
+"""Crowds at every port of a node: no process ends, and others still get answers.
+
+The crowds and the bounds were fixed on bb73bbe, before any change for them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from .attack import (
+    attack,
+)
+from .crowd import (
+    make_endless_chunk_extension,
+    make_endless_header,
+    make_endless_trailer,
+)
+from .deployment import Deployment
+
+# The default limit of a body, and what a node takes of a machine of unknown size.
+LARGEST_BODY_BYTES: Final = 64 * 1024 * 1024
+UNKNOWN_MACHINE_MB: Final = 512
+# A configuration that takes about a megabyte.
+MANY_ROUTES: Final = 4_000
+
+FindPort = Callable[[Deployment], str]
+HTTP_PORTS: dict[str, FindPort] = {
+    "callers": lambda deployment: deployment.entry.address,
+    "relay": lambda deployment: deployment.entry.relay,
+    "ready": lambda deployment: deployment.entry.ready,
+    "entry-metrics": lambda deployment: deployment.entry.metrics,
+    "control": lambda deployment: deployment.control.address,
+    "control-metrics": lambda deployment: deployment.control.metrics,
+}
+LINK_PORTS: dict[str, FindPort] = {
+    "entry": lambda deployment: deployment.entry.link,
+    "control": lambda deployment: deployment.control.link,
+}
+
+at_each_port = pytest.mark.parametrize("port", HTTP_PORTS)
+
+
+# Guards against a header line without end, which a parser keeps until it is complete.
+@at_each_port
+def test_header_lines_without_end(tmp_path: Path, port: str) -> None:
+    attack(tmp_path, make_endless_header, target=HTTP_PORTS[port])
+
+
+# Guards against a trailer without end after a body in chunks.
+@at_each_port
+def test_trailers_without_end(tmp_path: Path, port: str) -> None:
+    attack(tmp_path, make_endless_trailer, target=HTTP_PORTS[port])
+
+
+# Guards against the extension of a chunk without end, which takes the processor.
+def test_chunk_extensions_without_end(tmp_path: Path) -> None:
+    attack(tmp_path, make_endless_chunk_extension)
--- /dev/null
+++ b/tests/http/test_unfinished_lines.py
@@ -0,0 +1,88 @@
+"""Tests of requests whose parts are small on the wire and not in memory."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dragonflyrock.http import (
+    ClientMemory,
+    HttpServer,
+    Request,
+    Response,
+    WireLimits,
+    make_response,
+)
+from dragonflyrock.http.connection import PARSED_PART_BYTES
+from tests.common import free_port
+
+HEADER_BYTES = 16 * 1024
+PART = b"f" * 4096
+CHUNKED = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+
+
+async def start(memory: ClientMemory) -> tuple[HttpServer, int]:
+    """Return a server that answers with the number of headers, and its port."""
+
+    async def handle(request: Request) -> Response:
+        return make_response(200, b"%d" % len(request.headers))
+
+    server = HttpServer(handle, WireLimits(HEADER_BYTES), memory)
+    port = free_port()
+    await server.start(f"127.0.0.1:{port}")
+    return server, port
+
+
+# Guards against a line without end, which the parser keeps until it is complete, where
+# no bound and no account has it.
+@pytest.mark.parametrize(
+    "start_of_line",
+    [
+        b"GET / HTTP/1.1\r\nHost: x\r\nX-Value: ",
+        b"GET / HTTP/1.1\r\nHost: x\r\nX-Name-",
+        CHUNKED + b"0\r\nX-Trailer: ",
+        CHUNKED + b"1;extension=",
+    ],
+    ids=["value", "name", "trailer", "chunk-extension"],
+)
+def test_a_line_without_end_is_refused(start_of_line: bytes) -> None:
+    async def scenario() -> None:
+        memory = ClientMemory()
+        server, port = await start(memory)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(start_of_line)
+        largest = sent = 0
+        while not reader.at_eof() and sent < 10 * HEADER_BYTES:
+            writer.write(PART)
+            sent += len(PART)
+            await asyncio.sleep(0.005)
+            largest = max(largest, memory.total)
+            if memory.total == 0:
+                break
+        async with asyncio.timeout(5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 431 ")
+        assert HEADER_BYTES // 2 < largest <= HEADER_BYTES + 2 * PARSED_PART_BYTES
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+# Guards against a bound that a legal head meets, whatever the parts in which it comes.
+@pytest.mark.parametrize("part_bytes", [1_000, PARSED_PART_BYTES, HEADER_BYTES])
+def test_a_long_legal_line_is_read(part_bytes: int) -> None:
+    async def scenario() -> None:
+        server, port = await start(ClientMemory())
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = b"GET / HTTP/1.1\r\nHost: x\r\nX-Value: " + b"v" * (HEADER_BYTES - 100)
+        head += b"\r\n\r\n"
+        for start_of_part in range(0, len(head), part_bytes):
+            writer.write(head[start_of_part : start_of_part + part_bytes])
+            await asyncio.sleep(0.002)
+        async with asyncio.timeout(5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
