Requests: the account has what their headers take as objects

What callers saw: 60 clients that send requests of 2,400 short headers ahead and read no answer took a host of 96 MB to 214 MB.

Cause: a header of 5 bytes takes some 190 as two objects and the pair of them, and the account had the 5. 16 requests wait on each connection, and their heads are legal.

Each header counts 192 bytes beside its own. Heads of the usual size are far below what is given up first, so only connections with thousands of headers are.

--- a/src/dragonflyrock/http/connection.py
+++ b/src/dragonflyrock/http/connection.py
@@ -35,6 +35,8 @@
 WRITTEN_PART_BYTES: Final = 64 * 1024
 # What a waiting request takes beside its bytes.
 REQUEST_OVERHEAD_BYTES: Final = 1024
+# What a header takes beside its bytes, as two objects and the pair of them.
+HEADER_OVERHEAD_BYTES: Final = 192
 # A client may use the whole idle timeout; the margin covers clock differences.
 IDLE_MARGIN_SECONDS: Final = 1.0
 # A body that arrives at this rate on average is never too slow.
@@ -145,6 +147,11 @@
         self._body_bytes = 0
         self._unfinished_bytes = 0
 
+    @property
+    def _head_size(self) -> int:
+        """Return the bytes that the head of the request being read takes."""
+        return self._header_bytes + HEADER_OVERHEAD_BYTES * len(self._headers)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and disable Nagle's algorithm."""
         assert isinstance(transport, asyncio.Transport)
@@ -328,7 +335,7 @@
             tuple(self._headers),
             self._body.getvalue() if self._body is not None else b"",
         )
-        size = self._header_bytes + self._body_bytes + REQUEST_OVERHEAD_BYTES
+        size = self._head_size + self._body_bytes + REQUEST_OVERHEAD_BYTES
         keep_alive = self._parser.should_keep_alive()
         self._reset_message()
         overlaps = self._server.may_overlap(request)
@@ -501,7 +508,7 @@
         """Update the account of the bytes held for this client."""
         held = self._unsent_bytes + len(self._unparsed)
         if self._is_receiving:
-            held += self._header_bytes + self._unfinished_bytes
+            held += self._head_size + self._unfinished_bytes
             held += self._body_bytes if self._body is not None else 0
         for exchange in self._exchanges:
             held += exchange.size
--- a/tests/clients/test_ports.py
+++ b/tests/clients/test_ports.py
@@ -12,12 +12,15 @@
 import pytest
 
 from .attack import (
+    CONNECTION_COUNT,
     attack,
 )
 from .crowd import (
     make_endless_chunk_extension,
     make_endless_header,
     make_endless_trailer,
+    make_many_headers,
+    make_requests_ahead_with_headers,
 )
 from .deployment import Deployment
 
@@ -59,3 +62,13 @@
 # Guards against the extension of a chunk without end, which takes the processor.
 def test_chunk_extensions_without_end(tmp_path: Path) -> None:
     attack(tmp_path, make_endless_chunk_extension)
+
+
+# Guards against heads of legal size that take many times their size as objects.
+def test_heads_of_many_headers(tmp_path: Path) -> None:
+    attack(tmp_path, make_many_headers, CONNECTION_COUNT)
+
+
+# Guards against the same in requests that wait for the answers to earlier ones.
+def test_requests_ahead_with_many_headers(tmp_path: Path) -> None:
+    attack(tmp_path, lambda: make_requests_ahead_with_headers("/large/x", 400), 60)
--- a/tests/http/test_unfinished_lines.py
+++ b/tests/http/test_unfinished_lines.py
@@ -14,7 +14,7 @@
     WireLimits,
     make_response,
 )
-from dragonflyrock.http.connection import PARSED_PART_BYTES
+from dragonflyrock.http.connection import HEADER_OVERHEAD_BYTES, PARSED_PART_BYTES
 from tests.common import free_port
 
 HEADER_BYTES = 16 * 1024
@@ -86,3 +86,20 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against many short headers, which take many times their bytes as objects.
+def test_the_account_has_what_headers_take_as_objects() -> None:
+    async def scenario() -> None:
+        memory = ClientMemory()
+        server, port = await start(memory)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n" + b"a:b\r\n" * 1_000)
+        async with asyncio.timeout(5):
+            while memory.total < 1_000 * HEADER_OVERHEAD_BYTES:
+                await asyncio.sleep(0.005)
+        assert memory.total < 1_000 * HEADER_OVERHEAD_BYTES + HEADER_BYTES
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
