Nodes: the ports for health checks and metrics are in the account of the clients

What callers saw: clients at the ready or metrics port of a node, which others need not, ended it for all. 24 bodies of 8 MB took 224 MB of 96 at an entry node and 225 MB at a control node; 240 connections took 261, 261 and 259 descriptors of 160, so that no other client, server or node got one; metrics that 240 clients ask for and do not read kept 261 and 260 descriptors.

Cause: the two ports had no account, no bound on connections, and metrics the bound on bodies of 64 MiB.

They share the account of the node's clients, have 64 KiB for a body and 16 connections each, of which the one longest without use gives way; a health check on a new connection is still answered. The platform asks once a second, monitoring every 5 s. clients-refused and its metric count them too.

--- a/src/dragonflyrock/node/client_guard.py
+++ b/src/dragonflyrock/node/client_guard.py
@@ -11,7 +11,13 @@
 from ..observe.metrics import Metrics
 from .settings import NodeSettings
 
-__all__ = ["SMALL_LIMITS", "ClientGuard", "make_client_guard", "make_server_bodies"]
+__all__ = [
+    "MONITOR_CONNECTIONS",
+    "MONITOR_LIMITS",
+    "ClientGuard",
+    "make_client_guard",
+    "make_server_bodies",
+]
 
 # Share of the machine's memory for bytes of clients. A process takes 30 MB itself, and
 # the responses of servers have a share too. A machine of 160 MB has room for a body of
@@ -27,8 +33,9 @@
 CONTROL_MEMORY_SHARE: Final = 0.25
 # Share of the descriptors for clients. The rest is for servers, other nodes and files.
 CONNECTION_SHARE: Final = 0.5
-# Health checks and metrics have no bodies.
-SMALL_LIMITS: Final = WireLimits(body_bytes=64 * 1024)
+# Health checks and metrics have no bodies, and few clients ask for them.
+MONITOR_LIMITS: Final = WireLimits(body_bytes=64 * 1024)
+MONITOR_CONNECTIONS: Final = 16
 
 
 class ClientGuard:
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -172,11 +172,11 @@
         self._stopping = asyncio.Event()
         self._stop_requested_at = 0.0
         self._http_server: HttpServer | None = None
-        self._metrics_server = make_metrics_server(settings, self._loop.metrics)
         self._group_lines = GroupLines(
             CONTROL_GROUP, self._group.replica, self._loop.lines, self._loop.metrics
         )
         self._guard = make_client_guard(settings)
+        self._metrics_server = make_metrics_server(self._loop.metrics, self._guard)
         self._disk_error = ""
         self._apply_error = ""
         self._are_rows_behind = False
@@ -188,9 +188,9 @@
         self._http_server = HttpServer(
             handler, CONTROL_LIMITS, guard.memory, guard.max_connections
         )
-        guard.servers = (self._http_server,)
+        guard.servers = (self._http_server, self._metrics_server)
         await self._http_server.start(self._settings.listen.control)
-        if self._metrics_server is not None:
+        if self._settings.listen.metrics:
             await self._metrics_server.start(self._settings.listen.metrics)
         self._loop.log_started(
             forming=self._settings.node.forming,
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -37,7 +37,12 @@
     ServerRateDemand,
     ServerRateGrant,
 )
-from .client_guard import SMALL_LIMITS, make_client_guard, make_server_bodies
+from .client_guard import (
+    MONITOR_CONNECTIONS,
+    MONITOR_LIMITS,
+    make_client_guard,
+    make_server_bodies,
+)
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings
@@ -104,9 +109,19 @@
             self._guard.memory,
             self._guard.max_connections // RELAY_CONNECTIONS_DIVISOR,
         )
-        self._ready_server = HttpServer(self._answer_ready, SMALL_LIMITS)
-        self._guard.servers = (self._caller_server, self._relay_server)
-        self._metrics_server = make_metrics_server(settings, self._loop.metrics)
+        self._ready_server = HttpServer(
+            self._answer_ready,
+            MONITOR_LIMITS,
+            self._guard.memory,
+            MONITOR_CONNECTIONS,
+        )
+        self._metrics_server = make_metrics_server(self._loop.metrics, self._guard)
+        self._guard.servers = (
+            self._caller_server,
+            self._relay_server,
+            self._ready_server,
+            self._metrics_server,
+        )
         record = HostRecord(
             name,
             time.time_ns(),
@@ -162,7 +177,7 @@
             await self._relay_server.start(listen.relay)
         if listen.ready:
             await self._ready_server.start(listen.ready)
-        if self._metrics_server is not None:
+        if listen.metrics:
             await self._metrics_server.start(listen.metrics)
         self._loop.log_started()
         await self._loop.run_until_stopped(self._stopping, self._finish)
--- a/src/dragonflyrock/node/metrics.py
+++ b/src/dragonflyrock/node/metrics.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-from ..http import HttpServer, Request, Response, WireLimits, make_response
+from ..http import HttpServer, Request, Response, make_response
 from ..observe.metrics import CONTENT_TYPE, Metrics
-from .settings import NodeSettings
+from .client_guard import MONITOR_CONNECTIONS, MONITOR_LIMITS, ClientGuard
 
 __all__ = ["make_metrics_server"]
 
 
-def make_metrics_server(settings: NodeSettings, metrics: Metrics) -> HttpServer | None:
-    """Return the server for the metrics address, if the settings have one."""
-    if not settings.listen.metrics:
-        return None
+def make_metrics_server(metrics: Metrics, guard: ClientGuard) -> HttpServer:
+    """Return the server for the metrics of a node."""
 
     async def handle(request: Request) -> Response:
         content_type = CONTENT_TYPE.encode()
         return make_response(200, metrics.render(), content_type=content_type)
 
-    return HttpServer(handle, WireLimits())
+    return HttpServer(handle, MONITOR_LIMITS, guard.memory, MONITOR_CONNECTIONS)
--- a/tests/clients/test_ports.py
+++ b/tests/clients/test_ports.py
@@ -5,24 +5,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Final
 
 import pytest
 
+from dragonflyrock.platform import names
+from soak import wire
+
 from .attack import (
     CONNECTION_COUNT,
+    CROWD_SIZE,
     attack,
+    attack_deployment,
 )
 from .crowd import (
     make_endless_chunk_extension,
     make_endless_header,
     make_endless_trailer,
+    make_large_body,
     make_many_headers,
+    make_requests_ahead,
     make_requests_ahead_with_headers,
 )
-from .deployment import Deployment
+from .deployment import ROUTES, Deployment
 
 # The default limit of a body, and what a node takes of a machine of unknown size.
 LARGEST_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -72,3 +79,39 @@
 # Guards against the same in requests that wait for the answers to earlier ones.
 def test_requests_ahead_with_many_headers(tmp_path: Path) -> None:
     attack(tmp_path, lambda: make_requests_ahead_with_headers("/large/x", 400), 60)
+
+
+# Guards against bodies at ports whose requests have none.
+@pytest.mark.parametrize("port", ["ready", "entry-metrics", "control-metrics"])
+def test_large_bodies_where_requests_have_none(tmp_path: Path, port: str) -> None:
+    attack(tmp_path, make_large_body, target=HTTP_PORTS[port])
+
+
+# Guards against a node without a descriptor, as each port has a crowd of its own.
+@at_each_port
+def test_more_connections_than_descriptors(tmp_path: Path, port: str) -> None:
+    attack(tmp_path, lambda: iter([b"G"]), CONNECTION_COUNT, HTTP_PORTS[port])
+
+
+# Guards against metrics that nobody reads and that are kept without bound.
+@pytest.mark.parametrize("port", ["entry-metrics", "control-metrics"])
+def test_metrics_unread(tmp_path: Path, port: str) -> None:
+    def make_stream() -> Iterator[bytes]:
+        return make_requests_ahead("/metrics", 2_000)
+
+    attack(tmp_path, make_stream, CONNECTION_COUNT, HTTP_PORTS[port])
+
+
+# Guards against a large configuration that is read many times and never taken.
+def test_configurations_unread(tmp_path: Path) -> None:
+    names_of_routes = (f"route-{number:04}" for number in range(MANY_ROUTES))
+    routes = [
+        wire.RouteSpec(name, f"/{name}/", True, wire.PLAIN_SERVICE)
+        for name in names_of_routes
+    ]
+    attack_deployment(
+        Deployment(tmp_path, routes=(*ROUTES, *routes)),
+        lambda: make_requests_ahead(names.CONFIG_GET_PATH, 200),
+        CROWD_SIZE,
+        HTTP_PORTS["control"],
+    )
