Nodes: a bound holds on a machine of unknown size too

What callers saw: an entry node whose settings say nothing of its machine (memory_mb 0) took 1,568 MB from 24 bodies of 64 MiB, each legal.

Cause: 0 stood for a machine that is never short of memory, and of descriptors.

A node that is told nothing takes what the system says: its memory, 512 MB at most, and the process's limit of descriptors. An operator sets memory_mb for more; the line of the start says the bounds in force.

--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -57,7 +57,7 @@
     ServerNeeds,
     ServersHeard,
 )
-from .client_guard import make_client_guard
+from .client_guard import CONTROL_SHARES, make_client_guard, measure_machine
 from .group_lines import GroupLines
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
@@ -175,7 +175,8 @@
         self._group_lines = GroupLines(
             CONTROL_GROUP, self._group.replica, self._loop.lines, self._loop.metrics
         )
-        self._guard = make_client_guard(settings)
+        machine = measure_machine(settings.machine.memory_mb, settings.machine.max_fds)
+        self._guard = make_client_guard(machine, CONTROL_SHARES)
         self._metrics_server = make_metrics_server(self._loop.metrics, self._guard)
         self._disk_error = ""
         self._apply_error = ""
@@ -195,6 +196,7 @@
         self._loop.log_started(
             forming=self._settings.node.forming,
             log_index=self._group.replica.log.last_index,
+            **guard.describe(),
         )
         await self._loop.run_until_stopped(self._stopping, self._finish)
 
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -38,10 +38,12 @@
     ServerRateGrant,
 )
 from .client_guard import (
+    ENTRY_SHARES,
     MONITOR_CONNECTIONS,
     MONITOR_LIMITS,
     make_client_guard,
     make_server_bodies,
+    measure_machine,
 )
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
@@ -77,8 +79,11 @@
         self._settings = settings
         self._loop = NodeLoop(settings, TICK_INTERVAL_SECONDS, began_at, clock)
         self.state = RouterState(_make_budget_policy(settings), clock)
-        self._guard = make_client_guard(settings)
-        self._connections = ConnectionPool(make_server_bodies(settings, self._guard))
+        machine = measure_machine(settings.machine.memory_mb, settings.machine.max_fds)
+        self._guard = make_client_guard(machine, ENTRY_SHARES)
+        self._connections = ConnectionPool(
+            make_server_bodies(machine, ENTRY_SHARES, self._guard)
+        )
         name = settings.node.name
         self._router = Router(
             RouterConfig(
@@ -107,7 +112,7 @@
             self._router.handle_relayed,
             WireLimits(),
             self._guard.memory,
-            self._guard.max_connections // RELAY_CONNECTIONS_DIVISOR,
+            max(self._guard.max_connections // RELAY_CONNECTIONS_DIVISOR, 1),
         )
         self._ready_server = HttpServer(
             self._answer_ready,
@@ -179,7 +184,7 @@
             await self._ready_server.start(listen.ready)
         if listen.metrics:
             await self._metrics_server.start(listen.metrics)
-        self._loop.log_started()
+        self._loop.log_started(**self._guard.describe())
         await self._loop.run_until_stopped(self._stopping, self._finish)
 
     def record_stop_request(self) -> None:
--- a/src/dragonflyrock/node/settings.py
+++ b/src/dragonflyrock/node/settings.py
@@ -100,10 +100,11 @@
 
 
 class MachineSettings(_Table, frozen=True, kw_only=True):
-    """The size of the node's machine; 0 stands for one that is never short of it.
+    """The size of the node's machine.
 
-    ``memory_mb`` is the memory and ``max_fds`` the number of descriptors of a process.
-    ``link_mbps`` is the rate of the machine's link, in each direction.
+    ``memory_mb`` is the memory and ``max_fds`` the number of descriptors of a process;
+    with 0, the node finds out, and takes at most 512 MB. ``link_mbps`` is the rate of
+    the machine's link, in each direction; 0 stands for one that is never short of it.
     """
 
     memory_mb: int = 0
--- a/tests/clients/test_ports.py
+++ b/tests/clients/test_ports.py
@@ -17,6 +17,7 @@
 from .attack import (
     CONNECTION_COUNT,
     CROWD_SIZE,
+    assert_within_machine,
     attack,
     attack_deployment,
 )
@@ -29,7 +30,7 @@
     make_requests_ahead,
     make_requests_ahead_with_headers,
 )
-from .deployment import ROUTES, Deployment
+from .deployment import ROUTES, Deployment, Machine, Node, run
 
 # The default limit of a body, and what a node takes of a machine of unknown size.
 LARGEST_BODY_BYTES: Final = 64 * 1024 * 1024
@@ -115,3 +116,30 @@
         CROWD_SIZE,
         HTTP_PORTS["control"],
     )
+
+
+# Guards against a host that takes as much as it gets where its settings say nothing of
+# its machine.
+def test_large_bodies_on_a_machine_of_unknown_size(tmp_path: Path) -> None:
+    def check(node: Node) -> None:
+        assert node.is_alive, node.read_log()[-2000:]
+        assert node.read_usage().peak_mb <= UNKNOWN_MACHINE_MB
+
+    attack_deployment(
+        Deployment(tmp_path, Machine(0, 0), LARGEST_BODY_BYTES),
+        lambda: make_large_body(LARGEST_BODY_BYTES),
+        CROWD_SIZE,
+        HTTP_PORTS["callers"],
+        check,
+    )
+
+
+# Guards against a limit that a single request meets on a machine of unknown size.
+def test_the_largest_request_on_a_machine_of_unknown_size(tmp_path: Path) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        body = bytes(LARGEST_BODY_BYTES)
+        assert await deployment.send_request("POST", "/put/x", body) == 200
+        assert deployment.received_bytes[-1] == len(body)
+        assert_within_machine(deployment.control)
+
+    run(Deployment(tmp_path, Machine(0, 0), LARGEST_BODY_BYTES), scenario)
