Responses: one that is partly sent counts whole

Cause: what is left of a response was kept as a view of it, which holds all its bytes, and the account had the bytes that were left.

The data stays whole until its last part is passed to the transport, and so does its size in the account. A part is a copy of 64 KiB, so that a transport keeps no more.

--- a/src/dragonflyrock/http/connection.py
+++ b/src/dragonflyrock/http/connection.py
@@ -82,7 +82,8 @@
         self._is_parsing = False
         self._has_parsed_item = False
         self._unfinished_bytes = 0
-        self._unsent: deque[memoryview] = deque()
+        # Data to be sent, each with the number of bytes that the transport has.
+        self._unsent: deque[tuple[bytes, int]] = deque()
         self._unsent_bytes = 0
         self._is_writing_paused = False
         self._state_changed_at = self.progressed_at = loop.time()
@@ -454,7 +455,7 @@
         """Send bytes, or keep them until the client has taken earlier ones."""
         if not data:
             return
-        self._unsent.append(memoryview(data))
+        self._unsent.append((data, 0))
         self._unsent_bytes += len(data)
         self._send_parts()
 
@@ -464,12 +465,14 @@
         if transport is None or transport.is_closing():
             return
         while self._unsent and not self._is_writing_paused:
-            part = self._unsent.popleft()
-            if len(part) > WRITTEN_PART_BYTES:
-                self._unsent.appendleft(part[WRITTEN_PART_BYTES:])
-                part = part[:WRITTEN_PART_BYTES]
-            self._unsent_bytes -= len(part)
-            transport.write(part)
+            data, start = self._unsent.popleft()
+            end = start + WRITTEN_PART_BYTES
+            if end < len(data):
+                self._unsent.appendleft((data, end))
+            else:
+                # A part of it keeps all of it in memory.
+                self._unsent_bytes -= len(data)
+            transport.write(data[start:end])
         if not self._unsent and self._closes_when_sent:
             transport.close()
 
--- a/tests/http/test_client_memory.py
+++ b/tests/http/test_client_memory.py
@@ -368,3 +368,32 @@
     memory.set_server_bytes(3_100)
     assert all(holder.was_given_up for holder in holders)
     assert memory.total == 0
+
+
+# Guards against responses of which a client takes a part: what is left of them keeps
+# all of their bytes in memory, and the account had only what was left.
+def test_a_response_counts_whole_until_its_last_part_is_written() -> None:
+    async def scenario() -> None:
+        body = bytes(30_000_000)
+        memory = ClientMemory()
+
+        async def handle(request: Request) -> Response:
+            return make_response(200, body)
+
+        server = HttpServer(handle, WireLimits(), memory)
+        port = free_port()
+        await server.start(f"127.0.0.1:{port}")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1_000)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(10):
+            while not memory.total:
+                await asyncio.sleep(0.01)
+            await reader.readexactly(10_000_000)
+            assert memory.total >= len(body)
+            while not reader.at_eof() and memory.total:
+                await reader.read(1_000_000)
+        assert memory.total == 0
+        writer.close()
+        server.close()
+
+    asyncio.run(scenario())
