Product's own ports: clients are bounded as on the platform's nodes

Cause: cheroot was given no limits on heads and trailers, reads the rest of a body whole before it refuses its request, and keeps any number of connections; a body, and a response that waits for its client, was in no account, and each took a thread.

The three ports are served by the HTTP server of the platform's nodes, in one loop of their own, with one account: heads of 64 KiB, bodies in the account, connections by descriptors and memory. A request is read whole before it takes a thread and its response is written by the loop. What threads have read for clients was in no account until the loop had it: a request counts until then, and there are no more at a time than threads, or 8 while memory is short. Refusals are problem documents with their outcome, as before; one for want of memory is 503, not-run.

[machine] in the daemon's settings names the size; without it 512 MB at most.

--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -1,4 +1,4 @@
-"""A minimal forwarder with cheroot and urllib3, the baseline of the route benchmark."""
+"""A minimal forwarder with urllib3, the baseline of the route benchmark."""
 
 from __future__ import annotations
 
--- a/src/dragonflyrock/node/client_guard.py
+++ b/src/dragonflyrock/client_guard.py
@@ -1,4 +1,4 @@
-"""What the clients of a node may use of its machine, and reports of what they lost."""
+"""What clients may use of a process's machine, and the report of what they lost."""
 
 from __future__ import annotations
 
@@ -7,18 +7,19 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from ..clock import read_clock
-from ..http import BufferedBodies, ClientMemory, HttpServer, WireLimits
-from ..observe.lines import LineLog
-from ..observe.metrics import Metrics
+from .clock import read_clock
+from .http import BufferedBodies, ClientMemory, HttpServer, WireLimits
+from .observe.metrics import Metrics
 
 __all__ = [
     "CONTROL_SHARES",
+    "DAEMON_SHARES",
     "ENTRY_SHARES",
     "MONITOR_CONNECTIONS",
     "MONITOR_LIMITS",
     "ClientGuard",
     "MachineSize",
+    "RefusedClients",
     "make_client_guard",
     "make_server_bodies",
     "measure_machine",
@@ -60,6 +61,8 @@
 ENTRY_SHARES: Final = MemoryShares(0.43, 0.2, 0.47)
 # A control node holds several copies of a document while it changes it.
 CONTROL_SHARES: Final = MemoryShares(0.25, 0.0, 0.25)
+# The product's daemon has threads and tables beside its clients.
+DAEMON_SHARES: Final = MemoryShares(0.35, 0.2, 0.55)
 
 
 def measure_machine(memory_mb: int, max_fds: int) -> MachineSize:
@@ -79,8 +82,18 @@
     return MachineSize(memory_bytes, max_fds)
 
 
+class RefusedClients(NamedTuple):
+    """How many clients lost a request or connection, and what is held at that time."""
+
+    for_memory: int
+    for_connections: int
+    bytes: int
+    limit: int
+    connections: int
+
+
 class ClientGuard:
-    """The account and the bound that the HTTP servers of a node share."""
+    """The account and the bound that the HTTP servers of a process share."""
 
     def __init__(
         self, memory_bytes: int, max_connections: int, joint_bytes: int
@@ -98,8 +111,8 @@
             "client_connections": self.max_connections,
         }
 
-    def report(self, lines: LineLog, metrics: Metrics) -> None:
-        """Update the metrics, and log what clients lost since the last call.
+    def report(self, metrics: Metrics) -> RefusedClients | None:
+        """Update the metrics; return what clients lost since the last call, if any.
 
         One line tells of any number of them, so the log does not grow with a crowd.
         """
@@ -107,19 +120,18 @@
         counts = (self.memory.given_up, turned_away)
         metrics.client_bytes.set(self.memory.total)
         if counts == self._reported:
-            return
+            return None
         given_up = counts[0] - self._reported[0]
         closed = counts[1] - self._reported[1]
         self._reported = counts
         metrics.clients_refused.labels("memory").inc(given_up)
         metrics.clients_refused.labels("connections").inc(closed)
-        lines.add(
-            "clients-refused",
-            for_memory=given_up,
-            for_connections=closed,
-            bytes=self.memory.total,
-            limit=self.memory.limit,
-            connections=sum(len(server.connections) for server in self.servers),
+        return RefusedClients(
+            given_up,
+            closed,
+            self.memory.total,
+            self.memory.limit,
+            sum(len(server.connections) for server in self.servers),
         )
 
 
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -15,6 +15,7 @@
 
 import defopt
 
+from .client_guard import DAEMON_SHARES, make_client_guard, measure_machine
 from .clock import read_clock
 from .codec import get_outer_name
 from .consensus import Group, StateMachine, open_group
@@ -50,7 +51,7 @@
 from .entry.request import CallerRequest
 from .entry.reservation import Reservations
 from .entry.server_rates import ServerRateAgent
-from .entry.web import WebServer
+from .entry.web import Application, WebLoop, WebServer
 from .errors import DragonflyrockError, Reason, Refusal
 from .hashing import hash_score
 from .ledger import Ledger
@@ -76,6 +77,16 @@
 
 PLATFORM_THREAD_COUNT: Final = 24
 OPERATOR_THREAD_COUNT: Final = 4
+# Larger bodies are not read; the applications say of smaller ones what they take.
+PLATFORM_BODY_BYTES: Final = 64 * 1024
+OPERATOR_BODY_BYTES: Final = 2 * 1024 * 1024
+# What a thread takes of the memory for answers, and the fewest threads.
+CALLER_THREAD_BYTES: Final = 1536 * 1024
+MIN_CALLER_THREADS: Final = 8
+# Parts of the connections of callers that backend servers and operators may have.
+PLATFORM_CONNECTIONS_DIVISOR: Final = 4
+OPERATOR_CONNECTIONS_DIVISOR: Final = 16
+CLIENT_REPORT_INTERVAL_SECONDS: Final = 1.0
 # Part of a target that is reported; the fingerprint is of all of it.
 MAX_REPORTED_TARGET_LENGTH: Final = 256
 CONTROL_CALL_TIMEOUT_SECONDS: Final = 2.0
@@ -126,7 +137,13 @@
             hash_score(settings.host.name, "pause") / 2**64,
         )
         self._callers: CallersApp | None = None
+        self._machine = measure_machine(
+            settings.machine.memory_mb, settings.machine.max_fds
+        )
+        self._guard = make_client_guard(self._machine, DAEMON_SHARES)
+        self._web_loop = WebLoop()
         self._servers = self._bind_servers()
+        self._guard.servers = [server.server for server in self._servers]
 
     def _open_member(self) -> ControlMember:
         """Open this host's members of the control group and the ledger groups."""
@@ -176,8 +193,16 @@
         servers = []
         if settings.is_entry:
             self._callers = self._make_callers_app()
-            threads = settings.limits.caller_threads
-            servers.append(WebServer("callers", listen.callers, self._callers, threads))
+            servers.append(
+                self._bind_server(
+                    "callers",
+                    listen.callers,
+                    self._callers,
+                    self._count_caller_threads(),
+                    settings.limits.body_bytes,
+                    1,
+                )
+            )
             self._runtime.agent = self._make_agent()
         announcements = AnnouncementsApp(
             self._caller.call,
@@ -186,7 +211,14 @@
             self._update_server_notices,
         )
         servers.append(
-            WebServer("platform", listen.platform, announcements, PLATFORM_THREAD_COUNT)
+            self._bind_server(
+                "platform",
+                listen.platform,
+                announcements,
+                PLATFORM_THREAD_COUNT,
+                PLATFORM_BODY_BYTES,
+                PLATFORM_CONNECTIONS_DIVISOR,
+            )
         )
         operators = OperatorsApp(
             self._caller.call,
@@ -195,10 +227,53 @@
             settings.limits.longest_deadline_ms,
         )
         servers.append(
-            WebServer("operators", listen.operators, operators, OPERATOR_THREAD_COUNT)
+            self._bind_server(
+                "operators",
+                listen.operators,
+                operators,
+                OPERATOR_THREAD_COUNT,
+                OPERATOR_BODY_BYTES,
+                OPERATOR_CONNECTIONS_DIVISOR,
+            )
         )
         return servers
 
+    def _bind_server(
+        self,
+        name: str,
+        address: str,
+        application: Application,
+        threads: int,
+        body_bytes: int,
+        connections_divisor: int,
+    ) -> WebServer:
+        """Return an HTTP server in the account of this daemon's clients."""
+        return WebServer(
+            name,
+            address,
+            application,
+            threads,
+            self._web_loop,
+            body_bytes,
+            self._guard.memory,
+            max(self._guard.max_connections // connections_divisor, 1),
+        )
+
+    def _count_caller_threads(self) -> int:
+        """Return the number of threads for callers, each of which reads an answer."""
+        server_bytes = int(self._machine.memory_bytes * DAEMON_SHARES.servers)
+        by_memory = max(server_bytes // CALLER_THREAD_BYTES, MIN_CALLER_THREADS)
+        return min(self._settings.limits.caller_threads, by_memory)
+
+    def _report_clients(self) -> None:
+        """Log how many clients lost a request or connection since the last call."""
+        refused = self._guard.report(self._metrics)
+        if refused is not None:
+            fields = refused._asdict().items()
+            detail = " ".join(f"{name}={value}" for name, value in fields)
+            self._events.add("clients-refused", detail=detail)
+            _LOGGER.warning("clients-refused: %s", detail)
+
     def _make_agent(self) -> EntryAgent:
         """Return the agent that renews this entry host's lease."""
         settings = self._settings
@@ -261,6 +336,7 @@
                 settings.limits.answer_bytes,
                 ServerNotices(self._gate, self._events).receive,
                 self._gate.recheck,
+                int(self._machine.memory_bytes * DAEMON_SHARES.servers),
             ),
             self._events,
             self._metrics,
@@ -387,6 +463,7 @@
         loop_thread.start()
         for server in self._servers:
             server.start()
+        self._web_loop.repeat(CLIENT_REPORT_INTERVAL_SECONDS, self._report_clients)
         self._unready_reason = ""
         self._events.add("started", detail=",".join(self._settings.host.roles))
         _LOGGER.info("%s: serving", self._settings.host.name)
--- a/src/dragonflyrock/entry/problem.py
+++ b/src/dragonflyrock/entry/problem.py
@@ -71,13 +71,19 @@
 
 
 def respond_with_problem(
-    refusal: Refusal, start_response: StartResponse, request_id: str = ""
+    refusal: Refusal,
+    start_response: StartResponse,
+    request_id: str = "",
+    status: HTTPStatus | None = None,
 ) -> Iterable[bytes]:
     """Start the response for a refusal and return its body.
 
-    Retry-After is in whole seconds, rounded up, and left out if the refusal has none.
+    The status follows from the reason, unless it is given. Retry-After is in whole
+    seconds, rounded up, and left out if the refusal has none.
     """
-    status = HTTP_STATUS_BY_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    if status is None:
+        unavailable = HTTPStatus.SERVICE_UNAVAILABLE
+        status = HTTP_STATUS_BY_REASON.get(refusal.reason, unavailable)
     problem = Problem(
         type="about:blank",
         title=refusal.reason.replace("-", " "),
--- a/src/dragonflyrock/http/connection.py
+++ b/src/dragonflyrock/http/connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from .models import Headers, Request, Response, encode_head, make_response
+from .models import Headers, Request, Response, encode_head
 
 if TYPE_CHECKING:
     from .server import HttpServer
@@ -381,10 +381,10 @@
                 self.close()
                 return
             # 502: the request may or may not have been executed.
-            response = make_response(502)
+            response = self._server.make_failure(502, ())
         except Exception:
             _LOGGER.exception("step=answer: request handler failed")
-            response = make_response(500)
+            response = self._server.make_failure(500, ())
         exchange.task = None
         exchange.response = response
         self._write_ready()
@@ -422,7 +422,8 @@
             exchange = self._exchanges.popleft()
             response = exchange.response
             if response is None:
-                response = make_response(503, headers=((b"Retry-After", b"0"),))
+                headers = ((b"Retry-After", b"0"),)
+                response = self._server.make_failure(503, headers)
             self._write(response, exchange.request.method, bool(self._exchanges))
         if not self._exchanges:
             self.close()
@@ -501,7 +502,7 @@
         headers: Headers = ()
         if self._refusal_status == 503:
             headers = ((b"Retry-After", MEMORY_RETRY_AFTER),)
-        response = make_response(self._refusal_status, headers=headers)
+        response = self._server.make_failure(self._refusal_status, headers)
         self._write(response, b"", keep_alive=False)
         self.close()
 
--- a/src/dragonflyrock/http/server.py
+++ b/src/dragonflyrock/http/server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final, NamedTuple
 
 from .connection import CANCELLED_BY_HOST, ClientConnection
 from .memory import ClientMemory
-from .models import Request, Response, WireLimits
+from .models import Headers, Request, Response, WireLimits, make_response
 
 __all__ = ["CANCELLED_BY_HOST", "Handler", "HttpServer", "StopCounts"]
 
@@ -27,6 +29,11 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def _make_plain_failure(status: int, headers: Headers) -> Response:
+    """Return a response without a body."""
+    return make_response(status, headers=headers)
+
+
 class StopCounts(NamedTuple):
     """Requests that were handled or cancelled during a graceful stop.
 
@@ -50,7 +57,8 @@
 
     Requests for which ``may_overlap`` returns true may be handled beside others of
     their connection. ``memory`` is the account of all servers of a process, and
-    ``max_connections`` the number of connections, 0 for no bound.
+    ``max_connections`` the number of connections, 0 for no bound. ``make_failure``
+    makes the responses that need no handler, of a status and headers.
     """
 
     def __init__(
@@ -60,9 +68,11 @@
         memory: ClientMemory | None = None,
         max_connections: int = 0,
         may_overlap: Callable[[Request], bool] = lambda request: False,
+        make_failure: Callable[[int, Headers], Response] = _make_plain_failure,
     ) -> None:
         """Initialize a server that does not listen yet."""
         self.handler = handler
+        self.make_failure = make_failure
         self.limits = limits
         self.memory = memory if memory is not None else ClientMemory()
         self.max_connections = max_connections
@@ -77,17 +87,23 @@
         self._server: asyncio.Server | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
 
-    async def start(self, address: str) -> None:
-        """Listen at ``ip:port``."""
+    async def start(self, address: str | socket.socket) -> None:
+        """Listen at ``ip:port``, or on a bound socket."""
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        self._server = await loop.create_server(
-            lambda: ClientConnection(self, loop),
-            host,
-            int(port),
-            backlog=BACKLOG_CONNECTIONS,
-            reuse_address=True,
-        )
+        make_connection = partial(ClientConnection, self, loop)
+        if isinstance(address, socket.socket):
+            self._server = await loop.create_server(
+                make_connection, sock=address, backlog=BACKLOG_CONNECTIONS
+            )
+        else:
+            host, _, port = address.rpartition(":")
+            self._server = await loop.create_server(
+                make_connection,
+                host,
+                int(port),
+                backlog=BACKLOG_CONNECTIONS,
+                reuse_address=True,
+            )
         self._check_timeouts()
 
     @property
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any, Final, NamedTuple
 
+from ..client_guard import CONTROL_SHARES, make_client_guard, measure_machine
 from ..clock import read_clock
 from ..codec import get_outer_name
 from ..consensus import Role, open_group
@@ -57,7 +58,6 @@
     ServerNeeds,
     ServersHeard,
 )
-from .client_guard import CONTROL_SHARES, make_client_guard, measure_machine
 from .group_lines import GroupLines
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
@@ -526,7 +526,7 @@
         self._calls.tick(now)
         if now - self._servers_reported_at >= SERVER_REPORT_INTERVAL_SECONDS:
             self._servers_reported_at = now
-            self._guard.report(self._loop.lines, self._loop.metrics)
+            self._loop.log_refused_clients(self._guard)
             self._report_servers()
         self._member.tick(now)
         self._waiting_hosts.tick(replica.leader, self._settings.node.name)
--- a/src/dragonflyrock/node/entry.py
+++ b/src/dragonflyrock/node/entry.py
@@ -8,6 +8,14 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from ..client_guard import (
+    ENTRY_SHARES,
+    MONITOR_CONNECTIONS,
+    MONITOR_LIMITS,
+    make_client_guard,
+    make_server_bodies,
+    measure_machine,
+)
 from ..clock import read_clock
 from ..codec import get_outer_name
 from ..control.const import CONTROL_GROUP
@@ -37,14 +45,6 @@
     ServerRateDemand,
     ServerRateGrant,
 )
-from .client_guard import (
-    ENTRY_SHARES,
-    MONITOR_CONNECTIONS,
-    MONITOR_LIMITS,
-    make_client_guard,
-    make_server_bodies,
-    measure_machine,
-)
 from .loop import Clock, NodeLoop
 from .metrics import make_metrics_server
 from .settings import NodeSettings
@@ -409,7 +409,7 @@
             self._connections.close_expired(now)
             self._router.relayer.close_expired(now)
             self._update_server_notices(now)
-            self._guard.report(self._loop.lines, self._loop.metrics)
+            self._loop.log_refused_clients(self._guard)
             self._report_response_pauses()
             self._loop.metrics.revision.set(self.state.tables.revision)
 
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
+from ..client_guard import ClientGuard
 from ..codec import get_outer_name
 from ..observe import EventRing, HybridClock
 from ..observe.lines import LineLog
@@ -201,6 +202,12 @@
             **fields,
         )
 
+    def log_refused_clients(self, guard: ClientGuard) -> None:
+        """Log how many clients lost a request or connection since the last call."""
+        refused = guard.report(self.metrics)
+        if refused is not None:
+            self.lines.add("clients-refused", **refused._asdict())
+
     async def run_until_stopped(
         self, stopping: asyncio.Event, finish: StopCallback
     ) -> None:
--- a/src/dragonflyrock/node/metrics.py
+++ b/src/dragonflyrock/node/metrics.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from ..client_guard import MONITOR_CONNECTIONS, MONITOR_LIMITS, ClientGuard
 from ..http import HttpServer, Request, Response, make_response
 from ..observe.metrics import CONTENT_TYPE, Metrics
-from .client_guard import MONITOR_CONNECTIONS, MONITOR_LIMITS, ClientGuard
 
 __all__ = ["make_metrics_server"]
 
--- a/src/dragonflyrock/settings.py
+++ b/src/dragonflyrock/settings.py
@@ -42,6 +42,7 @@
 # The longest election to allow for, in multiples of election_max_ms.
 ELECTION_TIMEOUT_MULTIPLE: Final = 1.5
 SHA256_HEX_LENGTH: Final = 64
+MAX_MACHINE_SIZE: Final = 1e9
 
 
 class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -159,6 +160,17 @@
     waiting_requests: int = 10_000
 
 
+class MachineSettings(_Table, frozen=True, kw_only=True):
+    """The size of the machine, of which 0 says nothing.
+
+    ``memory_mb`` is the memory and ``max_fds`` the number of descriptors of the daemon.
+    With 0 the daemon finds out, and takes at most 512 MB for itself and its clients.
+    """
+
+    memory_mb: int = 0
+    max_fds: int = 0
+
+
 class KeySettings(_Table, frozen=True, kw_only=True):
     """The file with this host's CURVE secret key, which encrypts the links."""
 
@@ -176,6 +188,7 @@
     services: tuple[ServiceSettings, ...]
     timeouts: TimeoutSettings = TimeoutSettings()
     limits: LimitSettings = LimitSettings()
+    machine: MachineSettings = MachineSettings()
     keys: KeySettings = KeySettings()
 
     @property
@@ -241,6 +254,7 @@
         *_check_services(settings),
         *_check_timeouts(settings.timeouts),
         *_check_limits(settings.limits),
+        *_check_machine(settings.machine),
         *_check_keys(settings),
     ]
 
@@ -415,6 +429,15 @@
     ]
 
 
+def _check_machine(machine: MachineSettings) -> list[str]:
+    """Check that the sizes of the machine are in range."""
+    return [
+        _format_problem(f"machine.{name}", getattr(machine, name), "0 or more")
+        for name in machine.__struct_fields__
+        if not 0 <= getattr(machine, name) < MAX_MACHINE_SIZE
+    ]
+
+
 def _check_keys(settings: Settings) -> list[str]:
     """Check the keys of links, which are needed unless all links are on loopback."""
     remote = [peer.name for peer in settings.hosts if not peer.link.startswith("127.")]
--- a/tests/node/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from dragonflyrock.node.client_guard import (
+from dragonflyrock.client_guard import (
     CONNECTION_BYTES,
     ENTRY_SHARES,
     UNKNOWN_MACHINE_MB,
