Servers: an answer whose status line is none is a fault at once

What callers saw: a server answers with status 000 (also 001, 099), and its caller waits out the route's time and gets 504; over a relay too. Health checks and orders waited theirs out. Status 600 to 999 and versions 0.9 and 2.0 were passed on as answers, and an order so answered counted as carried out, or as not sent.

Cause: every status below 200 was skipped as an interim one, and llhttp takes any three digits and four versions.

Once a head is complete, its version has to be 1.0 or 1.1 and its status 100 to 599, else the exchange ends as a bad answer and the connection is closed: 502 at once where the request may have run, another server where it may be repeated, unknown for an order, no answer for a health check. Interim statuses are skipped as before; legal lines in five forms are passed on.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -52,6 +52,8 @@
 PARSED_PART_BYTES: Final = 16 * 1024
 # A larger request is written in parts of this size.
 WRITTEN_PART_BYTES: Final = 64 * 1024
+HTTP_VERSIONS: Final = ("1.0", "1.1")
+STATUSES: Final = range(100, 600)
 NO_BYTES: Final = memoryview(b"")
 _CONNECTION_NUMBERS: Final = itertools.count(1)
 
@@ -409,9 +411,16 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is recognized."""
+        version, status = (
+            self._parser.get_http_version(),
+            self._parser.get_status_code(),
+        )
+        if version not in HTTP_VERSIONS or status not in STATUSES:
+            # A status below 100 would count as an interim one.
+            self._give_up(f"invalid status line: HTTP/{version} {status:03}")
+            return
         names = {name.lower() for name, _ in self._headers}
         is_framed = b"content-length" in names or b"transfer-encoding" in names
-        status = self._parser.get_status_code()
         has_no_body = self._is_head_request or status in (204, 304) or status < 200
         self._ends_at_close = not is_framed and not has_no_body
         if self._is_head_request:
@@ -431,7 +440,7 @@
 
     def on_message_complete(self) -> None:
         """Complete a response whose end is given by its framing."""
-        if self._has_begun:
+        if self._has_begun and not self._is_closed:
             self._build_response()
 
     def _build_response(self) -> None:
--- a/tests/entry/test_web.py
+++ b/tests/entry/test_web.py
@@ -165,8 +165,7 @@
     assert read_problem(body)["reason"] == reason
 
 
-# Guards against clients that send slowly or stop, each of which would keep a thread from
-# others.
+# Guards against slow clients, each of which would keep a thread from others.
 def test_unfinished_requests_take_no_thread(host: Host) -> None:
     slow = [host.connect() for _ in range(10)]
     for sock in slow:
