Product's own port: only status lines of the protocol are believed

What callers saw: an interim answer other than 100 (102, 103, 199) as the answer to their request; answers with status 600 to 999, and lines such as "HTTP/1.1 +200", "2_00", "00200", other spaces and versions, also as the word of a server that the request has not run. 000 was a fault already.

Cause: http.client skips 100 alone, splits at any white space and reads the status by int().

The connection reads the status line itself: versions 1.0 and 1.1, statuses 100 to 599, no 101, and all interim answers are skipped within the bound on heads. Pushes of grants use the same connection.

--- a/src/dragonflyrock/entry/server_connection.py
+++ b/src/dragonflyrock/entry/server_connection.py
@@ -1,13 +1,15 @@
 """Connections to backend servers, with bounds on what a response may take.
 
 ``http.client`` takes the end of the connection for the end of a head, reads any number
-of interim responses and trailers, and a whole connection for a chunk of size -1.
+of interim responses and trailers, and a whole connection for a chunk of size -1. It
+takes an interim response but 100 for the final one, and status lines that are none.
 """
 
 from __future__ import annotations
 
 import http.client
 import io
+import re
 import socket
 import time
 from functools import partial
@@ -18,6 +20,11 @@
 
 __all__ = ["ServerConnection"]
 
+STATUS_LINE: Final = re.compile(rb"HTTP/(1\.[01]) ([1-5][0-9]{2})(?: (.*))?\r?\n")
+MAX_LINE_BYTES: Final = 16 * 1024
+# Part of an invalid status line that an error shows.
+MAX_SHOWN_BYTES: Final = 64
+SWITCHING_PROTOCOLS: Final = 101
 BLANK_LINES: Final = (b"\r\n", b"\n")
 # What a response may have besides its body: heads, interim responses, and the framing
 # of chunks, which is at most so many times the body.
@@ -126,6 +133,30 @@
         if last_line not in BLANK_LINES:
             raise http.client.IncompleteRead(last_line)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line of the final response, after all interim ones.
+
+        Raise ``HTTPException`` if there is none.
+        """
+        version, status, reason = self._read_status_line()
+        while status < 200:
+            while (line := self._response_file.readline()) not in BLANK_LINES:
+                if not line:
+                    raise http.client.IncompleteRead(line)
+            version, status, reason = self._read_status_line()
+        return version, status, reason
+
+    def _read_status_line(self) -> tuple[str, int, str]:
+        """Read a status line of the protocol."""
+        line = self._response_file.readline(MAX_LINE_BYTES)
+        if not line:
+            raise http.client.RemoteDisconnected("closed without a response")
+        match = STATUS_LINE.fullmatch(line)
+        if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
+            raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
+        reason = (match[3] or b"").decode("latin-1")
+        return f"HTTP/{match[1].decode()}", int(match[2]), reason
+
 
 class ServerConnection(HTTPConnection):
     """A connection to a backend server, on which only whole heads are accepted.
--- a/tests/control/test_pusher.py
+++ b/tests/control/test_pusher.py
@@ -12,6 +12,7 @@
 from dragonflyrock.control.calls import GrantSet
 from dragonflyrock.control.pusher import PUSH_TIMEOUT_SECONDS, GrantPusher
 from dragonflyrock.models import ServerRow
+from tests.status_lines import BAD_STATUS_LINES
 
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -125,3 +126,19 @@
     while not acknowledged and time.monotonic() < deadline:
         time.sleep(0.01)
     assert acknowledged == [("one@1", 7)]
+
+
+# Guards against grants that count as held by an answer whose status line is none of the
+# protocol.
+@pytest.mark.parametrize("line", BAD_STATUS_LINES.values(), ids=BAD_STATUS_LINES)
+def test_a_status_that_is_none_acknowledges_nothing(
+    pusher: GrantPusher, acknowledged: list[tuple[str, int]], line: bytes
+) -> None:
+    body = b'{"revision": 7}'
+    length = b"\r\nContent-Length: %d\r\n\r\n" % len(body)
+    server = Server(line + length + body, b"", 0.0)
+    pusher.push(server.row, GRANTS)
+    assert server.is_closed.wait(GIVE_UP_SECONDS)
+    pusher._threads.shutdown(wait=True)
+    server.close()
+    assert acknowledged == []
