Servers: a trailer without end is given up

What callers saw: a server sends a body in chunks and then a trailer that does not end; the host that asked keeps up to eight times the body for it (256 MB after 32 MiB) beside the body and may run out of memory.

Cause: httptools keeps a trailer until it is complete, and the bound on all but the body grows with the body, for its chunks' framing.

Bytes that complete no part of a response are counted, and given up past the 64 KiB of a head.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -82,6 +82,7 @@
         self._bodies = bodies
         self._pacer = pacer
         self._parsed_bytes = 0
+        self._unfinished_bytes = 0
         self._received_body_bytes = 0
         self._max_body_bytes = MAX_BODY_BYTES
         self._part_count = 0
@@ -163,6 +164,7 @@
         self._is_head_request = request.method == b"HEAD"
         self._max_body_bytes = max_body_bytes or MAX_BODY_BYTES
         self._parsed_bytes = self._received_body_bytes = 0
+        self._unfinished_bytes = 0
         self._part_count = self._charged_parts = 0
         if self._is_closed:
             self._fail(FaultKind.NOT_CONNECTED, "connection was closed while idle")
@@ -334,11 +336,20 @@
         """Parse a part, and end the exchange if it is no part of a response."""
         assert self._response_future is not None
         self._parsed_bytes += len(data)
+        parts = self._part_count
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._give_up(str(error))
             return
+        # The parser keeps a header or trailer until it is complete.
+        if parts != self._part_count:
+            self._unfinished_bytes = 0
+        else:
+            self._unfinished_bytes += len(data)
+        if self._unfinished_bytes > MAX_HEAD_BYTES and not self._response_future.done():
+            self._give_up(f"a line exceeds {MAX_HEAD_BYTES} bytes")
+            return
         overhead = self._parsed_bytes - self._received_body_bytes
         allowed = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self._received_body_bytes
         if overhead > allowed and not self._response_future.done():
--- a/tests/http/test_unfinished_lines.py
+++ b/tests/http/test_unfinished_lines.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
 from dragonflyrock.http import (
     ClientMemory,
+    ConnectionPool,
+    ExchangeFault,
     HttpServer,
     Request,
     Response,
+    ServerConnection,
     WireLimits,
     make_response,
 )
@@ -103,3 +107,40 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a trailer of a response that does not end, which the parser keeps while
+# the bound on all but the body grows with the body.
+def test_a_trailer_of_a_response_without_end_is_given_up() -> None:
+    body = 8_000_000
+    sent = 0
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head + b"%x\r\n%s\r\n0\r\nX-Trailer: " % (body, bytes(body)))
+        with suppress(ConnectionError):
+            while sent < 5 * body:
+                writer.write(bytes(b"x" * 65_536))
+                await writer.drain()
+                sent += 65_536
+        writer.close()
+
+    async def scenario() -> None:
+        listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        connection = await ConnectionPool().connect(f"127.0.0.1:{port}", 1.0)
+        assert isinstance(connection, ServerConnection)
+        request = Request(b"GET", b"/", ((b"Host", b"x"),), b"")
+        async with asyncio.timeout(10):
+            result = await connection.exchange(request, needs_id=False)
+        assert isinstance(result, ExchangeFault)
+        assert result.detail.startswith("a line exceeds")
+        listener.close()
+
+    asyncio.run(scenario())
+    # What fits in the buffers of the sockets is sent too.
+    assert sent < 4 * body
