--- a/src/dragonflyrock/client_guard.py
+++ b/src/dragonflyrock/client_guard.py
@@ -28,8 +28,8 @@
     "measure_machine",
 ]
 
-# What a process takes of a machine whose size no settings name. The machine may have
-# less, and other processes.
+# What a process takes at most of a machine whose size no settings name, as others may
+# run there.
 UNKNOWN_MACHINE_MB: Final = 512
 MAX_SERVER_BYTES: Final = 48 * 1024 * 1024
 # Share of the descriptors for clients. The rest is for servers, other nodes and files.
@@ -63,7 +63,7 @@
     links: float
 
 
-# A process takes 30 MB itself. A machine of 160 MB has room for a body of 64 MiB.
+# A machine of 160 MB has room for a body of 64 MiB.
 ENTRY_SHARES: Final = MemoryShares(0.43, 0.2, 0.47, 0.1)
 # A control node holds several copies of a document while it changes it.
 CONTROL_SHARES: Final = MemoryShares(0.25, 0.0, 0.25, 0.25)
--- a/src/dragonflyrock/entry/web.py
+++ b/src/dragonflyrock/entry/web.py
@@ -27,7 +27,7 @@
 _Result = TypeVar("_Result")
 
 SHUTDOWN_TIMEOUT_SECONDS: Final = 1.0
-# The limit of a request head; servers of the field take 8 to 64 KiB.
+# The limit of a request head.
 HEADER_BYTES: Final = 64 * 1024
 # Requests that run at once while the clients of the process hold much memory.
 MAX_PRESSED_REQUESTS: Final = 8
--- a/src/dragonflyrock/transport/link_receiver.py
+++ b/src/dragonflyrock/transport/link_receiver.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import selectors
 import socket
@@ -20,6 +21,8 @@
 
 __all__ = ["ClosedLinks", "LinkBounds", "LinkReceiver"]
 
+_LOGGER = logging.getLogger(__name__)
+
 GREETING_BYTES: Final = 64
 GREETING: Final = (
     b"\xff" + bytes(8) + b"\x7f\x03\x01" + b"NULL".ljust(20, b"\0") + bytes(32)
@@ -160,15 +163,27 @@
                 time.sleep(FULL_WAIT_SECONDS)
                 continue
             for key, _ in self._selector.select(WAIT_SECONDS):
-                if key.data is None:
-                    self._accept()
-                elif key.data in self._connections:
-                    self._read(key.data)
+                self._handle(key.data)
         for connection in list(self._connections):
             self._close(connection)
         self._selector.close()
         self._listener.close()
 
+    def _handle(self, connection: _Connection | None) -> None:
+        """Read from a connection that has bytes, or accept a new one for None.
+
+        An error ends one connection, not the thread, which serves all of them.
+        """
+        try:
+            if connection is None:
+                self._accept()
+            elif connection in self._connections:
+                self._read(connection)
+        except Exception:
+            _LOGGER.exception("step=receive: a connection failed")
+            if connection in self._connections:
+                self._close(connection)
+
     def _is_full(self) -> bool:
         """Return whether too much was received that is not taken yet."""
         waiting_bytes = self._queued_bytes - self._taken_bytes
--- a/tests/transport/test_link_receiver.py
+++ b/tests/transport/test_link_receiver.py
@@ -197,3 +197,20 @@
     wait_until(lambda: host.receiver._held_bytes > 900_000)
     sock.close()
     wait_until(lambda: host.receiver._held_bytes == 0)
+
+
+# Guards against a thread that an unexpected error of one connection ends, and so a node
+# that hears nobody any more.
+def test_an_error_ends_one_connection(
+    host: Host, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(connection: object, flags: int, body: bytes) -> None:
+        raise ValueError
+
+    with monkeypatch.context() as patched, host.connect_stranger() as sock:
+        patched.setattr(host.receiver, "_take_frame", fail)
+        sock.sendall(start_frame(1) + b"x")
+        assert is_closed(sock)
+    peer = host.connect()
+    peer.send(b"after")
+    assert host.receive() == b"after"
