--- a/src/dragonflyrock/client_guard.py
+++ b/src/dragonflyrock/client_guard.py
@@ -10,8 +10,6 @@
 from .clock import read_clock
 from .http import BufferedBodies, ClientMemory, HttpServer, WireLimits
 from .observe.metrics import Metrics
-from .transport.link_receiver import LinkBounds
-from .transport.links import MAX_FRAME_BYTES
 
 __all__ = [
     "CONTROL_SHARES",
@@ -23,7 +21,6 @@
     "MachineSize",
     "RefusedClients",
     "make_client_guard",
-    "make_link_bounds",
     "make_server_bodies",
     "measure_machine",
 ]
@@ -34,7 +31,6 @@
 MAX_SERVER_BYTES: Final = 48 * 1024 * 1024
 # Share of the descriptors for clients. The rest is for servers, other nodes and files.
 CONNECTION_SHARE: Final = 0.5
-LINK_CONNECTION_SHARE: Final = 0.2
 # What a connection takes of the memory for clients, besides what it holds.
 CONNECTION_BYTES: Final = 32 * 1024
 # Health checks and metrics have no bodies, and few clients ask for them.
@@ -53,22 +49,20 @@
     """Shares of a machine's memory.
 
     ``clients`` is for what is held for clients, ``servers`` for responses being read
-    from servers, and ``joint`` for both together. ``links`` is for messages of other
-    nodes that are incomplete or wait.
+    from servers, and ``joint`` for both together.
     """
 
     clients: float
     servers: float
     joint: float
-    links: float
 
 
 # A machine of 160 MB has room for a body of 64 MiB.
-ENTRY_SHARES: Final = MemoryShares(0.43, 0.2, 0.47, 0.1)
+ENTRY_SHARES: Final = MemoryShares(0.43, 0.2, 0.47)
 # A control node holds several copies of a document while it changes it.
-CONTROL_SHARES: Final = MemoryShares(0.25, 0.0, 0.25, 0.25)
+CONTROL_SHARES: Final = MemoryShares(0.25, 0.0, 0.25)
 # The product's daemon has threads and tables beside its clients.
-DAEMON_SHARES: Final = MemoryShares(0.35, 0.2, 0.55, 0.1)
+DAEMON_SHARES: Final = MemoryShares(0.35, 0.2, 0.55)
 
 
 def measure_machine(memory_mb: int, max_fds: int) -> MachineSize:
@@ -158,10 +152,3 @@
     """Return the bound on the responses that a process reads from servers."""
     share = int(machine.memory_bytes * shares.servers)
     return BufferedBodies(min(share, MAX_SERVER_BYTES), guard.memory)
-
-
-def make_link_bounds(machine: MachineSize, shares: MemoryShares) -> LinkBounds:
-    """Return the bounds on what other nodes, or strangers, send on links."""
-    share = int(machine.memory_bytes * shares.links)
-    connections = int(machine.max_fds * LINK_CONNECTION_SHARE)
-    return LinkBounds(min(share, MAX_FRAME_BYTES), share // 2, max(connections, 1))
--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -15,12 +15,7 @@
 
 import defopt
 
-from .client_guard import (
-    DAEMON_SHARES,
-    make_client_guard,
-    make_link_bounds,
-    measure_machine,
-)
+from .client_guard import DAEMON_SHARES, make_client_guard, measure_machine
 from .clock import read_clock
 from .codec import get_outer_name
 from .consensus import Group, StateMachine, open_group
@@ -116,16 +111,12 @@
         self._failed = False
         self._metrics = Metrics()
         self._events = EventRing(settings.host.name, HybridClock())
-        self._machine = measure_machine(
-            settings.machine.memory_mb, settings.machine.max_fds
-        )
         self._links = Links(
             settings.host.name,
             settings.listen.link,
             self._events.clock,
             self._metrics,
             load_keys(settings),
-            make_link_bounds(self._machine, DAEMON_SHARES),
         )
         for peer in settings.hosts:
             if peer.name != settings.host.name:
@@ -146,6 +137,9 @@
             hash_score(settings.host.name, "pause") / 2**64,
         )
         self._callers: CallersApp | None = None
+        self._machine = measure_machine(
+            settings.machine.memory_mb, settings.machine.max_fds
+        )
         self._guard = make_client_guard(self._machine, DAEMON_SHARES)
         self._web_loop = WebLoop()
         self._servers = self._bind_servers()
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -8,18 +8,11 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
-from ..client_guard import (
-    CONTROL_SHARES,
-    ENTRY_SHARES,
-    ClientGuard,
-    make_link_bounds,
-    measure_machine,
-)
+from ..client_guard import ClientGuard
 from ..codec import get_outer_name
 from ..observe import EventRing, HybridClock
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
-from ..transport.link_receiver import ClosedLinks, LinkBounds
 from ..transport.links import Links, ReceivedMessage
 from ..transport.messages import ConsensusMessage, LinkMessage
 from .settings import NodeSettings
@@ -69,9 +62,7 @@
             self.events.clock,
             self.metrics,
             None,
-            _make_link_bounds(settings),
         )
-        self._reported_links = ClosedLinks()
         self._local_messages: deque[ReceivedMessage] = deque()
         self._tick_interval = tick_interval
         self._is_pass_scheduled = False
@@ -216,20 +207,6 @@
         refused = guard.report(self.metrics)
         if refused is not None:
             self.lines.add("clients-refused", **refused._asdict())
-        self.log_closed_links()
-
-    def log_closed_links(self) -> None:
-        """Log how many connections of other nodes were closed since the last call."""
-        closed = self._links.closed_links
-        if closed == self._reported_links:
-            return
-        for_memory = closed.for_memory - self._reported_links.for_memory
-        for_connections = closed.for_connections - self._reported_links.for_connections
-        self._reported_links = closed
-        self.metrics.clients_refused.labels("links").inc(for_memory + for_connections)
-        self.lines.add(
-            "links-closed", for_memory=for_memory, for_connections=for_connections
-        )
 
     async def run_until_stopped(
         self, stopping: asyncio.Event, finish: StopCallback
@@ -300,13 +277,6 @@
         )
 
 
-def _make_link_bounds(settings: NodeSettings) -> LinkBounds:
-    """Return the bounds on links by the size of a node's machine."""
-    machine = measure_machine(settings.machine.memory_mb, settings.machine.max_fds)
-    is_control = settings.node.role == "control"
-    return make_link_bounds(machine, CONTROL_SHARES if is_control else ENTRY_SHARES)
-
-
 def _ignore_message(received: ReceivedMessage, now: float) -> None:
     """Ignore a message before the node starts and after it is closed."""
 
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -11,19 +11,17 @@
 from ..codec import CodecError, get_outer_name
 from ..observe import HybridClock
 from ..observe.metrics import Metrics
-from .link_receiver import ClosedLinks, LinkBounds, LinkReceiver
 from .messages import MESSAGES, Envelope, LinkMessage, PackedUpdate
 from .packing import unpack_update
 
 if TYPE_CHECKING:
     from zmq.auth.thread import ThreadAuthenticator
 
-__all__ = ["MAX_FRAME_BYTES", "CurveKeys", "Links", "ReceivedMessage"]
+__all__ = ["CurveKeys", "Links", "ReceivedMessage"]
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
-DEFAULT_BOUNDS: Final = LinkBounds(MAX_FRAME_BYTES, MAX_FRAME_BYTES, 1_000)
 SEND_QUEUE_MESSAGES: Final = 10_000
 # A connection whose peer does not respond is closed within the sum of the two times.
 HEARTBEAT_INTERVAL_MS: Final = 1000
@@ -64,38 +62,26 @@
         clock: HybridClock,
         metrics: Metrics,
         keys: CurveKeys | None,
-        bounds: LinkBounds | None = None,
     ) -> None:
-        """Bind the receiving socket at ``ip:port``.
-
-        Without ``keys`` any peer may connect, so what all of them send is bounded.
-        """
+        """Bind the receiving socket at ``ip:port``."""
         self.name = name
         self._clock = clock
         self._metrics = metrics
         self._keys = keys
         self._context = zmq.Context()
         self._authenticator = self._start_authenticator(keys)
-        self.receiver: zmq.Socket[bytes] | LinkReceiver
-        if keys is None:
-            self.receiver = LinkReceiver(bind, bounds or DEFAULT_BOUNDS)
-        else:
-            self.receiver = self._make_keyed_receiver(bind, keys)
+        self.receiver = self._context.socket(zmq.PULL)
+        self._configure(self.receiver)
+        if keys is not None:
+            self.receiver.curve_server = True
+            self.receiver.curve_publickey = keys.public.encode()
+            self.receiver.curve_secretkey = keys.secret.encode()
+        self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        self.receiver.bind(f"tcp://{bind}")
         self._senders: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[str, str] = {}
         self._unsendable_kinds: set[str] = set()
 
-    def _make_keyed_receiver(self, bind: str, keys: CurveKeys) -> zmq.Socket[bytes]:
-        """Return a socket at ``ip:port`` for peers whose keys are known."""
-        receiver: zmq.Socket[bytes] = self._context.socket(zmq.PULL)
-        self._configure(receiver)
-        receiver.curve_server = True
-        receiver.curve_publickey = keys.public.encode()
-        receiver.curve_secretkey = keys.secret.encode()
-        receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-        receiver.bind(f"tcp://{bind}")
-        return receiver
-
     def _start_authenticator(
         self, keys: CurveKeys | None
     ) -> ThreadAuthenticator | None:
@@ -119,13 +105,6 @@
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
 
-    @property
-    def closed_links(self) -> ClosedLinks:
-        """Return how many connections of peers were closed to keep the bounds."""
-        if isinstance(self.receiver, LinkReceiver):
-            return self.receiver.closed
-        return ClosedLinks()
-
     def has_peer(self, peer: str) -> bool:
         """Return whether there is a link to a peer, connected or not."""
         return peer in self._addresses
--- a/tests/clients/test_ports.py
+++ b/tests/clients/test_ports.py
@@ -26,6 +26,7 @@
     make_endless_header,
     make_endless_trailer,
     make_large_body,
+    make_link_frame,
     make_many_headers,
     make_requests_ahead,
     make_requests_ahead_with_headers,
@@ -143,3 +144,9 @@
         assert_within_machine(deployment.control)
 
     run(Deployment(tmp_path, Machine(0, 0), LARGEST_BODY_BYTES), scenario)
+
+
+# Guards against strangers on the port by which nodes speak to each other.
+@pytest.mark.parametrize("port", LINK_PORTS)
+def test_messages_of_strangers_on_a_link(tmp_path: Path, port: str) -> None:
+    attack(tmp_path, make_link_frame, 4, LINK_PORTS[port])
