Lines that show whom a candidate asks, what each voter answers, and whether its link is open

No change of logic.

no-leader has the last term, the index of the configuration and the own identity; a voter line each says what is known of the others; identity-unknown shows messages that are dropped for their target. The test of a vote that is refused for a lease compares the whole answer, so it names the reason too.

tests/node/test_group_lines.py: two new tests; GroupLines takes how to read a link's state.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -208,7 +208,7 @@
     if len(replica.vote_refusals) >= MAX_RECORDED_CANDIDATES:
         replica.vote_refusals.clear()
     replica.vote_refusals[sender.name] = refusal
-    _send_vote_answer(replica, sender, request, granted=not refusal)
+    _send_vote_answer(replica, sender, request, refusal)
 
 
 def _is_competing_pre_vote(replica: Replica, request: VoteRequest) -> bool:
@@ -237,11 +237,13 @@
 
 
 def _send_vote_answer(
-    replica: Replica, sender: Member, request: VoteRequest, *, granted: bool
+    replica: Replica, sender: Member, request: VoteRequest, refusal: VoteRefusal
 ) -> None:
     """Send the answer to a vote request."""
-    term = request.term if granted else replica.hard_state.term
-    answer = VoteAnswer(term, granted, request.pre_vote, request.forming)
+    term = replica.hard_state.term if refusal else request.term
+    answer = VoteAnswer(
+        term, not refusal, request.pre_vote, request.forming, refusal.value
+    )
     queue_message(replica, sender.name, answer)
 
 
--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -10,6 +10,7 @@
 
 from ..codec import CodecError
 from ..const import NEVER
+from .contacts import record_contact
 from .files import Files
 from .log import Log
 from .membership import step_down
@@ -152,6 +153,7 @@
         self, sender: Member, recipient_identity: str, message: Message, now: float
     ) -> None:
         """Handle a message, unless it is for another identity of this member."""
+        record_contact(self.replica, sender, recipient_identity, message, now)
         if recipient_identity not in ("", self.replica.me.identity):
             return
         if self.disk_error:
--- a/src/dragonflyrock/consensus/models.py
+++ b/src/dragonflyrock/consensus/models.py
@@ -162,12 +162,14 @@
     """Answer a vote request.
 
     ``term`` is the term of the request if the vote is granted, else that of the voter.
+    ``refusal`` is the reason of a refusal; a former build names none.
     """
 
     term: int
     granted: bool
     pre_vote: bool
     forming: bool
+    refusal: str = ""
 
 
 class AppendRequest(NamedTuple):
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from ..const import NEVER
+from .contacts import Contact
 from .log import Log
 from .models import (
     Configuration,
@@ -122,7 +123,8 @@
     ``term_start_index`` is the index of the first entry that this leader appended in
     its term. ``join_peers`` are members to ask to join besides the configured ones.
     ``waiting_members`` are known only to a leader, by their names.
-    ``vote_refusals`` are the answers to the latest vote request of each candidate.
+    ``vote_refusals`` are the answers to the latest vote request of each candidate, and
+    ``contacts`` what was last heard from each member of the configuration.
     ``voter_target`` is the number of voters that a leader aims at, or 0 to promote
     every learner; ``member_zones`` are the availability zones of members, where known.
     ``leader_commit_index`` is the highest commit index that a leader has named.
@@ -148,6 +150,7 @@
     peers: dict[str, PeerProgress] = field(default_factory=dict)
     waiting_members: dict[str, WaitingMember] = field(default_factory=dict)
     vote_refusals: dict[str, str] = field(default_factory=dict)
+    contacts: dict[str, Contact] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
     join_peers: tuple[str, ...] = ()
     voter_target: int = 0
--- a/src/dragonflyrock/node/control.py
+++ b/src/dragonflyrock/node/control.py
@@ -173,7 +173,11 @@
         self._stop_requested_at = 0.0
         self._http_server: HttpServer | None = None
         self._group_lines = GroupLines(
-            CONTROL_GROUP, self._group.replica, self._loop.lines, self._loop.metrics
+            CONTROL_GROUP,
+            self._group.replica,
+            self._loop.lines,
+            self._loop.metrics,
+            self._loop.is_link_open,
         )
         machine = measure_machine(settings.machine.memory_mb, settings.machine.max_fds)
         self._guard = make_client_guard(machine, CONTROL_SHARES)
--- a/src/dragonflyrock/node/group_lines.py
+++ b/src/dragonflyrock/node/group_lines.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
-from ..consensus import Replica, Role
+from ..consensus import Member, Replica, Role
 from ..const import NEVER
 from ..observe.lines import LineLog
 from ..observe.metrics import Metrics
@@ -19,17 +20,24 @@
 class GroupLines:
     """Log each change of what a member believes about its group.
 
-    While no leader is known, a line is logged each ``NO_LEADER_INTERVAL_SECONDS``.
+    While no leader is known, lines about it and about each other voter are logged each
+    ``NO_LEADER_INTERVAL_SECONDS``.
     """
 
     def __init__(
-        self, name: str, replica: Replica, lines: LineLog, metrics: Metrics
+        self,
+        name: str,
+        replica: Replica,
+        lines: LineLog,
+        metrics: Metrics,
+        is_link_open: Callable[[str], bool],
     ) -> None:
         """Initialize for the replica of the group ``name``."""
         self._name = name
         self._replica = replica
         self._lines = lines
         self._metrics = metrics
+        self._is_link_open = is_link_open
         self._role = ""
         self._leader_seen_at = NEVER
         self._no_leader_logged_at = NEVER
@@ -38,6 +46,7 @@
         self._snapshot_index = replica.log.snapshot.log_index
         self._waiting: dict[str, str] = {}
         self._refusals: dict[str, tuple[str, float]] = {}
+        self._wanted: dict[str, str] = {}
 
     def tick(self, now: float) -> None:
         """Log what has changed since the last tick; ``now`` is in seconds."""
@@ -45,6 +54,7 @@
         self._log_snapshot()
         self._log_waiting_members()
         self._log_vote_refusals(now)
+        self._log_other_identities()
         self._log_role()
         self._log_missing_leader(now)
 
@@ -117,6 +127,23 @@
                 detail=refusal,
             )
 
+    def _log_other_identities(self) -> None:
+        """Log that a peer's messages are meant for another identity of this member."""
+        own = self._replica.me.identity
+        for name, contact in self._replica.contacts.items():
+            wanted = contact.wanted_identity
+            if wanted == own:
+                self._wanted.pop(name, None)
+            elif wanted not in ("", self._wanted.get(name)):
+                self._wanted[name] = wanted
+                self._lines.add(
+                    "identity-unknown",
+                    member=name,
+                    member_identity=contact.identity,
+                    wanted=wanted,
+                    identity=own,
+                )
+
     def _log_role(self) -> None:
         """Log a change of the role."""
         replica = self._replica
@@ -149,6 +176,25 @@
             role=replica.role,
             term=replica.hard_state.term,
             log_index=replica.log.last_index,
+            log_term=replica.log.last_term,
+            members_index=replica.log.configuration_index,
+            identity=replica.me.identity,
             votes=sorted(replica.votes) if replica.role == Role.CANDIDATE else "",
             needed=replica.configuration.quorum,
         )
+        for voter in replica.configuration.voters:
+            if voter != replica.me:
+                self._log_voter(voter, now)
+
+    def _log_voter(self, voter: Member, now: float) -> None:
+        """Log a voter that does not make a leader possible, and its last message."""
+        contact = self._replica.contacts.get(voter.name)
+        self._lines.add(
+            "voter",
+            voter=voter.name,
+            voter_identity=voter.identity,
+            link="open" if self._is_link_open(voter.name) else "closed",
+            heard=round(now - contact.heard_at, 2) if contact else "",
+            heard_identity=contact.identity if contact else "",
+            vote=contact.vote if contact else "",
+        )
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -96,6 +96,10 @@
         """Close the link to a node."""
         self._links.disconnect(peer)
 
+    def is_link_open(self, peer: str) -> bool:
+        """Return whether the link to a node is connected."""
+        return self._links.is_open(peer)
+
     def send(self, peer: str, message: LinkMessage) -> bool:
         """Send a message to a node, which may be this node itself."""
         if peer == self.settings.node.name:
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -109,6 +109,11 @@
         """Return whether there is a link to a peer, connected or not."""
         return peer in self._addresses
 
+    def is_open(self, peer: str) -> bool:
+        """Return whether the link to a peer is connected and takes messages."""
+        socket = self._senders.get(peer)
+        return socket is not None and bool(socket.poll(0, zmq.POLLOUT))
+
     def connect(self, peer: str, address: str) -> None:
         """Connect to a peer at ``ip:port``; reconnect if its address has changed."""
         if self._addresses.get(peer) == address:
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -247,7 +247,9 @@
     )
     receive(voter, candidate.me, request, cluster.clocks[voter.me.name])
     answers = [message for _, message in take_output(voter).messages]
-    assert answers == [VoteAnswer(voter.hard_state.term, False, False, False)]
+    refusal = "promised to a leader"
+    term = voter.hard_state.term
+    assert answers == [VoteAnswer(term, False, False, False, refusal)]
 
 
 # Guards against counting the vote of a member that has lost its disk.
--- a/tests/node/test_group_lines.py
+++ b/tests/node/test_group_lines.py
@@ -14,12 +14,15 @@
     Timing,
     make_replica,
 )
+from dragonflyrock.consensus.contacts import record_contact
 from dragonflyrock.consensus.log import encode_configuration
 from dragonflyrock.consensus.models import (
     Configuration,
     Entry,
     EntryKind,
+    JoinRequest,
     SnapshotImage,
+    VoteAnswer,
     VoteRequest,
 )
 from dragonflyrock.consensus.replica import WaitingMember
@@ -61,7 +64,13 @@
     replica: Replica, recorder: LineRecorder, metrics: Metrics
 ) -> GroupLines:
     """Return the lines of the replica, after the first tick."""
-    lines = GroupLines("control", replica, recorder, metrics)  # type: ignore[arg-type]
+    lines = GroupLines(
+        "control",
+        replica,
+        recorder,  # type: ignore[arg-type]
+        metrics,
+        lambda peer: peer == "b",
+    )
     lines.tick(0.0)
     return lines
 
@@ -137,6 +146,56 @@
     assert [line["seconds"] for line in lines] == [2.0, 4.0, 6.0, 8.0, 10.0]
 
 
+# Guards against two candidates without a leader of which no line says who each takes
+# for a voter, whether the other is heard, and what it answers.
+def test_a_missing_leader_is_logged_with_what_each_voter_answers(
+    group_lines: GroupLines, replica: Replica, recorder: LineRecorder
+) -> None:
+    refusal = VoteAnswer(1, False, True, False, "the candidate is not a member")
+    record_contact(replica, VOTERS[1], "1", refusal, 1.5)
+    record_contact(replica, Member("c", "9"), "", JoinRequest("9"), 1.75)
+    record_contact(replica, Member("stranger", "5"), "", JoinRequest("5"), 1.8)
+    group_lines.tick(2.0)
+    (missing,) = [line for line in recorder.lines if line["event"] == "no-leader"]
+    assert (missing["identity"], missing["members_index"]) == ("1", 1)
+    voters = [line for line in recorder.lines if line["event"] == "voter"]
+    assert voters == [
+        {
+            "event": "voter",
+            "voter": "b",
+            "voter_identity": "2",
+            "link": "open",
+            "heard": 0.5,
+            "heard_identity": "2",
+            "vote": "the candidate is not a member",
+        },
+        {
+            "event": "voter",
+            "voter": "c",
+            "voter_identity": "3",
+            "link": "closed",
+            "heard": 0.25,
+            "heard_identity": "9",
+            "vote": "",
+        },
+    ]
+
+
+# Guards against messages that are dropped, as they are meant for another identity of
+# this member, without a line that shows it.
+def test_messages_for_another_identity_are_logged_once(
+    group_lines: GroupLines, replica: Replica, recorder: LineRecorder
+) -> None:
+    for number, wanted in enumerate(("0", "0", "1", "0")):
+        record_contact(replica, VOTERS[1], wanted, JoinRequest("2"), float(number))
+        group_lines.tick(float(number))
+    lines = [line for line in recorder.lines if line["event"] == "identity-unknown"]
+    assert [(line["member"], line["wanted"], line["identity"]) for line in lines] == [
+        ("b", "0", "1"),
+        ("b", "0", "1"),
+    ]
+
+
 # Guards against a log that grows in memory without a line that shows its bytes.
 def test_a_snapshot_is_logged_with_its_bytes_and_those_left_in_the_log(
     group_lines: GroupLines, replica: Replica, recorder: LineRecorder
