Consensus: a member that is behind judges nobody by its outdated configuration

It compared the leader with that configuration and refused it without a word, addressed its answers to the lost identity, and stood for election as the voter of its own name. It never became a voter; two voters were left, and the next lost disk was final. The class: what was true of another node a while ago is acted on without its age.

Change: a leader is followed for its term, which only a quorum gives; an answer goes to the identity that asked; a voter refuses a candidate for who it is only if the candidate's log is not newer than its own; a member that refuses writes records such a leader too; a member stands only if the voter of its name has its identity. Why it is safe: a candidate still counts only votes, and a leader only acknowledgements, of the identities in its own configuration, and a vote still needs a log that is at least as new.

Tests of consensus, control, nodes, links and ledger pass. The paused clock's group takes the recipients' identities from the output, as the product does now, instead of working them out once more; a test reads the message of an output by its name.

--- a/src/dragonflyrock/consensus/__init__.py
+++ b/src/dragonflyrock/consensus/__init__.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from .group import Group, OutgoingMessage, StateMachine, open_group
+from .group import Group, StateMachine, open_group
 from .log import Log
 from .models import (
     Configuration,
@@ -32,7 +32,6 @@
     "Log",
     "Member",
     "Message",
-    "OutgoingMessage",
     "Output",
     "Replica",
     "Role",
--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -25,6 +25,7 @@
     Replica,
     append_as_leader,
     become_follower,
+    queue_answer,
     queue_message,
     reset_election_timer,
     set_hard_state,
@@ -58,11 +59,12 @@
     _schedule_election(replica, now, STARTUP_RETRY_SECONDS)
     if replica.is_new:
         _start_first_election(replica, now)
-    elif replica.configuration.has_voter(replica.me.name):
+    elif replica.is_voter:
         _start_election(replica, now, pre_vote=True, transfer=False)
     else:
         # This member was removed, or the leader that added it was lost before the
-        # entry that added it was committed.
+        # entry that added it was committed. A voter of its name with another identity
+        # is its former self, whose disk was lost.
         _ask_to_join(replica)
 
 
@@ -244,7 +246,7 @@
     answer = VoteAnswer(
         term, not refusal, request.pre_vote, request.forming, refusal.value
     )
-    queue_message(replica, sender.name, answer)
+    queue_answer(replica, sender, answer)
 
 
 def on_vote_answer(
@@ -276,5 +278,5 @@
         return
     if replica.stopping:
         return
-    if replica.configuration.has_voter(replica.me.name):
+    if replica.is_voter:
         _start_election(replica, now, pre_vote=False, transfer=True)
--- a/src/dragonflyrock/consensus/group.py
+++ b/src/dragonflyrock/consensus/group.py
@@ -16,17 +16,15 @@
 from .membership import step_down
 from .models import (
     EntryKind,
-    JoinRequest,
     Member,
     Message,
     Role,
     SnapshotImage,
     TakeOver,
     Timing,
-    VoteAnswer,
-    VoteRequest,
 )
 from .replica import (
+    AddressedMessage,
     Output,
     Replica,
     become_follower,
@@ -39,7 +37,7 @@
 from .step import observe, receive, tick
 from .storage import Storage, StorageError, open_storage
 
-__all__ = ["Group", "OutgoingMessage", "StateMachine", "open_group"]
+__all__ = ["Group", "StateMachine", "open_group"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -76,14 +74,6 @@
         """
 
 
-class OutgoingMessage(NamedTuple):
-    """A message to a member; an empty identity accepts any member of the name."""
-
-    peer: str
-    identity: str
-    message: Message
-
-
 class PendingProposal(NamedTuple):
     """The callback for the result of an entry that was proposed in ``term``."""
 
@@ -189,7 +179,7 @@
         if not self.is_degraded:
             tick(self.replica, now)
 
-    def flush(self, now: float) -> list[OutgoingMessage]:
+    def flush(self, now: float) -> list[AddressedMessage]:
         """Save the pending output, apply entries, and return the messages to send."""
         if self.disk_error:
             self._retry_disk(now)
@@ -198,25 +188,14 @@
         if not self._persist(output, now):
             # The output was not saved, so its messages must not be sent, only those
             # of the step-down.
-            return self._address_messages(take_output(self.replica))
+            return take_output(self.replica).messages
         if output.snapshot is not None:
             self._install_snapshot(output.snapshot)
         self._apply(now)
         self._record_progress(now)
         self._fail_pending_proposals()
         self._compact(now)
-        return self._address_messages(output)
-
-    def _address_messages(self, output: Output) -> list[OutgoingMessage]:
-        """Return the messages of an output with the identities of the recipients."""
-        return [
-            OutgoingMessage(
-                addressed.peer,
-                self._get_recipient_identity(addressed.peer, addressed.message),
-                addressed.message,
-            )
-            for addressed in output.messages
-        ]
+        return output.messages
 
     def _persist(self, output: Output, now: float) -> bool:
         """Save an output; return whether the disk accepted it.
@@ -270,16 +249,6 @@
         """Close the data folder."""
         self._storage.close()
 
-    def _get_recipient_identity(self, peer: str, message: Message) -> str:
-        """Return the identity that a peer must have to accept a message."""
-        match message:
-            case JoinRequest():
-                return ""
-            case VoteRequest(forming=True) | VoteAnswer(forming=True):
-                return ""
-        member = self.replica.configuration.find(peer)
-        return member.identity if member else ""
-
     def _install_snapshot(self, snapshot: SnapshotImage) -> None:
         """Replace the state by the leader's snapshot."""
         _LOGGER.info(
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -18,11 +18,13 @@
     Entry,
     EntryKind,
     HardState,
+    JoinRequest,
     Member,
     Message,
     Role,
     SnapshotImage,
     Timing,
+    VoteRequest,
 )
 
 __all__ = [
@@ -35,6 +37,7 @@
     "become_follower",
     "get_durable_log",
     "make_replica",
+    "queue_answer",
     "queue_message",
     "record_leader_commit_index",
     "retain_durable_log",
@@ -51,10 +54,14 @@
 
 
 class AddressedMessage(NamedTuple):
-    """A message and the name of its recipient."""
+    """A message, and the name and identity of its recipient.
+
+    An empty identity accepts any member of the name.
+    """
 
     peer: str
     message: Message
+    identity: str
 
 
 @dataclass(slots=True)
@@ -168,6 +175,11 @@
         """Return whether this member has never been part of a formed group."""
         return self.log.last_index == 0
 
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this member, and not a former one of its name, votes."""
+        return self.me in self.configuration.voters
+
     @property
     def peer_names(self) -> list[str]:
         """Return the names of all other members."""
@@ -239,8 +251,22 @@
 
 
 def queue_message(replica: Replica, peer: str, message: Message) -> None:
-    """Add a message for a peer to the output."""
-    replica.output.messages.append(AddressedMessage(peer, message))
+    """Add a message for a peer to the output, for its identity in the configuration."""
+    member = replica.configuration.find(peer)
+    identity = member.identity if member else ""
+    match message:
+        case JoinRequest() | VoteRequest(forming=True):
+            identity = ""
+    replica.output.messages.append(AddressedMessage(peer, message, identity))
+
+
+def queue_answer(replica: Replica, sender: Member, message: Message) -> None:
+    """Add an answer for the sender of a request to the output.
+
+    The configuration here may be older than the sender's, and not know its identity.
+    """
+    addressed = AddressedMessage(sender.name, message, sender.identity)
+    replica.output.messages.append(addressed)
 
 
 def record_leader_commit_index(replica: Replica, index: int) -> None:
--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -17,6 +17,7 @@
     Replica,
     append_as_leader,
     become_follower,
+    queue_answer,
     queue_message,
     record_leader_commit_index,
     reset_election_timer,
@@ -168,15 +169,12 @@
 ) -> bool:
     """Follow the sender as the leader; return whether it was accepted.
 
-    A sender is refused if its term is older or its identity is another one than in the
-    configuration.
+    A sender is refused if its term is older. Otherwise a quorum has elected it, even if
+    the configuration here does not know it: that may be older than the election.
     """
     if term < replica.hard_state.term:
         _send_append_answer(replica, sender, sent_at, success=False, match_index=0)
         return False
-    known = replica.configuration.find(sender.name)
-    if known is not None and known != sender:
-        return False
     become_follower(replica, term, sender.name, now)
     set_hard_state(replica, term, replica.hard_state.voted_for, sender.name)
     replica.last_contact_at = now
@@ -190,7 +188,7 @@
 ) -> None:
     """Send the leader the answer to an append or snapshot request."""
     answer = AppendAnswer(replica.hard_state.term, success, match_index, sent_at)
-    queue_message(replica, sender.name, answer)
+    queue_answer(replica, sender, answer)
 
 
 def _store_entries(replica: Replica, request: AppendRequest) -> None:
--- a/src/dragonflyrock/consensus/step.py
+++ b/src/dragonflyrock/consensus/step.py
@@ -52,8 +52,7 @@
     """
     match message:
         case AppendRequest() | SnapshotRequest():
-            is_accepted = replica.configuration.find(sender.name) in (None, sender)
-            if is_accepted and message.term >= replica.hard_state.term:
+            if message.term >= replica.hard_state.term:
                 replica.leader = sender.name
                 replica.last_contact_at = now
                 record_leader_commit_index(replica, _get_commit_index(message))
--- a/src/dragonflyrock/consensus/voting.py
+++ b/src/dragonflyrock/consensus/voting.py
@@ -54,20 +54,22 @@
 ) -> VoteRefusal:
     """Return why a member of a formed group may not vote for the candidate.
 
-    The candidate must be a known member, its log at least as up to date as this one,
-    and this member not bound by a promise to another leader.
+    The candidate must be a known member, unless its log is newer than this one, its log
+    at least as up to date as this one, and this member not bound by a promise to
+    another leader.
     """
+    own_position = (replica.log.last_term, replica.log.last_index)
+    position = (request.last_term, request.last_index)
     known = replica.configuration.find(sender.name)
-    # A voter without a configuration cannot check the candidate's identity, but the
-    # candidate checks the voter's identity against its own configuration.
-    if not replica.is_new and known != sender:
+    # The configuration in a newer log may be newer too. A candidate checks the voter's
+    # identity against its own configuration.
+    if position <= own_position and known != sender and not replica.is_new:
         return VoteRefusal.OTHER_IDENTITY if known else VoteRefusal.NOT_A_MEMBER
     if _is_promised_to_another(replica, sender, request, now):
         return VoteRefusal.PROMISED
     if replica.role == Role.LEADER and request.pre_vote:
         return VoteRefusal.LEADING
-    own_position = (replica.log.last_term, replica.log.last_index)
-    if (request.last_term, request.last_index) < own_position:
+    if position < own_position:
         return VoteRefusal.OLD_LOG
     return VoteRefusal.NONE
 
--- a/tests/consensus/common.py
+++ b/tests/consensus/common.py
@@ -26,7 +26,7 @@
     take_output,
     tick,
 )
-from dragonflyrock.consensus.models import JoinRequest, VoteAnswer, VoteRequest
+from dragonflyrock.consensus.replica import AddressedMessage
 
 TICK_SECONDS: Final = 0.02
 
@@ -197,17 +197,13 @@
             ]
         disk.entries += output.entries
         disk.hard_state = output.hard_state or disk.hard_state
-        for peer, message in output.messages:
-            self._send(replica, peer, message)
+        for addressed in output.messages:
+            self._send(replica, addressed)
         self._apply(name)
 
-    def _send(self, replica: Replica, peer: str, message: Message) -> None:
+    def _send(self, replica: Replica, addressed: AddressedMessage) -> None:
         """Queue a message, unless its link is cut or it is lost."""
-        forming = isinstance(message, VoteRequest | VoteAnswer) and message.forming
-        member = replica.configuration.find(peer)
-        identity = "" if forming or member is None else member.identity
-        if isinstance(message, JoinRequest):
-            identity = ""
+        peer, message, identity = addressed
         is_cut = (replica.me.name, peer) in self.cut_links
         if is_cut or self.random.random() < self.loss_rate:
             return
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -246,7 +246,7 @@
         forming=False,
     )
     receive(voter, candidate.me, request, cluster.clocks[voter.me.name])
-    answers = [message for _, message in take_output(voter).messages]
+    answers = [item.message for item in take_output(voter).messages]
     refusal = "promised to a leader"
     term = voter.hard_state.term
     assert answers == [VoteAnswer(term, False, False, False, refusal)]
