--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 from . import const
 from .history import merge_time_line
 from .run import Result, play
-from .script import Step, make_evacuations, make_script
+from .script import Step, make_control_cuts, make_evacuations, make_script
 
 REGRESSIONS: Final = Path(__file__).parent / "seeds.toml"
 MAX_PRINTED_VIOLATIONS: Final = 3
@@ -61,6 +61,11 @@
     parser.add_argument(
         "--evacuate", action="store_true", help="evacuate a zone beside each script"
     )
+    parser.add_argument(
+        "--control-cuts",
+        action="store_true",
+        help="instead of each script, part a control node while the others are lost",
+    )
     parser.add_argument("--keep", type=Path, help="folder for failure logs")
     return parser.parse_args(arguments)
 
@@ -79,7 +84,8 @@
         return [(entry.seed, entry.steps) for entry in list_regressions()]
     first, _, last = (options.seeds or str(options.seed)).partition("-")
     numbers = range(int(first), int(last or first) + 1)
-    scripts = [(number, make_script(number, options.seconds)) for number in numbers]
+    make = make_control_cuts if options.control_cuts else make_script
+    scripts = [(number, make(number, options.seconds)) for number in numbers]
     if not options.evacuate:
         return scripts
     return [
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -279,7 +279,9 @@
 def list_unrecovered(index: HistoryIndex) -> list[tuple[float, str]]:
     """Return the last start of each node that has served nothing since, and its name.
 
-    An answered request, an acknowledged heartbeat or a configuration read counts.
+    An answered request, an acknowledged heartbeat or a configuration read counts. Once
+    a control node was parted, the group "control" has to accept a change after the last
+    fault of a control node.
     """
     last_start = {start.node: at for at, start in index.started}
     last_use: dict[str, float] = {}
@@ -289,6 +291,11 @@
                 last_use[node] = at
             case Beaten(node=node) | Read(node=node):
                 last_use[node] = at
+    disturbed = [at for node, at in last_start.items() if node.startswith("control")]
+    disturbed += [a.until for _, a in index.acted if a.target.startswith("control")]
+    if any(act.what in const.PARTINGS for _, act in index.acted):
+        last_start["control"] = max(disturbed)
+        last_use["control"] = max((at for at, _ in index.accepted), default=-1.0)
     return [
         (at, node) for node, at in last_start.items() if last_use.get(node, -1.0) < at
     ]
--- a/soak/const.py
+++ b/soak/const.py
@@ -82,6 +82,9 @@
 
 # Kinds of the faults that cut an entry node off from all servers.
 ISOLATIONS: Final = ("hang", "drop", "refuse")
+# Kinds of the faults that part a control node from others: bytes wait, open connections
+# are lost, or new ones too.
+PARTINGS: Final = ("part", "lose", "trap")
 
 LINK_PORT: Final = 7540
 CALLERS_PORT: Final = 8548
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -9,6 +9,7 @@
 from .context import RunContext
 from .models import Put, Read
 
+MANY_CHANGES_PAUSE_SECONDS: Final = 0.05
 FINAL_STATUSES: Final = (200, 400, 409, 412, 413, 422)
 RETRY_DELAY_SECONDS: Final = 0.15
 MAX_ADDED_ROUTES: Final = 6
@@ -48,6 +49,7 @@
         self.version = 0
         self.routes = FIRST_ROUTES
         self.routes_by_content: dict[str, tuple[wire.RouteSpec, ...]] = {}
+        self.pause_seconds = const.OPERATOR_PAUSE_SECONDS
 
     def update(self, version: int, routes: tuple[wire.RouteSpec, ...]) -> None:
         """Store a version that was accepted or read, unless a newer one is known."""
@@ -77,7 +79,7 @@
     async def operate(self) -> None:
         """Change and read the configuration after random pauses, until cancelled."""
         while True:
-            pause = self._random.expovariate(1 / const.OPERATOR_PAUSE_SECONDS)
+            pause = self._random.expovariate(1 / self._config_view.pause_seconds)
             await asyncio.sleep(pause)
             change = self._make_change()
             status = await self._send(change)
--- a/soak/player.py
+++ b/soak/player.py
@@ -9,7 +9,8 @@
 
 from . import const, wire
 from .history import History
-from .models import Acted, Evacuated, Returned
+from .models import Acted, Evacuated, Put, Returned
+from .operators import MANY_CHANGES_PAUSE_SECONDS, ConfigView
 from .processes import NodeProcess
 from .proxies import ENDLESS_ANSWERS, Fault, Proxies
 from .script import Step
@@ -18,6 +19,13 @@
 ORDER_RETRY_SECONDS: Final = 0.1
 FORWARD: Final = 0
 BACKWARD: Final = 1
+# Whether open connections are lost, and those that are opened meanwhile.
+LOSSES: Final = {
+    "part": (False, False),
+    "lose": (True, False),
+    "dark": (True, False),
+    "trap": (True, True),
+}
 
 
 class Player:
@@ -29,8 +37,10 @@
         nodes: dict[str, NodeProcess],
         servers: dict[str, StandIn],
         proxies: Proxies,
+        config_view: ConfigView,
     ) -> None:
         """Prepare to apply faults to these nodes, servers and proxies."""
+        self._config_view = config_view
         self._history = history
         self._nodes = nodes
         self._servers = servers
@@ -45,6 +55,11 @@
                 await asyncio.sleep(
                     max(0.0, started_at + step.at - self._history.now())
                 )
+                if step.what == "await":
+                    waited_since = self._history.now()
+                    await self._wait_for_change()
+                    # Later steps keep their distance.
+                    started_at += self._history.now() - waited_since
                 group.create_task(self._apply_step(step))
 
     def _record(self, step: Step, length: float) -> None:
@@ -66,6 +81,12 @@
                     self._nodes[step.target].send_signal(signal.SIGHUP)
             case "cut" | "delay" | "half" | "reset" | "endless":
                 await self._apply_network_fault(step)
+            case "part" | "lose" | "trap" | "dark":
+                await self._part(step)
+            case "rush":
+                self._config_view.pause_seconds = MANY_CHANGES_PAUSE_SECONDS
+                await asyncio.sleep(step.length)
+                self._config_view.pause_seconds = const.OPERATOR_PAUSE_SECONDS
             case "hang" | "drop" | "refuse":
                 await self._isolate(step)
             case "evacuate":
@@ -149,6 +170,43 @@
         is_reset = step.what == "cut" and int(step.length * 1000) % 2 == 0
         self._proxies.remove(fault, is_reset)
 
+    async def _wait_for_change(self) -> None:
+        """Wait until a change of the configuration is accepted."""
+        events, known = self._history.events, len(self._history.events)
+        while not any(
+            isinstance(event.record, Put) and event.record.status == 200
+            for event in events[known:]
+        ):
+            await asyncio.sleep(ORDER_RETRY_SECONDS)
+
+    async def _part(self, step: Step) -> None:
+        """Part a node from other nodes, or from all callers too if it is dark."""
+        self._record(step, step.length)
+        toward, away = step.value != BACKWARD, step.value != FORWARD
+        lose_open, lose_new = LOSSES[step.what]
+        ports = [f"{step.target}/link"] + [step.target] * (step.what == "dark")
+        to_node = Fault(
+            step.source,
+            step.target,
+            hold_forward=toward,
+            hold_backward=away,
+            lose_open=lose_open,
+            lose_new=lose_new,
+        )
+        from_node = to_node._replace(
+            source=step.target, hold_forward=away, hold_backward=toward
+        )
+        faults = [to_node._replace(target=port) for port in ports] + [
+            from_node._replace(target=f"{name}/link")
+            for name in self._nodes
+            if name != step.target and name.startswith(step.source)
+        ]
+        for fault in faults:
+            self._proxies.add(fault)
+        await asyncio.sleep(step.length)
+        for fault in faults:
+            self._proxies.remove(fault)
+
     async def _isolate(self, step: Step) -> None:
         """Cut an entry node off from all servers, which others still reach."""
         self._record(step, step.length)
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -43,7 +43,9 @@
     until the fault ends, unless their sender resets the connection. ``truncate`` passes
     half of the next bytes, and then resets the connection. ``endless`` is what a target
     sends again and again, instead of its next response, until the caller closes.
-    ``refuse`` resets new connections.
+    ``refuse`` resets new connections. With ``lose_open`` and ``lose_new`` the held
+    directions of connections that are open, or opened until the fault ends, carry
+    neither bytes nor the end of the connection any more, as if no machine knew them.
     """
 
     source: str
@@ -54,6 +56,8 @@
     truncate: bool = False
     endless: EndlessAnswer | None = None
     refuse: bool = False
+    lose_open: bool = False
+    lose_new: bool = False
 
 
 class ProxiedConnection:
@@ -66,6 +70,18 @@
         """Start with a source, which may be unknown."""
         self.target = target
         self.source = source
+        # Set once the target has answered; without a proxy it would be unopened before.
+        self.is_open = False
+        self._lost: set[bool] = set()
+
+    def lose(self, fault: Fault) -> None:
+        """Let nothing pass any more in the directions that a fault holds."""
+        holds = {True: fault.hold_forward, False: fault.hold_backward}
+        self._lost |= {forward for forward, is_held in holds.items() if is_held}
+
+    def is_lost(self, forward: bool) -> bool:
+        """Return whether a direction carries nothing any more."""
+        return forward in self._lost
 
     def identify(self, data: bytes, node_names: dict[bytes, str]) -> None:
         """Set the source of a link from the first bytes that it sent."""
@@ -109,6 +125,9 @@
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
                 writer.transport.abort()
                 return
+            for fault in self._list_faults(connection):
+                if fault.lose_new:
+                    connection.lose(fault)
             self._connections[task] = connection
             # A reset by either side or by a fault closes both sides.
             with suppress(OSError, asyncio.CancelledError):
@@ -123,6 +142,10 @@
     def add(self, fault: Fault) -> None:
         """Start a fault."""
         self._faults.append(fault)
+        if fault.lose_open:
+            for connection in self._connections.values():
+                if connection.is_open and fault in self._list_faults(connection):
+                    connection.lose(fault)
 
     def remove(self, fault: Fault, reset: bool = False) -> None:
         """End a fault; held bytes are sent, or lost if connections are reset."""
@@ -153,13 +176,16 @@
     async def _wait_while_held(
         self, connection: ProxiedConnection, forward: bool, reader: asyncio.StreamReader
     ) -> None:
-        """Wait while a direction is held; raise if its sender resets the connection."""
-        while any(
+        """Wait while a direction is held; raise if its sender resets the connection.
+
+        A direction that is lost is held until the proxies close.
+        """
+        while connection.is_lost(forward) or any(
             f.hold_forward if forward else f.hold_backward
             for f in self._list_faults(connection)
         ):
             await asyncio.sleep(POLL_SECONDS)
-            if reader.exception() is not None:
+            if reader.exception() is not None and not connection.is_lost(forward):
                 raise ConnectionResetError("sender reset the held connection")
 
     async def _relay(
@@ -189,6 +215,19 @@
             await asyncio.gather(*directions, return_exceptions=True)
             target_writer.transport.abort()
 
+    async def _read(
+        self, connection: ProxiedConnection, forward: bool, reader: asyncio.StreamReader
+    ) -> bytes:
+        """Return the next bytes of a direction; never, once it is lost."""
+        try:
+            data = await reader.read(CHUNK_BYTES)
+        except OSError:
+            if not connection.is_lost(forward):
+                raise
+        if connection.is_lost(forward):
+            await self._wait_while_held(connection, forward, reader)
+        return data
+
     async def _copy_direction(
         self,
         connection: ProxiedConnection,
@@ -197,7 +236,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Copy the bytes of one direction; raise ``OSError`` on a reset."""
-        while data := await reader.read(CHUNK_BYTES):
+        while data := await self._read(connection, forward, reader):
             if forward and not connection.source:
                 connection.identify(data, self._node_names)
             for fault in self._list_faults(connection):
@@ -209,6 +248,7 @@
                     writer.write(data[: len(data) // 2])
                     raise ConnectionResetError("fault truncated the data")
             await self._wait_while_held(connection, forward, reader)
+            connection.is_open = connection.is_open or not forward
             writer.write(data)
             await writer.drain()
         if writer.can_write_eof():
--- a/soak/run.py
+++ b/soak/run.py
@@ -161,7 +161,8 @@
 
     async def play(self, script: tuple[Step, ...]) -> list[Violation]:
         """Play a script and wait for recovery; return the first violations found."""
-        player = Player(self._history, self._nodes, self._servers, self._proxies)
+        parts = (self._history, self._nodes, self._servers, self._proxies)
+        player = Player(*parts, self._config_view)
         player_task = asyncio.create_task(player.play(script))
         try:
             while not player_task.done():
--- a/soak/script.py
+++ b/soak/script.py
@@ -19,6 +19,17 @@
 ADDED_DELAY_SECONDS: Final[Range] = (0.02, 0.3)
 NO_GAP: Final[Range] = (0.0, 0.0)
 ONE_SOURCE_SHARE: Final = 0.6
+# How long a control node is parted from the others before they are lost too.
+PARTED_SECONDS: Final[Range] = (2.0, 5.5)
+HEALED_LATE_SECONDS: Final[Range] = (0.0, 1.5)
+# Until the log holds enough entries for the first snapshot, or the second.
+MANY_CHANGES_SECONDS: Final[Range] = (18.0, 36.0)
+STARTED_LATE_SECONDS: Final[Range] = (0.2, 0.8)
+# From the start of a process to the first instruction of its own.
+PROCESS_START_SECONDS: Final = 0.1
+# A lost control node counts as lost until this time after it is back.
+CATCH_UP_SECONDS: Final = 4.0
+VARIANT_SHARE: Final = 0.4
 CONTROL: Final = [f"control-{n + 1}" for n in range(const.CONTROL_NODE_COUNT)]
 ENTRY: Final = [f"entry-{n + 1}" for n in range(const.ENTRY_NODE_COUNT)]
 SERVERS: Final = [f"server-{n + 1}" for n in range(const.SERVER_COUNT)]
@@ -32,7 +43,7 @@
     """A fault on a target, ``at`` seconds after the start, for ``length`` seconds.
 
     ``source`` limits a cut to the connections from one node or role; empty is all.
-    ``value`` is a delay in seconds, a direction (0 forward, 1 back, 2 both), or a
+    ``value`` is a delay in seconds, a direction (0 to the target, 1 back, 2 both), or a
     position in a file as a share of its length.
     """
 
@@ -156,6 +167,53 @@
     return (Step(at, "evacuate", zone, min(length, seconds)),)
 
 
+def make_control_cuts(seed: int, seconds: float) -> tuple[Step, ...]:
+    """Return partings of a control node, in each of which the others are lost too.
+
+    They are a script of their own, as no other machine may be lost meanwhile.
+    """
+    random = Random(f"control cuts of {seed}")
+    rush = Step(0.0, "rush", "control", random.uniform(*MANY_CHANGES_SECONDS))
+    steps = [rush] if random.random() < 0.5 else []
+    at, parted = random.uniform(1.0, 3.0), random.choice(CONTROL)
+    while at < seconds:
+        parting = random.choice(const.PARTINGS)
+        source, direction = random.choice(["", "control"]), random.choice([0, 1, 2, 2])
+        wiped, killed = random.sample([n for n in CONTROL if n != parted], 2)
+        wiped_at = at + random.uniform(*PARTED_SECONDS)
+        killed_at = wiped_at + random.uniform(*SHORT_FAULT_SECONDS)
+        wipe = Step(wiped_at, "wipe", wiped, random.uniform(*FAULT_SECONDS))
+        kill = Step(killed_at, "kill", killed, random.uniform(*SHORT_FAULT_SECONDS))
+        back_at = max(step.at + step.length for step in (wipe, kill))
+        healed_at = random.choice(
+            [
+                random.uniform(killed_at, back_at),
+                back_at,
+                back_at + random.uniform(*HEALED_LATE_SECONDS),
+            ]
+        )
+        steps.append(Step(at, parting, parted, healed_at - at, source, direction))
+        steps += [*_vary_loss(random, wipe), *_vary_loss(random, kill)]
+        at = max(back_at, healed_at) + CATCH_UP_SECONDS
+        steps.append(Step(at, "await", "control"))
+        parted = random.choice(CONTROL)
+        if random.random() < VARIANT_SHARE:
+            wipe = Step(at, "wipe", parted, random.uniform(*FAULT_SECONDS))
+            steps += _vary_loss(random, wipe)
+            at += wipe.length + CATCH_UP_SECONDS
+    return tuple(sorted(step for step in steps if step.at < seconds))
+
+
+def _vary_loss(random: Random, loss: Step) -> Iterator[Step]:
+    """Return a loss, whose machine may send no sign of its end and start slowly."""
+    if random.random() < VARIANT_SHARE:
+        yield loss._replace(what="dark", value=2)
+    yield loss
+    if random.random() < VARIANT_SHARE:
+        at = loss.at + loss.length + PROCESS_START_SECONDS
+        yield Step(at, "freeze", loss.target, random.uniform(*STARTED_LATE_SECONDS))
+
+
 def make_script(seed: int, seconds: float) -> tuple[Step, ...]:
     """Return the faults of a seed in the order of their times.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -323,8 +323,16 @@
     make_tries("refused", 20),
     "RECOVER",
 )
+PARTED: RecordList = [(9.0, Acted("control-1", "part", 12.0)), *PUT]
+BROKEN["a control group that accepts no change after a node was parted"] = (
+    PARTED,
+    "RECOVER",
+)
 
 ALLOWED: dict[str, RecordList] = {
+    "a control group that accepts a change late after a node was parted": (
+        PARTED + make_put(26.0, 2, 1, "two")
+    ),
     "a third of the tries failed by a node that is cut off from all servers": (
         make_tries("answered", 16)
     ),
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -76,6 +76,50 @@
     run_exchange(exchange)
 
 
+# Guards against a lost connection that carries bytes or is closed after the fault, and
+# against one that is lost although it was opened during a fault that loses no such one.
+@pytest.mark.parametrize("lose_new", [True, False])
+@pytest.mark.parametrize("forward", [True, False])
+def test_lost_connection_stays_silent_and_open(lose_new: bool, forward: bool) -> None:
+    async def exchange(proxies: Proxies, proxy_address: str) -> None:
+        reader, writer = await connect_and_send(proxy_address)
+        assert await reader.readexactly(10) == b"0123456789"
+        fault = Fault("", "entry-1", hold_forward=forward, hold_backward=not forward)
+        fault = fault._replace(lose_open=True, lose_new=lose_new)
+        proxies.add(fault)
+        writer.write(b"0")
+        new_reader, new_writer = await connect_and_send(proxy_address)
+        await asyncio.sleep(HOLD_SECONDS)
+        proxies.remove(fault)
+        for silent in (reader, new_reader) if lose_new else (reader,):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(HOLD_SECONDS):
+                    await silent.read(1)
+        if not lose_new:
+            assert await new_reader.readexactly(10) == b"0123456789"
+        last_reader, last_writer = await connect_and_send(proxy_address)
+        assert await last_reader.readexactly(10) == b"0123456789"
+        for opened in (writer, new_writer, last_writer):
+            opened.close()
+
+    run_exchange(exchange)
+
+
+# Guards against a dead machine's connections that are closed towards its peers.
+def test_end_of_a_lost_connection_is_not_passed_on() -> None:
+    async def exchange(proxies: Proxies, proxy_address: str) -> None:
+        reader, writer = await connect_and_send(proxy_address)
+        assert await reader.readexactly(10) == b"0123456789"
+        proxies.add(Fault("", "entry-1", hold_backward=True, lose_open=True))
+        writer.write_eof()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(HOLD_SECONDS):
+                await reader.read(1)
+        writer.close()
+
+    run_exchange(exchange)
+
+
 # Guards against a reset that also closes later connections.
 def test_reset_closes_only_open_connections() -> None:
     async def exchange(proxies: Proxies, proxy_address: str) -> None:
--- a/tests/soak/test_script.py
+++ b/tests/soak/test_script.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from itertools import pairwise, product
+
 import pytest
 from soak.__main__ import list_regressions, main, parse_arguments
-from soak.const import ENTRY_NODE_COUNT, ISOLATIONS
-from soak.script import make_script
+from soak.const import ENTRY_NODE_COUNT, ISOLATIONS, PARTINGS
+from soak.script import CATCH_UP_SECONDS, CONTROL, make_control_cuts, make_script
 
 SECONDS = 12.0
 
@@ -31,6 +33,33 @@
         assert len(lost) <= 1
 
 
+# Guards against a control node that is lost before the last one has caught up.
+def test_control_cuts_lose_one_disk_until_it_has_caught_up() -> None:
+    for seed in range(200):
+        script = make_control_cuts(seed, 60.0)
+        wipes = [step for step in script if step.what == "wipe"]
+        for wipe, later in pairwise(wipes):
+            assert wipe.at + wipe.length + CATCH_UP_SECONDS <= later.at
+        for wipe in wipes:
+            during = [
+                step
+                for step in script
+                if step.what in (*PARTINGS, "kill")
+                and step.at <= wipe.at + wipe.length
+                and wipe.at <= step.at + step.length
+            ]
+            assert wipe.target not in {step.target for step in during}
+
+
+# Guards against cuts of one control node, or of one kind, only.
+def test_control_cuts_contain_all_kinds_of_cuts() -> None:
+    steps = [step for seed in range(100) for step in make_control_cuts(seed, 60.0)]
+    cuts = {(s.what, s.target, s.source, s.value) for s in steps if s.what in PARTINGS}
+    sources = ("", "control")
+    assert cuts == set(product(PARTINGS, CONTROL, sources, (0, 1, 2)))
+    assert {"rush", "wipe", "kill", "dark", "freeze"} <= {step.what for step in steps}
+
+
 # Guards against a kind of fault that no seed plays.
 def test_scripts_contain_all_kinds_of_faults() -> None:
     kinds = {step.what for seed in range(60) for step in make_script(seed, SECONDS)}
