Links: a handshake that hangs ends after 1.5 s, not 30 s

Callers saw a link that stayed closed for 30 s, though new connections worked: its peer's machine had accepted the connection and fallen silent for good within the greeting or the handshake. Cause: heartbeats begin after the handshake, and before it only libzmq's ZMQ_HANDSHAKE_IVL counts, 30 s by default. An operator's change has to be acknowledged within 4 s. The accepting side held such half-open connections, with a file descriptor each, as long.

Both sides now set it to 1.5 s.

--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -31,6 +31,9 @@
 # A connection attempt to a machine without power is neither answered nor repeated; a
 # new one starts after this timeout.
 CONNECT_TIMEOUT_MS: Final = 400
+# A peer may accept a connection and fall silent before the link is open. Heartbeats
+# begin after that, so either side closes such a connection after this time.
+HANDSHAKE_TIMEOUT_MS: Final = 1500
 
 
 class CurveKeys(NamedTuple):
@@ -104,6 +107,7 @@
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_INTERVAL_MAX_MS)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
 
     def has_peer(self, peer: str) -> bool:
         """Return whether there is a link to a peer, connected or not."""
--- /dev/null
+++ b/tests/transport/test_link_recovery.py
@@ -0,0 +1,124 @@
+"""Tests of links over networks and to machines that fail without closing."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Final, NamedTuple
+
+import pytest
+import zmq
+
+from dragonflyrock.observe import HybridClock
+from dragonflyrock.observe.metrics import Metrics
+from dragonflyrock.transport.links import CurveKeys, Links
+from dragonflyrock.transport.messages import ConsensusMessage
+from tests.common import free_port
+
+from .relay import Relay, Treatment, run_relays
+
+# An operator's change is acknowledged within this time.
+ACK_SECONDS: Final = 4.0
+NULL_GREETING_BYTES: Final = 64
+SEND_INTERVAL_SECONDS: Final = 0.02
+
+
+class Ends(NamedTuple):
+    """A sending node, which names each link after a relay's number, and a receiver."""
+
+    sender: Links
+    receiver: Links
+    relays: list[Relay]
+
+
+@contextmanager
+def _connect_over_relays(treatments: list[Treatment], has_keys: bool) -> Iterator[Ends]:
+    """Connect two nodes by one link for each treatment, over a relay of its own."""
+    keys = None
+    if has_keys:
+        public, secret = (key.decode() for key in zmq.curve_keypair())
+        names = ["sender", *map(str, range(len(treatments)))]
+        keys = CurveKeys(public, secret, dict.fromkeys(names, public))
+    receiver_port = free_port()
+    receiver, sender = (
+        Links(name, f"127.0.0.1:{port}", HybridClock(), Metrics(), keys)
+        for name, port in (("receiver", receiver_port), ("sender", free_port()))
+    )
+    try:
+        with run_relays(*[receiver_port] * len(treatments)) as relays:
+            for number, (relay, treatment) in enumerate(
+                zip(relays, treatments, strict=True)
+            ):
+                relay.treatment = treatment
+                sender.connect(str(number), f"127.0.0.1:{relay.port}")
+            yield Ends(sender, receiver, relays)
+    finally:
+        sender.close()
+        receiver.close()
+
+
+def _measure_until_open(ends: Ends, seconds: float) -> dict[int, float]:
+    """Return the time until a message came over each link, by the relay's number."""
+    while ends.receiver.receive() is not None:
+        pass
+    began = time.monotonic()
+    times: dict[int, float] = {}
+    while len(times) < len(ends.relays) and time.monotonic() - began < seconds:
+        for number in range(len(ends.relays)):
+            ends.sender.send(str(number), ConsensusMessage(str(number), "", "", b""))
+        time.sleep(SEND_INTERVAL_SECONDS)
+        while (received := ends.receiver.receive()) is not None:
+            assert isinstance(received.message, ConsensusMessage)
+            number = int(received.message.group)
+            times.setdefault(number, time.monotonic() - began)
+    return times
+
+
+# Guards against a link that stays closed for 30 s, as its peer's machine fell silent
+# within the handshake of a connection, while new connections work.
+@pytest.mark.parametrize("has_keys", [False, True])
+def test_a_link_opens_soon_after_a_handshake_that_hangs(has_keys: bool) -> None:
+    positions = (0, 1, 10, 11, 12, 63, 64, 66, 90, 200, 300)
+    hung = [Treatment((there, back)) for there in positions for back in (0, 11, 64, 90)]
+    with _connect_over_relays(hung, has_keys) as ends:
+        deadline = time.monotonic() + ACK_SECONDS
+        while not all(relay.accepted for relay in ends.relays):
+            assert time.monotonic() < deadline
+            time.sleep(SEND_INTERVAL_SECONDS)
+        for relay in ends.relays:
+            relay.treatment = Treatment()
+        times = _measure_until_open(ends, ACK_SECONDS)
+        assert sorted(times) == list(range(len(hung)))
+
+
+# Guards against half-open connections that a node keeps for 30 s each, so that callers
+# which fall silent at every attempt use up its file descriptors.
+def test_a_connection_without_a_handshake_is_closed_by_the_accepting_side() -> None:
+    port = free_port()
+    links = Links("me", f"127.0.0.1:{port}", HybridClock(), Metrics(), None)
+    try:
+        with ExitStack() as stack:
+            callers = [
+                stack.enter_context(
+                    socket.create_connection(("127.0.0.1", port), ACK_SECONDS)
+                )
+                for _ in range(2)
+            ]
+            callers[1].sendall(b"\xff" + bytes(7) + b"\x01\x7f")
+            for caller in callers:
+                while caller.recv(NULL_GREETING_BYTES):
+                    pass
+    finally:
+        links.close()
+
+
+# Guards against a time limit that a slow but honest handshake does not keep, so that
+# the link never opens.
+@pytest.mark.parametrize("has_keys", [False, True])
+def test_a_slow_handshake_opens_the_link(has_keys: bool) -> None:
+    slow = [Treatment(delay_seconds=seconds) for seconds in (0.025, 0.05, 0.1)]
+    with _connect_over_relays(slow, has_keys) as ends:
+        assert sorted(_measure_until_open(ends, ACK_SECONDS)) == [0, 1, 2]
+        assert [relay.accepted for relay in ends.relays] == [1, 1, 1]
