Links that stay closed are opened anew every 2.5 s

Cause: libzmq ends the session of a connecting socket for good after a protocol error, i.e. one invalid byte of the peer's greeting or handshake, and has no option against it. After that the socket only looks like one whose peer is away.

A pure function decides over a table when each link was last open and last opened anew; Links.review, called in each tick of nodes and of the daemon, closes such a socket and opens another. The interval is longer than one attempt with its pause and handshake (0.4 + 0.2 + 1.5 s), so an honest attempt fits in. Lines link-lost and link-regained, metric dragonflyrock_link_reopenings. A queue that is full for 2.5 s counts as closed; its messages would be outdated.

So for silence, resets, restarts, hung handshakes, dropped and refused attempts and full windows the library comes back by itself.

--- a/src/dragonflyrock/daemon.py
+++ b/src/dragonflyrock/daemon.py
@@ -69,6 +69,7 @@
 from .tables import LeavingRow, LeavingSource
 from .transport.calls import BlockingCaller, CallTable
 from .transport.keys import load_keys
+from .transport.link_states import LinkChange
 from .transport.links import Links
 
 __all__ = ["Daemon", "main"]
@@ -123,6 +124,7 @@
                 self._links.connect(peer.name, peer.link)
         self._runtime = Runtime(self._links, self._metrics, self._clock)
         self._runtime.on_stall = self._report_stall
+        self._runtime.on_link_change = self._report_link_change
         self._runtime.calls = CallTable(settings.control.voters, self._runtime.send)
         self._caller = BlockingCaller(
             self._runtime.calls, self._runtime.post, self._clock
@@ -447,6 +449,12 @@
         self._events.add("stalled", detail=f"{kind}: {seconds:.2f} s")
         _LOGGER.warning("stalled: %s: %.2f s", kind, seconds)
 
+    def _report_link_change(self, change: LinkChange) -> None:
+        """Report a link to another host that is lost or regained."""
+        detail = f"closed for {change.seconds:.2f} s"
+        self._events.add(change.event, peer=change.peer, detail=detail)
+        _LOGGER.warning("%s: peer=%s: %s", change.event, change.peer, detail)
+
     def _find_unready(self) -> str:
         """Return why callers may not be sent to this host, or an empty text."""
         if self._unready_reason:
--- a/src/dragonflyrock/node/loop.py
+++ b/src/dragonflyrock/node/loop.py
@@ -123,6 +123,13 @@
             self.lines.add("stalled", seconds=round(late, 3))
         self._last_tick_at = now
         self._receive_messages()
+        for change in self._links.review(now):
+            self.lines.add(
+                change.event,
+                peer=change.peer,
+                seconds=round(change.seconds, 2),
+                reopenings=change.reopenings,
+            )
         self._call_guarded(self._on_tick, now)
         self._run_pass()
         if now - self._lines_flushed_at > LINE_FLUSH_INTERVAL_SECONDS:
--- a/src/dragonflyrock/observe/metrics.py
+++ b/src/dragonflyrock/observe/metrics.py
@@ -279,6 +279,12 @@
             "1 after a group stopped at a log entry that needs a newer version",
             "group",
         )
+        self._link_reopenings = Family(
+            Value,
+            "dragonflyrock_link_reopenings",
+            "Links to nodes opened anew, as they were closed for some seconds",
+            is_counter=True,
+        )
         self._dropped_frames = Family(
             Value,
             "dragonflyrock_dropped_frames",
@@ -299,6 +305,7 @@
             "Time of one pass of the event loop in seconds, without its waits",
         )
         self.dropped_frames = self._dropped_frames.labels()
+        self.link_reopenings = self._link_reopenings.labels()
         self.servers_paused = self._servers_paused.labels()
         self.client_bytes = self._client_bytes.labels()
         self.servers_cold = self._servers_cold.labels()
@@ -340,6 +347,7 @@
             self.disk_refusals,
             self.apply_stopped,
             self._dropped_frames,
+            self._link_reopenings,
             self._revision,
             self._lease_seconds,
         )
--- a/src/dragonflyrock/runtime.py
+++ b/src/dragonflyrock/runtime.py
@@ -20,6 +20,7 @@
 from .entry.server_rates import ServerRateAgent
 from .observe.metrics import Metrics
 from .transport.calls import CallTable
+from .transport.link_states import LinkChange
 from .transport.links import Links, ReceivedMessage
 from .transport.messages import (
     CallAnswer,
@@ -49,8 +50,8 @@
 class Runtime:
     """Run the roles of this host on every message and at fixed intervals.
 
-    Set the roles that this host has, and ``on_stall``, before ``run``. ``on_stall``
-    receives the kind of a stall and its duration in seconds.
+    Set the roles that this host has, ``on_stall`` and ``on_link_change`` before
+    ``run``. ``on_stall`` receives the kind of a stall and its duration in seconds.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self.rates: ServerRateAgent | None = None
         self.on_entry_tick: Callable[[], None] = _do_nothing
         self.on_stall: Callable[[str, float], None] = _ignore_stall
+        self.on_link_change: Callable[[LinkChange], None] = _ignore_link_change
 
     def post(self, task: Callable[[], None]) -> None:
         """Run a task in the loop's thread; thread-safe."""
@@ -221,7 +223,9 @@
                 )
 
     def _tick(self, now: float) -> None:
-        """Run the timed work of the calls and the control member."""
+        """Run the timed work of the links, the calls and the control member."""
+        for change in self._links.review(now):
+            self.on_link_change(change)
         if self.calls is not None:
             self.calls.tick(now)
         self.on_entry_tick()
@@ -247,3 +251,7 @@
 
 def _ignore_stall(kind: str, seconds: float) -> None:
     """Ignore a stall, as no handler is set."""
+
+
+def _ignore_link_change(change: LinkChange) -> None:
+    """Ignore a lost or regained link, as no handler is set."""
--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -11,6 +11,7 @@
 from ..codec import CodecError, get_outer_name
 from ..observe import HybridClock
 from ..observe.metrics import Metrics
+from .link_states import LinkChange, LinkState, review_links
 from .messages import MESSAGES, Envelope, LinkMessage, PackedUpdate
 from .packing import unpack_update
 
@@ -34,6 +35,7 @@
 # A peer may accept a connection and fall silent before the link is open. Heartbeats
 # begin after that, so either side closes such a connection after this time.
 HANDSHAKE_TIMEOUT_MS: Final = 1500
+REVIEW_INTERVAL_SECONDS: Final = 0.25
 
 
 class CurveKeys(NamedTuple):
@@ -83,6 +85,8 @@
         self.receiver.bind(f"tcp://{bind}")
         self._senders: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[str, str] = {}
+        self._states: dict[str, LinkState] = {}
+        self._review_due_at = 0.0
         self._unsendable_kinds: set[str] = set()
 
     def _start_authenticator(
@@ -116,12 +120,18 @@
     def is_open(self, peer: str) -> bool:
         """Return whether the link to a peer is connected and takes messages."""
         socket = self._senders.get(peer)
-        return socket is not None and bool(socket.poll(0, zmq.POLLOUT))
+        return socket is not None and _is_writable(socket)
 
     def connect(self, peer: str, address: str) -> None:
         """Connect to a peer at ``ip:port``; reconnect if its address has changed."""
         if self._addresses.get(peer) == address:
             return
+        self.disconnect(peer)
+        self._addresses[peer] = address
+        self._open_sender(peer, address)
+
+    def _open_sender(self, peer: str, address: str) -> None:
+        """Open the sending socket of a peer, in place of the one before."""
         old = self._senders.pop(peer, None)
         if old is not None:
             old.close()
@@ -139,7 +149,23 @@
             socket.curve_serverkey = self._keys.hosts.get(peer, "").encode()
         socket.connect(f"tcp://{address}")
         self._senders[peer] = socket
-        self._addresses[peer] = address
+
+    def review(self, now: float) -> list[LinkChange]:
+        """Open links anew that are closed for too long; return what changed.
+
+        A socket whose peer sent an invalid greeting or handshake never connects again.
+        ``now`` is in seconds; call it in each tick.
+        """
+        if now < self._review_due_at:
+            return []
+        self._review_due_at = now + REVIEW_INTERVAL_SECONDS
+        for peer in self._addresses.keys() - self._states.keys():
+            self._states[peer] = LinkState(now, now)
+        review = review_links(self._states, self.is_open, now)
+        for peer in review.closed_peers:
+            self._metrics.link_reopenings.inc()
+            self._open_sender(peer, self._addresses[peer])
+        return review.changes
 
     def disconnect(self, peer: str) -> None:
         """Close the link to a peer, if there is one."""
@@ -147,6 +173,7 @@
         if socket is not None:
             socket.close()
         self._addresses.pop(peer, None)
+        self._states.pop(peer, None)
 
     def send(self, peer: str, message: LinkMessage) -> bool:
         """Send a message, or return False if it cannot be sent.
@@ -228,6 +255,11 @@
         self._context.term()
 
 
+def _is_writable(socket: zmq.Socket[bytes]) -> bool:
+    """Return whether a socket takes a message."""
+    return bool(int(socket.getsockopt(zmq.EVENTS)) & zmq.POLLOUT)
+
+
 class _KnownKeysProvider:
     """Check public keys for the authenticator of CURVE connections."""
 
--- a/tests/node/test_loop.py
+++ b/tests/node/test_loop.py
@@ -71,3 +71,24 @@
         harness.running = None
 
     run_scenario(scenario)
+
+
+# Guards against a link that stays closed without a line, and against a node that leaves
+# it to the library to open it again.
+def test_a_link_that_stays_closed_is_opened_anew_with_a_line(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def scenario(harness: EntryHarness) -> None:
+        loop = harness.node._loop
+        loop.connect("127.0.0.9")
+        before = loop._links._senders["127.0.0.9"]
+        await asyncio.sleep(6.0)
+        assert loop._links._senders["127.0.0.9"] is not before
+        assert loop.metrics.link_reopenings.value >= 2
+
+    run_scenario(scenario)
+    lines = [
+        line for line in capfd.readouterr().out.splitlines() if "link-lost" in line
+    ]
+    assert len(lines) == 1
+    assert '"peer":"127.0.0.9"' in lines[0]
--- a/tests/transport/relay.py
+++ b/tests/transport/relay.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
@@ -13,6 +14,8 @@
 __all__ = ["Relay", "Treatment", "run_relays"]
 
 CHUNK_BYTES: Final = 65536
+# They take the only place in a backlog of 0, and one at least is dropped.
+FILLER_COUNT: Final = 2
 NO_LIMIT: Final = 2**62
 THERE, BACK = 0, 1
 
@@ -22,14 +25,15 @@
 
     It passes so many bytes to the target and back. Then the connection is silent for
     good, or it is reset if ``resets``. ``answer`` is sent to the caller in place of the
-    target's bytes. ``garbled`` is the position of a byte to the target, and of one from
-    it, that is inverted, or -1.
+    target's bytes. ``target`` is the port of another target. ``garbled`` is the
+    position of a byte to the target, and of one from it, that is inverted, or -1.
     """
 
     passed_bytes: tuple[int, int] = (NO_LIMIT, NO_LIMIT)
     resets: bool = False
     delay_seconds: float = 0.0
     answer: bytes = b""
+    target: int = 0
     garbled: tuple[int, int] = (-1, -1)
 
 
@@ -61,15 +65,38 @@
         self._connections: list[_Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._fillers: list[socket.socket] = []
 
     async def listen(self) -> None:
         """Accept connections from now on."""
+        await self.refuse()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
-    async def close(self) -> None:
-        """Stop accepting, and reset all connections."""
+    async def refuse(self) -> None:
+        """Refuse new connections."""
         if self._server is not None:
             self._server.close()
+            self._server = None
+        while self._fillers:
+            self._fillers.pop().close()
+
+    async def drop_attempts(self) -> None:
+        """Neither accept nor refuse new connections: the backlog is full."""
+        await self.refuse()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self._fillers = [listener]
+        for _ in range(FILLER_COUNT):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._fillers.append(filler)
+
+    async def close(self) -> None:
+        """Stop accepting, and reset all connections."""
+        await self.refuse()
         for connection in self._connections:
             connection.reset()
         for task in self._tasks:
@@ -85,6 +112,10 @@
             for direction in directions or (THERE, BACK):
                 connection.is_silent[direction] = True
 
+    def call(self, change: Coroutine[object, object, None]) -> None:
+        """Run one of the coroutines above to its end."""
+        asyncio.run_coroutine_threadsafe(change, self._loop).result()
+
     def reset(self) -> None:
         """Reset the connections that are open."""
         for connection in list(self._connections):
@@ -103,7 +134,8 @@
             writer.close()
             return
         try:
-            target = await asyncio.open_connection("127.0.0.1", self.target)
+            port = treatment.target or self.target
+            target = await asyncio.open_connection("127.0.0.1", port)
         except OSError:
             connection.reset()
             return
@@ -162,11 +194,11 @@
     relays = [Relay(loop, target) for target in targets]
     try:
         for relay in relays:
-            asyncio.run_coroutine_threadsafe(relay.listen(), loop).result()
+            relay.call(relay.listen())
         yield relays
     finally:
         for relay in relays:
-            asyncio.run_coroutine_threadsafe(relay.close(), loop).result()
+            relay.call(relay.close())
         loop.call_soon_threadsafe(loop.stop)
         thread.join()
         loop.close()
--- a/tests/transport/test_link_recovery.py
+++ b/tests/transport/test_link_recovery.py
@@ -23,6 +23,14 @@
 ACK_SECONDS: Final = 4.0
 NULL_GREETING_BYTES: Final = 64
 SEND_INTERVAL_SECONDS: Final = 0.02
+GREETING: Final = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(48)
+INVALID_ANSWERS: Final = (
+    b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n",
+    GREETING + b"\x06\xff" * 9,
+    GREETING + b"\x04\x19\x05READY\x0bSocket-Type\x00\x00\x00\x04PUSH",
+    GREETING.replace(b"NULL", b"XXXX"),
+    bytes(100),
+)
 
 
 class Ends(NamedTuple):
@@ -59,13 +67,20 @@
         receiver.close()
 
 
-def _measure_until_open(ends: Ends, seconds: float) -> dict[int, float]:
-    """Return the time until a message came over each link, by the relay's number."""
+def _measure_until_open(
+    ends: Ends, seconds: float, *, is_reviewed: bool = False
+) -> dict[int, float]:
+    """Return the time until a message came over each link, by the relay's number.
+
+    The sending node reviews its links if ``is_reviewed``.
+    """
     while ends.receiver.receive() is not None:
         pass
     began = time.monotonic()
     times: dict[int, float] = {}
     while len(times) < len(ends.relays) and time.monotonic() - began < seconds:
+        if is_reviewed:
+            ends.sender.review(time.monotonic())
         for number in range(len(ends.relays)):
             ends.sender.send(str(number), ConsensusMessage(str(number), "", "", b""))
         time.sleep(SEND_INTERVAL_SECONDS)
@@ -76,6 +91,16 @@
     return times
 
 
+def _end_faults(ends: Ends) -> None:
+    """Treat new connections well once each relay has accepted one."""
+    deadline = time.monotonic() + ACK_SECONDS
+    while not all(relay.accepted for relay in ends.relays):
+        assert time.monotonic() < deadline
+        time.sleep(SEND_INTERVAL_SECONDS)
+    for relay in ends.relays:
+        relay.treatment = Treatment()
+
+
 # Guards against a link that stays closed for 30 s, as its peer's machine fell silent
 # within the handshake of a connection, while new connections work.
 @pytest.mark.parametrize("has_keys", [False, True])
@@ -83,16 +108,25 @@
     positions = (0, 1, 10, 11, 12, 63, 64, 66, 90, 200, 300)
     hung = [Treatment((there, back)) for there in positions for back in (0, 11, 64, 90)]
     with _connect_over_relays(hung, has_keys) as ends:
-        deadline = time.monotonic() + ACK_SECONDS
-        while not all(relay.accepted for relay in ends.relays):
-            assert time.monotonic() < deadline
-            time.sleep(SEND_INTERVAL_SECONDS)
-        for relay in ends.relays:
-            relay.treatment = Treatment()
+        _end_faults(ends)
         times = _measure_until_open(ends, ACK_SECONDS)
         assert sorted(times) == list(range(len(hung)))
 
 
+# Guards against a link that never opens again after one connection whose greeting or
+# handshake was invalid, or which another socket or program answered: the library gives
+# up.
+@pytest.mark.parametrize("has_keys", [False, True])
+def test_a_link_opens_again_after_an_invalid_handshake(has_keys: bool) -> None:
+    positions = (0, 12, 24, 64, 66, 72, 84, 91, 111, 150, 222, 285)
+    invalid = [Treatment(garbled=(-1, position)) for position in positions]
+    invalid += [Treatment(answer=answer) for answer in INVALID_ANSWERS]
+    with _connect_over_relays(invalid, has_keys) as ends:
+        _end_faults(ends)
+        times = _measure_until_open(ends, ACK_SECONDS, is_reviewed=True)
+        assert sorted(times) == list(range(len(invalid)))
+
+
 # Guards against half-open connections that a node keeps for 30 s each, so that callers
 # which fall silent at every attempt use up its file descriptors.
 def test_a_connection_without_a_handshake_is_closed_by_the_accepting_side() -> None:
