Links: the accepting side closes connections that fell silent for good

Only the sending side had heartbeats. A node whose peer's connection fell silent for good, or whose peer lost its power, kept its end for good: a descriptor, and up to 64 MiB of a message that had begun. Each cut that leaves connections silent added one a peer.

The receiving socket now asks after 60 s and closes after 120 s without a message. The HEARTBEAT_TTL of the sender was tried first: it covers nothing that falls silent within the first second.

test_the_accepting_side_closes_connections_that_are_silent, with the times at 0.5 and 1 s: before, three connections were held 4 s later; now none.

--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -35,6 +35,10 @@
 # A peer may accept a connection and fall silent before the link is open. Heartbeats
 # begin after that, so either side closes such a connection after this time.
 HANDSHAKE_TIMEOUT_MS: Final = 1500
+# The accepting side closes a silent connection for what it holds. No answer passes
+# before the end of a message, and the longest one may take a minute.
+RECEIVER_HEARTBEAT_INTERVAL_MS: Final = 60_000
+RECEIVER_HEARTBEAT_TIMEOUT_MS: Final = 120_000
 REVIEW_INTERVAL_SECONDS: Final = 0.25
 
 
@@ -81,6 +85,8 @@
             self.receiver.curve_server = True
             self.receiver.curve_publickey = keys.public.encode()
             self.receiver.curve_secretkey = keys.secret.encode()
+        self.receiver.setsockopt(zmq.HEARTBEAT_IVL, RECEIVER_HEARTBEAT_INTERVAL_MS)
+        self.receiver.setsockopt(zmq.HEARTBEAT_TIMEOUT, RECEIVER_HEARTBEAT_TIMEOUT_MS)
         self.receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.receiver.bind(f"tcp://{bind}")
         self._senders: dict[str, zmq.Socket[bytes]] = {}
@@ -137,8 +143,7 @@
             old.close()
         socket = self._context.socket(zmq.PUSH)
         self._configure(socket)
-        # Only the sending side must detect a lost connection; the receiving side
-        # replies to its heartbeats.
+        # The sending side detects a lost connection first.
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.IMMEDIATE, 1)
--- a/tests/transport/relay.py
+++ b/tests/transport/relay.py
@@ -38,13 +38,17 @@
 
 
 class _Connection:
-    """A relayed connection: its streams and the directions that are silent."""
+    """A relayed connection: its streams and the directions that are silent.
+
+    ``is_held`` until the target ends it.
+    """
 
     def __init__(self, treatment: Treatment, writers: list[asyncio.StreamWriter]):
         """Initialize a connection that passes bytes both ways."""
         self.treatment = treatment
         self.writers = writers
         self.is_silent = [False, False]
+        self.is_held = True
 
     def reset(self) -> None:
         """Reset both sides."""
@@ -103,6 +107,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def count_held(self) -> int:
+        """Return how many connections the target has not ended."""
+        return sum(connection.is_held for connection in list(self._connections))
+
     def silence(self, *directions: int) -> None:
         """Pass nothing more on the connections that are open, for good.
 
@@ -165,6 +173,10 @@
                 data, is_over = b"", True
             if treatment.delay_seconds:
                 await asyncio.sleep(treatment.delay_seconds)
+            if direction == BACK and is_over:
+                connection.is_held = False
+            if direction == BACK and connection.is_silent[BACK] and not is_over:
+                continue
             if connection.is_silent[direction]:
                 return
             if is_over:
--- a/tests/transport/test_link_recovery.py
+++ b/tests/transport/test_link_recovery.py
@@ -13,6 +13,7 @@
 
 from dragonflyrock.observe import HybridClock
 from dragonflyrock.observe.metrics import Metrics
+from dragonflyrock.transport import links as links_module
 from dragonflyrock.transport.links import CurveKeys, Links
 from dragonflyrock.transport.messages import ConsensusMessage
 from tests.common import free_port
@@ -63,7 +64,8 @@
                 sender.connect(str(number), f"127.0.0.1:{relay.port}")
             yield Ends(sender, receiver, relays)
     finally:
-        sender.close()
+        if not sender.receiver.closed:
+            sender.close()
         receiver.close()
 
 
@@ -156,3 +158,35 @@
     with _connect_over_relays(slow, has_keys) as ends:
         assert sorted(_measure_until_open(ends, ACK_SECONDS)) == [0, 1, 2]
         assert [relay.accepted for relay in ends.relays] == [1, 1, 1]
+
+
+@pytest.fixture
+def quick_receivers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let receivers detect silent connections sooner."""
+    monkeypatch.setattr(links_module, "RECEIVER_HEARTBEAT_INTERVAL_MS", 500)
+    monkeypatch.setattr(links_module, "RECEIVER_HEARTBEAT_TIMEOUT_MS", 1000)
+
+
+# Guards against connections of peers that fell silent for good, which the accepting
+# side kept for good, with their descriptors and what had arrived of a message.
+@pytest.mark.usefixtures("quick_receivers")
+def test_the_accepting_side_closes_connections_that_are_silent() -> None:
+    with _connect_over_relays([Treatment()] * 3, has_keys=False) as ends:
+        assert len(_measure_until_open(ends, ACK_SECONDS)) == 3
+        for relay in ends.relays:
+            relay.silence()
+        ends.sender.close()
+        deadline = time.monotonic() + ACK_SECONDS
+        while any(relay.count_held() for relay in ends.relays):
+            assert time.monotonic() < deadline
+            time.sleep(SEND_INTERVAL_SECONDS)
+
+
+# Guards against an accepting side that closes connections with nothing to carry.
+@pytest.mark.usefixtures("quick_receivers")
+def test_an_idle_link_stays_open() -> None:
+    with _connect_over_relays([Treatment()], has_keys=False) as ends:
+        assert _measure_until_open(ends, ACK_SECONDS)
+        time.sleep(3.0)
+        assert ends.relays[0].accepted == 1
+        assert ends.relays[0].count_held() == 1
