A silent connection ends the other idle ones to its server or host

Callers saw one request after the other end at its deadline without a response, one for each idle connection to a server, after open connections had fallen silent for good while new ones worked. The same between hosts for relayed requests. Cause: only the connection that carried the request was closed; the next request took the next idle one, up to 0.7 of the time that the server allows them (42 s where it names a minute; 2.8 s without a word).

When a request over a used connection gets no response before its deadline, the idle ones to that address are closed, except those that answered since it was sent: these are alive, so a few short deadlines at a busy server close nothing.

Both tests failed before: three of three requests answered 504 after the connections fell silent; now one, and two are served. tests/router, tests/http, tests/platform, tests/load pass.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import socket
 import struct
 from collections import Counter, defaultdict
@@ -91,6 +92,7 @@
         self._resume_timer: asyncio.TimerHandle | None = None
         self.number = next(_CONNECTION_NUMBERS)
         self.usable_until = float("inf")
+        self.answered_at = 0.0
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -247,6 +249,7 @@
     def _record_answer(self, response: Response) -> None:
         """Record that a request was answered here, and whether it may be sent again."""
         self._has_answered = True
+        self.answered_at = self._loop.time()
         if not 200 <= response.status < 300:
             self._failed_ids.add(self._request_id)
             if len(self._failed_ids) >= MAX_FAILED_IDS:
@@ -619,10 +622,16 @@
             else:
                 del self._idle[address]
 
-    def close_idle(self, address: str) -> None:
-        """Close all idle connections to an address."""
+    def close_idle(self, address: str, answered_since: float = math.inf) -> None:
+        """Close the idle connections to an address.
+
+        Those that were answered since a time of the event loop stay open.
+        """
         for connection in self._idle.pop(address, []):
-            connection.close()
+            if connection.answered_at >= answered_since:
+                self._idle[address].append(connection)
+            else:
+                connection.close()
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/src/dragonflyrock/router/exchange.py
+++ b/src/dragonflyrock/router/exchange.py
@@ -694,6 +694,7 @@
         outgoing = make_server_request(
             context.request, names, stat.row.name, seconds_left
         )
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(seconds_left + RESPONSE_SLACK_SECONDS):
                 result = await connection.exchange(
@@ -704,6 +705,9 @@
             record_unreachable(stat, self._clock())
             record_outcome(stat, self._clock(), failed=True)
             self.reach.record_failure(address)
+            if reused:
+                # All connections that were open may be silent for good.
+                self._connections.close_idle(address, answered_since=sent_at)
             context.may_have_run = True
             context.detail = "no response before the deadline"
             return self._answer_failure(context)
--- a/src/dragonflyrock/router/relay.py
+++ b/src/dragonflyrock/router/relay.py
@@ -156,6 +156,7 @@
         self._in_flight[host] = self._in_flight.get(host, 0) + 1
         names = self._config.header_names
         seconds_left = context.deadline - self._clock()
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(seconds_left + RESPONSE_SLACK_SECONDS):
                 result = await connection.exchange(
@@ -164,6 +165,8 @@
                     context.request_id,
                 )
         except TimeoutError:
+            # All connections that were open may be silent for good.
+            self._connections.close_idle(connection.address, answered_since=sent_at)
             return ExchangeFault(FaultKind.CONNECTION_LOST, "no response in time")
         finally:
             self._in_flight[host] -= 1
--- a/tests/router/test_cut_off_hosts.py
+++ b/tests/router/test_cut_off_hosts.py
@@ -281,3 +281,23 @@
         assert harness.connections.count_idle(harness.rows["s1"].address) == 1
 
     run_scenario(scenario)
+
+
+# Guards against one lost request for each idle connection to another host, after all of
+# them fell silent for good while new ones work.
+def test_a_silent_connection_to_a_host_ends_the_other_idle_ones() -> None:
+    async def scenario(hosts: Hosts) -> None:
+        cut_off_at_once(hosts.cut)
+        await hosts.send_requests(5)
+        relayer = hosts.cut.router.relayer
+        idle = [c for each in relayer._connections._idle.values() for c in each]
+        assert len(idle) > 2
+        for connection in idle:
+            connection._send = lambda request: None  # type: ignore[method-assign]
+        statuses = []
+        for _ in range(3):
+            statuses.append((await hosts.cut.send_request(left_ms=200)).status)
+            relayer._unfit_until.clear()
+        assert statuses.count(200) == 2
+
+    run_hosts(scenario)
--- a/tests/router/test_idle_connections.py
+++ b/tests/router/test_idle_connections.py
@@ -54,3 +54,32 @@
             assert harness.connections.count_idle(row.address) == 1
 
     run_scenario(scenario, paused=True)
+
+
+async def answer_late_and_keep_alive(request: Request) -> Response:
+    """Answer late, and allow connections to be idle for a minute."""
+    response = await answer_late(request)
+    keep_alive = (b"Keep-Alive", b"timeout=60")
+    return response._replace(headers=(*response.headers, keep_alive))
+
+
+# Guards against one lost request for each idle connection to a server, after all of
+# them fell silent for good while new ones work.
+def test_a_silent_connection_ends_the_other_idle_ones() -> None:
+    async def scenario(harness: RouterHarness) -> None:
+        row = await harness.add_server("one", answer_late_and_keep_alive)
+        harness.apply_update()
+        harness.state.stats["one"].slots = BURST
+        await asyncio.gather(*[harness.send_request() for _ in range(BURST)])
+        idle = harness.connections._idle[row.address]
+        assert len(idle) > 2
+        for connection in idle:
+            connection._send = lambda request: None  # type: ignore[method-assign]
+        statuses = []
+        for _ in range(3):
+            statuses.append((await harness.send_request(left_ms=200)).status)
+            # The server's pause is over.
+            harness.state.stats["one"].down_until = 0.0
+        assert statuses.count(200) == 2
+
+    run_scenario(scenario)
