--- a/tests/consensus/overlapping_faults.py
+++ b/tests/consensus/overlapping_faults.py
@@ -50,9 +50,16 @@
 class OverlappingFaults(Schedule):
     """A schedule whose faults begin while others last."""
 
-    def __init__(self, seed: int, size: int, target: int, tolerance: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        target: int,
+        tolerance: int,
+        snapshot_entries: int = 0,
+    ) -> None:
         """Start a group of ``size`` that tolerates the loss of ``tolerance`` hosts."""
-        super().__init__(seed, size, target)
+        super().__init__(seed, size, target, snapshot_entries)
         if self.cluster.leader() is None:
             self.cluster.wait_for_leader()
         self.played: list[str] = []
@@ -81,6 +88,7 @@
                 end()
             admit(self.cluster, STEP_SECONDS)
             self.cluster.propose(b"change")
+            self.take_due_snapshots()
 
     def settle(self, seconds: float) -> None:
         """Advance the time, and on until every fault has ended."""
--- a/tests/consensus/test_member_schedules.py
+++ b/tests/consensus/test_member_schedules.py
@@ -22,6 +22,10 @@
 REPLACEMENT_DELAY_SECONDS: Final = 1.2
 DARK_SECONDS: Final = 3.0
 FAULT_COUNT: Final = 6
+# Lost disks of hosts that keep their names, in a group whose logs begin with snapshots.
+LOST_DISK_COUNT: Final = 8
+LOST_DISK_KINDS: Final = ("wipe", "wipe", "wipe", "kill", "cut")
+SNAPSHOT_ENTRIES: Final = 40
 KINDS: Final = (
     "replace",
     "replace",
@@ -37,9 +41,15 @@
 class Schedule:
     """A group and the hosts that are in use."""
 
-    def __init__(self, seed: int, size: int, target: int = 0) -> None:
-        """Start a group of ``size`` voters; ``target`` is the number aimed at."""
+    def __init__(
+        self, seed: int, size: int, target: int = 0, snapshot_entries: int = 0
+    ) -> None:
+        """Start a group of ``size`` voters; ``target`` is the number aimed at.
+
+        A member takes a snapshot after ``snapshot_entries`` entries, and none with 0.
+        """
         self.target = target
+        self.snapshot_entries = snapshot_entries
         self.random = Random(seed)
         self.names = list(ascii_lowercase[:size])
         self.new_names = iter(ascii_lowercase[size:] + ascii_uppercase)
@@ -61,6 +71,16 @@
         for _ in range(round(seconds / 0.25)):
             admit(self.cluster, 0.25)
             self.cluster.propose(b"change")
+            self.take_due_snapshots()
+
+    def take_due_snapshots(self) -> None:
+        """Take a snapshot of each member that has committed enough since its last."""
+        if not self.snapshot_entries:
+            return
+        for name, replica in self.cluster.replicas.items():
+            first = replica.log.snapshot.log_index
+            if replica.commit_index - first >= self.snapshot_entries:
+                self.cluster.compact(name)
 
     def start_empty(self, name: str) -> None:
         """Start a host with an empty disk, which joins by its seeds."""
@@ -156,3 +176,18 @@
     assert len(members.voters) == target
     names = {member.name for member in (*members.voters, *members.learners)}
     assert names == set(schedule.names)
+
+
+# Guards against CONFIG as in incident 68: a member with a new disk gets a snapshot that
+# names others by lost disks, never becomes a voter, and the next loss is final.
+@pytest.mark.parametrize("seed", range(60))
+def test_lost_disks_are_replaced_from_snapshots(seed: int) -> None:
+    schedule = Schedule(seed, 3, 3, SNAPSHOT_ENTRIES)
+    for _ in range(LOST_DISK_COUNT):
+        schedule.play(schedule.random.choice(LOST_DISK_KINDS))
+    schedule.run(2.0)
+    cluster = schedule.cluster
+    members = cluster.wait_for_leader().configuration
+    assert set(members.voters) == {replica.me for replica in cluster.replicas.values()}
+    assert not members.learners
+    assert all(replica.log.snapshot.log_index for replica in cluster.replicas.values())
