--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -123,3 +123,21 @@
     for _ in range(20):
         admit(cluster, 0.1)
         assert leader.configuration.find("d") == Member("d", "d-1")
+
+
+# Guards against a wiped member that refuses its leader for good, as the configuration
+# of the snapshot that it installed has the identity of before the leader's own wipe.
+def test_a_wiped_member_follows_a_leader_that_joined_after_the_snapshot() -> None:
+    cluster = Cluster("abc", seed=35)
+    cluster.wait_for_leader()
+    cluster.propose(b"before")
+    admit(cluster, 1.0)
+    for name in "abc":
+        cluster.compact(name)
+    for name in "abc":
+        cluster.wipe(name)
+        admit(cluster, 5.0)
+        cluster.propose(b"after")
+        leader = cluster.wait_for_leader()
+        member = cluster.replicas[name].me
+        assert member in leader.configuration.voters, f"{name} is no voter"
