--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -4,11 +4,13 @@
 
 from typing import Final
 
+from ..const import NEVER
 from .models import (
     AppendAnswer,
     AppendRequest,
     EntryKind,
     Member,
+    Message,
     Role,
     SnapshotRequest,
 )
@@ -96,12 +98,10 @@
     """
     previous_index = progress.next_index - 1
     term = replica.log.term_at(previous_index)
-    progress.sent_at = now
-    progress.first_sent_at = min(progress.first_sent_at, now)
-    progress.sent_commit_index = replica.commit_index
     if term is None:
         _send_snapshot(replica, name, progress, now)
         return
+    _record_sent(replica, progress, now)
     limit = MAX_ENTRIES_PER_MESSAGE if _has_room(replica, progress) else 0
     entries = replica.log.entries_from(
         progress.next_index, limit, MAX_BYTES_PER_MESSAGE
@@ -119,6 +119,13 @@
     queue_message(replica, name, request)
 
 
+def _record_sent(replica: Replica, progress: PeerProgress, now: float) -> None:
+    """Record that a request is sent to a peer now."""
+    progress.sent_at = now
+    progress.first_sent_at = min(progress.first_sent_at, now)
+    progress.sent_commit_index = replica.commit_index
+
+
 def _has_room(replica: Replica, progress: PeerProgress) -> bool:
     """Return whether a peer may be sent more entries before it acknowledges some."""
     acknowledged = max(progress.match_index, progress.first_sent_index - 1)
@@ -129,15 +136,21 @@
 def _send_snapshot(
     replica: Replica, name: str, progress: PeerProgress, now: float
 ) -> None:
-    """Send the snapshot, unless it was sent to the peer a short time ago."""
-    wait = replica.timing.heartbeat * SNAPSHOT_RESEND_HEARTBEATS
-    if now - progress.snapshot_sent_at < wait:
+    """Send the snapshot, or due heartbeats if it was sent a short time ago.
+
+    These name the start of the log, which the peer has or has compacted.
+    """
+    term = replica.hard_state.term
+    heartbeat = replica.timing.heartbeat
+    if now - progress.snapshot_sent_at >= heartbeat * SNAPSHOT_RESEND_HEARTBEATS:
+        progress.snapshot_sent_at = now
+        request: Message = SnapshotRequest(term, replica.log.snapshot, now)
+    elif now - progress.sent_at >= heartbeat:
+        request = AppendRequest(term, 0, 0, (), replica.commit_index, now)
+    else:
         return
-    progress.snapshot_sent_at = now
-    snapshot = replica.log.snapshot
-    queue_message(
-        replica, name, SnapshotRequest(replica.hard_state.term, snapshot, now)
-    )
+    _record_sent(replica, progress, now)
+    queue_message(replica, name, request)
 
 
 def on_append_request(
@@ -237,10 +250,14 @@
             progress.next_index = max(progress.match_index, answer.match_index) + 1
             progress.first_sent_index = progress.next_index
             progress.rewound_at = now
-        return
-    progress.match_index = max(progress.match_index, answer.match_index)
-    progress.next_index = max(progress.next_index, progress.match_index + 1)
-    advance_commit_index(replica)
+    else:
+        progress.match_index = max(progress.match_index, answer.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        advance_commit_index(replica)
+    lacks_snapshot = replica.log.term_at(progress.next_index - 1) is None
+    if lacks_snapshot and answer.sent_at > progress.snapshot_sent_at:
+        # Messages to a peer keep their order, so the snapshot was lost.
+        progress.snapshot_sent_at = NEVER
 
 
 def advance_commit_index(replica: Replica) -> None:
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -10,6 +10,7 @@
     Member,
     Role,
     SnapshotImage,
+    Timing,
     membership,
     receive,
     take_output,
@@ -20,6 +21,7 @@
     VoteAnswer,
     VoteRequest,
 )
+from dragonflyrock.const import NEVER
 from dragonflyrock.errors import Reason, Refusal
 
 from .common import TICK_SECONDS, Cluster, Disk, admit
@@ -408,3 +410,35 @@
     cluster.propose(b"change")
     cluster.run(5 * TICK_SECONDS)
     assert all(cluster.commands(name) == [b"change"] for name in "abc")
+
+
+# Guards against a voter that counts as lost, or joins late, as it gets no request for
+# long after a snapshot for it was lost.
+def test_a_member_whose_snapshot_was_lost_hears_from_the_leader() -> None:
+    cluster = Cluster("abc", seed=39)
+    leader = cluster.wait_for_leader()
+    for replica in cluster.replicas.values():
+        replica.timing = Timing(0.2, 0.45, 0.8)
+    cluster.run(1.0)
+    behind = next(name for name in "abc" if name != leader.me.name)
+    cluster.stop(behind)
+    cluster.propose(b"x")
+    cluster.run(1.0)
+    cluster.compact(leader.me.name)
+    cluster.start(behind)
+    for _ in range(round(1.0 / TICK_SECONDS)):
+        cluster.run(TICK_SECONDS)
+        progress = leader.peers[behind]
+        if progress.snapshot_sent_at != NEVER:
+            break
+    cluster.stop(behind)
+    cluster.run(TICK_SECONDS)
+    cluster.start(behind)
+    assert cluster.commands(behind) == []
+    sent_at = progress.snapshot_sent_at
+    while cluster.commands(behind) == []:
+        cluster.run(TICK_SECONDS)
+        clock = cluster.clocks[leader.me.name]
+        silent = clock - max(progress.acked_sent_at, sent_at)
+        assert silent < membership.REPLACEABLE_SECONDS
+    assert cluster.leader() is leader
