Replace a wiped voter in one entry, and as soon as its disk is known to be lost

Cause: a wiped voter's former entry was removed after 2 s without an acknowledgement, in an entry of its own, and its successor was added by another one. The group has a voter less meanwhile.

Change: one entry removes the voter and adds the learner. A leader also replaces a voter whose successor has asked to join directly and steadily for a second, while nothing was heard from the former identity; all members take note of it, so that a new leader knows. A leader never takes its own disk for lost.

Tried and taken back: a new member that asks to join at once.

--- a/src/dragonflyrock/consensus/membership.py
+++ b/src/dragonflyrock/consensus/membership.py
@@ -11,6 +11,7 @@
 from ..errors import Reason, Refusal, Step
 from .log import encode_configuration
 from .models import Configuration, EntryKind, JoinRequest, Member, Role, TakeOver
+from .replacements import has_lost_disk
 from .replica import (
     Replica,
     WaitingMember,
@@ -72,19 +73,20 @@
 def admit_waiting_member(replica: Replica, now: float) -> None:
     """Add the first waiting member that is not in the configuration.
 
-    A member whose data folder was wiped returns under its name with a new identity. Its
-    old entry is removed first; a later call adds the new one. An old entry that still
-    responds is kept, since the request is an outdated one that was held up.
+    A member whose data folder was wiped returns under its name with a new identity, and
+    takes the place of its old entry. An old entry that still responds is kept, since
+    the request is an outdated one that was held up.
     """
     for name, (member, _) in list(replica.waiting_members.items()):
         known = replica.configuration.find(name)
         if known == member:
             del replica.waiting_members[name]
-        elif known is None:
-            add_learner(replica, name)
-            return
-        elif _is_unresponsive(replica, name, now):
-            remove_member(replica, name)
+        elif (
+            known is None
+            or _is_unresponsive(replica, name, now)
+            or has_lost_disk(replica, name, now)
+        ):
+            _append_learner(replica, member)
             return
 
 
@@ -159,9 +161,19 @@
     if name not in replica.waiting_members:
         detail = f"{name} has not asked to join"
         return Refusal(Reason.NOT_FOUND, Step.COMMIT, name, detail)
-    voters, learners = replica.configuration
-    changed = Configuration(voters, (*learners, replica.waiting_members[name].member))
-    return _append_configuration(replica, changed)
+    return _append_learner(replica, replica.waiting_members[name].member)
+
+
+def _append_learner(replica: Replica, learner: Member) -> int | Refusal:
+    """Append a configuration with a learner instead of any member of its name.
+
+    One entry is enough for both, as it removes one voter at most.
+    """
+    voters = tuple(m for m in replica.configuration.voters if m.name != learner.name)
+    learners = tuple(
+        m for m in replica.configuration.learners if m.name != learner.name
+    )
+    return _append_configuration(replica, Configuration(voters, (*learners, learner)))
 
 
 def remove_member(replica: Replica, name: str) -> int | Refusal:
--- a/src/dragonflyrock/consensus/replica.py
+++ b/src/dragonflyrock/consensus/replica.py
@@ -26,6 +26,7 @@
     Timing,
     VoteRequest,
 )
+from .replacements import Replacement
 
 __all__ = [
     "AddressedMessage",
@@ -129,7 +130,8 @@
 
     ``term_start_index`` is the index of the first entry that this leader appended in
     its term. ``join_peers`` are members to ask to join besides the configured ones.
-    ``waiting_members`` are known only to a leader, by their names.
+    ``waiting_members`` are known only to a leader, by their names; ``replacements``
+    ask in the place of a member whose disk they replace, by its name.
     ``vote_refusals`` are the answers to the latest vote request of each candidate, and
     ``contacts`` what was last heard from each member of the configuration.
     ``voter_target`` is the number of voters that a leader aims at, or 0 to promote
@@ -156,6 +158,7 @@
     votes: dict[str, Member] = field(default_factory=dict)
     peers: dict[str, PeerProgress] = field(default_factory=dict)
     waiting_members: dict[str, WaitingMember] = field(default_factory=dict)
+    replacements: dict[str, Replacement] = field(default_factory=dict)
     vote_refusals: dict[str, str] = field(default_factory=dict)
     contacts: dict[str, Contact] = field(default_factory=dict)
     output: Output = field(default_factory=Output)
--- a/src/dragonflyrock/consensus/step.py
+++ b/src/dragonflyrock/consensus/step.py
@@ -14,6 +14,7 @@
     VoteAnswer,
     VoteRequest,
 )
+from .replacements import record_replacement
 from .replica import Replica, record_leader_commit_index
 
 __all__ = ["observe", "receive", "tick"]
@@ -28,6 +29,7 @@
 
 def receive(replica: Replica, sender: Member, message: Message, now: float) -> None:
     """Handle a message from another member."""
+    record_replacement(replica, sender, message, now)
     match message:
         case VoteRequest():
             election.on_vote_request(replica, sender, message, now)
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dragonflyrock.consensus import Member, Replica, receive
+from dragonflyrock.consensus import Member, Replica, membership, receive
 from dragonflyrock.consensus.models import JoinRequest
 
-from .common import Cluster, admit
+from .common import TICK_SECONDS, Cluster, admit
 
 
 def wipe_voter_twice(cluster: Cluster) -> tuple[Replica, Replica, str]:
@@ -141,3 +141,77 @@
         leader = cluster.wait_for_leader()
         member = cluster.replicas[name].me
         assert member in leader.configuration.voters, f"{name} is no voter"
+
+
+# Guards against CONFIG: a group that has a voter less for longer than needed, so that
+# the next lost disk leaves no majority.
+def test_a_wiped_voter_is_replaced_by_a_learner_in_one_entry() -> None:
+    cluster = Cluster("abc", seed=37)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    wiped = next(name for name in "abc" if name != leader.me.name)
+    cluster.initial_voters = ()
+    cluster.wipe(wiped)
+    replica = cluster.replicas[wiped]
+    replica.join_peers = ("a", "b", "c")
+    changed_index = leader.log.configuration_index
+    for _ in range(round(4.0 / TICK_SECONDS)):
+        if leader.log.configuration_index > changed_index:
+            break
+        membership.admit_waiting_member(leader, cluster.clocks[leader.me.name])
+        cluster.run(TICK_SECONDS)
+    first_change = leader.log.configuration_at(changed_index + 1)
+    assert wiped not in [voter.name for voter in first_change.voters]
+    assert first_change.learners == (replica.me,)
+
+
+# Guards against CONFIG: a new leader that waits for a lost disk's member as if it had
+# just been lost, though its replacement has asked to join for long.
+def test_a_new_leader_replaces_a_lost_disk_that_the_one_before_did_not() -> None:
+    cluster = Cluster("abc", seed=40)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    wiped = next(name for name in "abc" if name != leader.me.name)
+    cluster.initial_voters = ()
+    cluster.wipe(wiped)
+    replica = cluster.replicas[wiped]
+    replica.join_peers = ("a", "b", "c")
+    cluster.run(1.5)
+    cluster.isolate(leader.me.name)
+    cluster.run(0.1)
+    cluster.stop(leader.me.name)
+    cluster.cut_links.clear()
+    cluster.start(leader.me.name)
+    admit(cluster, 1.5)
+    assert replica.me in cluster.wait_for_leader().configuration.voters
+
+
+# Guards against a leader that takes its own disk for lost, by late requests to join of
+# its earlier identity, and leaves the group.
+def test_a_leader_does_not_remove_itself() -> None:
+    cluster = Cluster("abc", seed=38)
+    leader = cluster.wait_for_leader()
+    earlier = Member(leader.me.name, "an earlier identity")
+    for _ in range(20):
+        clock = cluster.clocks[leader.me.name]
+        receive(leader, earlier, JoinRequest(earlier.identity), clock)
+        admit(cluster, 0.1)
+    assert cluster.leader() is leader
+    assert leader.me in leader.configuration.voters
+
+
+# Guards against a voter that is removed because requests to join of its earlier
+# identity were held up and arrive together.
+def test_requests_that_were_held_up_do_not_show_a_lost_disk() -> None:
+    cluster = Cluster("abc", seed=41)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    voter = next(name for name in "abc" if name != leader.me.name)
+    member = cluster.replicas[voter].me
+    cluster.isolate(voter)
+    earlier = Member(voter, "an earlier identity")
+    for _ in range(20):
+        clock = cluster.clocks[leader.me.name]
+        receive(leader, earlier, JoinRequest(earlier.identity), clock)
+    admit(cluster, 1.5)
+    assert leader.configuration.find(voter) == member
