Elections: a member that cannot be elected does not hold back the only one that can

What callers saw: no change of the configuration is accepted, as no leader is elected for as long as one link between two control nodes is cut while two of five are lost, although a third one reaches both.

Cause: with equal logs, of two that ask for pre-votes the lower name wins: it refuses the other one and asks it again, which makes that one a follower. If the lower name lacks its majority, this repeats for ever: the only member that could be elected is refused each time.

Change: it wins a tie with the same member only if it did not win the one before; then it yields, and the other one has its pre-vote.

--- a/src/dragonflyrock/consensus/election.py
+++ b/src/dragonflyrock/consensus/election.py
@@ -226,11 +226,12 @@
 
     Two members that grant each other a pre-vote both ask for votes and split them,
     which costs another election timeout. With equal logs the member with the lower
-    name wins.
+    name wins, but not twice in a row: links that are cut may keep it from its majority.
     """
     own_position = (replica.log.last_term, replica.log.last_index)
     is_equal = own_position == (request.last_term, request.last_index)
-    if is_equal and replica.me.name < sender.name:
+    has_won = replica.vote_refusals.get(sender.name) == VoteRefusal.TIE
+    if is_equal and replica.me.name < sender.name and not has_won:
         queue_message(replica, sender.name, _make_vote_request(replica))
         return VoteRefusal.TIE
     become_follower(replica, replica.hard_state.term, "", now)
