Replication: a rejection skips all entries of the conflicting term, not one

What callers saw: a control node that led when it was cut off, with changes under way, has outdated rows after it is back, and counts for nothing, for as many round trips as it has entries that were never committed; each round trip sends it the leader's later entries again. If messages of one link overtake each other, it never catches up.

Cause: the hint of a rejection goes back by one entry. While a new entry is sent in each round trip, its own rejection names the end of the log again; where that answer comes first, it undoes the step.

Change: the follower skips back over all entries of the term that conflicts, to its commit index at most. What it has of them that the leader has too is sent again.

--- a/src/dragonflyrock/consensus/replication.py
+++ b/src/dragonflyrock/consensus/replication.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from .log import Log
 from .models import (
     AppendAnswer,
     AppendRequest,
@@ -148,8 +149,7 @@
         return
     record_leader_commit_index(replica, request.commit_index)
     if replica.log.term_at(request.previous_index) != request.previous_term:
-        hint = min(replica.log.last_index, request.previous_index - 1)
-        match_hint = max(hint, replica.commit_index)
+        match_hint = _find_match_hint(replica.log, request, replica.commit_index)
         _send_append_answer(
             replica, sender, request.sent_at, success=False, match_index=match_hint
         )
@@ -164,6 +164,21 @@
     )
 
 
+def _find_match_hint(log: Log, request: AppendRequest, commit_index: int) -> int:
+    """Return after which index the leader should continue after a rejection.
+
+    All entries of the conflicting term are skipped: one at a time, as many round trips
+    as entries would be needed.
+    """
+    if log.last_index < request.previous_index:
+        return max(log.last_index, commit_index)
+    conflicting_term = log.term_at(request.previous_index)
+    hint = request.previous_index - 1
+    while hint > commit_index and log.term_at(hint) == conflicting_term:
+        hint -= 1
+    return max(hint, commit_index)
+
+
 def _accept_leader(
     replica: Replica, sender: Member, term: int, sent_at: float, now: float
 ) -> bool:
