Idle connections to servers are closed once they have expired

A control node that leads kept its idle connections to backend servers until it sent the same address another grant: for good, with a descriptor each, where the server was gone without closing, and the memory of closed ones too. Only the pools of entry hosts had a tick that closes expired ones. The pool of the orders now does so itself each second while any is idle; platform/ may have no timers. A grant bound to such a connection was refused as before: an expired one was not used.

test_idle_connections_to_servers_are_closed_in_time: before, one connection was idle 10 s after its grant on the paused clock; now none. tests/platform, tests/control, tests/node, tests/http, tests/router pass.

--- a/src/dragonflyrock/http/client.py
+++ b/src/dragonflyrock/http/client.py
@@ -38,6 +38,7 @@
 ACCEPT_SECONDS: Final = 0.001
 MAX_ACCEPT_WAIT_SECONDS: Final = 0.01
 MAX_IDLE_CONNECTIONS_PER_ADDRESS: Final = 32
+EXPIRY_INTERVAL_SECONDS: Final = 1.0
 # A connection is closed once it has failed so many requests, whose ids it remembers.
 MAX_FAILED_IDS: Final = 16
 MAX_BODY_BYTES: Final = 32 * 1024 * 1024
@@ -483,12 +484,17 @@
         self,
         bodies: BufferedBodies | None = None,
         pacer: PartPacer | None = None,
+        *,
+        closes_expired: bool = False,
     ) -> None:
         """Initialize an empty pool.
 
         ``bodies`` bounds the responses being read, and ``pacer`` the time for them.
+        Unless the pool ``closes_expired`` connections itself, call ``close_expired``.
         """
         self.pacer = pacer or PartPacer()
+        self._closes_expired = closes_expired
+        self._expiry_timer: asyncio.TimerHandle | None = None
         self._idle: defaultdict[str, list[ServerConnection]] = defaultdict(list)
         self.bodies = bodies or BufferedBodies(MAX_BUFFERED_BODY_BYTES)
         self._open_counts: Counter[str] = Counter()
@@ -607,9 +613,26 @@
         max_idle = min(max_idle, MAX_IDLE_CONNECTIONS_PER_ADDRESS)
         if connection.is_reusable and len(idle) < max_idle:
             idle.append(connection)
+            if self._closes_expired:
+                self._schedule_expiry()
             return
         connection.close()
 
+    def _schedule_expiry(self) -> None:
+        """Close expired connections at intervals while any is idle."""
+        if self._expiry_timer is None:
+            loop = asyncio.get_running_loop()
+            self._expiry_timer = loop.call_later(
+                EXPIRY_INTERVAL_SECONDS, self._expire, loop
+            )
+
+    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Close expired connections."""
+        self._expiry_timer = None
+        self.close_expired(loop.time())
+        if any(self._idle.values()):
+            self._schedule_expiry()
+
     def close_expired(self, now: float) -> None:
         """Close connections that are no longer reusable at ``now``."""
         for address, idle in list(self._idle.items()):
@@ -635,5 +658,8 @@
 
     def close(self) -> None:
         """Close every idle connection."""
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
         for address in list(self._idle):
             self.close_idle(address)
--- a/src/dragonflyrock/platform/orders.py
+++ b/src/dragonflyrock/platform/orders.py
@@ -51,7 +51,7 @@
 
     def __init__(self) -> None:
         """Initialize without connections."""
-        self._connections = ConnectionPool()
+        self._connections = ConnectionPool(closes_expired=True)
         self._grant_connections: dict[int, ServerConnection] = {}
         self._ids = itertools.count(1)
         self._id_prefix = secrets.token_hex(4)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -132,3 +132,32 @@
         GrantOrder(SERVER, "s", 0, 9, epoch, 4000, "") for epoch in (1, 2, 3)
     ]
     assert count_connections(orders) == 1
+
+
+# Guards against connections to servers that are gone without closing them, which the
+# leader kept for good, as it never sent them an order again.
+def test_idle_connections_to_servers_are_closed_in_time() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length:")[2].split()[0])
+        await reader.readexactly(length)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        ended.append(await reader.read())
+        writer.close()
+
+    async def run(clock: PausedClock) -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        order = GrantOrder(SERVER._replace(address=address), "s", 0, 9, 1, 6000, "")
+        client = OrderClient()
+        result = await client.send(order, TIMEOUT_SECONDS)
+        assert result.outcome == OrderOutcome.DONE
+        assert client._connections.count_idle(address) == 1
+        await asyncio.sleep(10.0)
+        assert client._connections.count_idle(address) == 0
+        assert not client._connections.has_open(address)
+        server.close()
+
+    ended: list[bytes] = []
+    run_paused(run)
+    assert ended == [b""]
