A link that cannot be opened anew for want of a descriptor is tried again

The review of links runs in the tick, and an error of a new socket (no descriptor left) went through it: a node's tick would not have been scheduled again.

test_a_link_that_cannot_be_opened_anew_is_tried_again failed before with ZMQError: Too many open files. tests/transport and tests/node pass.

--- a/src/dragonflyrock/transport/links.py
+++ b/src/dragonflyrock/transport/links.py
@@ -169,7 +169,11 @@
         review = review_links(self._states, self.is_open, now)
         for peer in review.closed_peers:
             self._metrics.link_reopenings.inc()
-            self._open_sender(peer, self._addresses[peer])
+            try:
+                self._open_sender(peer, self._addresses[peer])
+            except zmq.ZMQError as error:
+                # The next review after the interval tries again.
+                _LOGGER.warning("step=reopen peer=%s: %s", peer, error)
         return review.changes
 
     def disconnect(self, peer: str) -> None:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Final
 
 import pytest
@@ -74,3 +75,27 @@
     assert before < after
     assert after.wall_ms < before.wall_ms + 10_000
     MESSAGES.encode(Envelope("me", after, b""))
+
+
+# Guards against a node that ends, or never opens a link again, as it had no descriptor
+# left when it opened the link anew.
+def test_a_link_that_cannot_be_opened_anew_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = Links("me", f"127.0.0.1:{free_port()}", HybridClock(), Metrics(), None)
+
+    def refuse(kind: int) -> None:
+        raise zmq.ZMQError(errno.EMFILE)
+
+    try:
+        links.connect("peer", f"127.0.0.1:{free_port()}")
+        links.review(100.0)
+        with monkeypatch.context() as patch:
+            patch.setattr(links._context, "socket", refuse)
+            links.review(103.0)
+        assert not links.is_open("peer")
+        assert not links.send("peer", ServersHeard(()))
+        links.review(106.0)
+        assert "peer" in links._senders
+    finally:
+        links.close()
