Elections: a test of a removal that was never committed

A former leader that appended a removal and was cut off refused the removed member for ever, though the others had gone on with it; neither was elected.

--- a/tests/consensus/test_elections.py
+++ b/tests/consensus/test_elections.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dragonflyrock.consensus import Replica
+from dragonflyrock.consensus import Replica, membership
 
 from .common import TICK_SECONDS, Cluster
 
@@ -49,3 +49,25 @@
         cluster.wait_for_leader()
         terms = {replica.hard_state.term for replica in cluster.replicas.values()}
         assert terms == {term + 1}, f"seed {seed}"
+
+
+# Guards against CONFIG: a voter that refuses the only candidate for ever, since a
+# removal which it wrote as a former leader, and which was never committed, excludes it.
+def test_an_uncommitted_removal_does_not_exclude_a_candidate() -> None:
+    cluster = Cluster("abc", seed=70)
+    former = cluster.wait_for_leader()
+    cluster.run(1.0)
+    removed, other = (name for name in "abc" if name != former.me.name)
+    cluster.isolate(former.me.name)
+    assert isinstance(membership.remove_member(former, removed), int)
+    cluster.run(3.0)
+    cluster.propose(b"confirmed")
+    cluster.run(1.0)
+    assert cluster.commands(removed) == [b"confirmed"]
+    cluster.stop(other)
+    cluster.cut_links.clear()
+    cluster.run(5.0)
+    leader = cluster.leader()
+    assert leader is not None, "no leader was elected"
+    assert leader.me.name == removed
+    assert cluster.commands(former.me.name) == [b"confirmed"]
