--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -28,6 +28,21 @@
     return leader, cluster.replicas[other], wiped
 
 
+def wipe_follower(cluster: Cluster) -> tuple[Replica, Replica]:
+    """Wipe a follower, which asks all others to join.
+
+    Return the leader and the wiped member.
+    """
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    wiped = next(name for name in "abc" if name != leader.me.name)
+    cluster.initial_voters = ()
+    cluster.wipe(wiped)
+    replica = cluster.replicas[wiped]
+    replica.join_peers = ("a", "b", "c")
+    return leader, replica
+
+
 # Guards against a new leader that removes a voter because of a request to join which it
 # recorded as a follower, and so needs the lost leader for each later decision.
 def test_a_new_leader_keeps_a_voter_that_joined_anew_meanwhile() -> None:
@@ -147,13 +162,7 @@
 # the next lost disk leaves no majority.
 def test_a_wiped_voter_is_replaced_by_a_learner_in_one_entry() -> None:
     cluster = Cluster("abc", seed=37)
-    leader = cluster.wait_for_leader()
-    cluster.run(1.0)
-    wiped = next(name for name in "abc" if name != leader.me.name)
-    cluster.initial_voters = ()
-    cluster.wipe(wiped)
-    replica = cluster.replicas[wiped]
-    replica.join_peers = ("a", "b", "c")
+    leader, replica = wipe_follower(cluster)
     changed_index = leader.log.configuration_index
     for _ in range(round(4.0 / TICK_SECONDS)):
         if leader.log.configuration_index > changed_index:
@@ -161,7 +170,7 @@
         membership.admit_waiting_member(leader, cluster.clocks[leader.me.name])
         cluster.run(TICK_SECONDS)
     first_change = leader.log.configuration_at(changed_index + 1)
-    assert wiped not in [voter.name for voter in first_change.voters]
+    assert replica.me.name not in [voter.name for voter in first_change.voters]
     assert first_change.learners == (replica.me,)
 
 
@@ -169,13 +178,7 @@
 # just been lost, though its replacement has asked to join for long.
 def test_a_new_leader_replaces_a_lost_disk_that_the_one_before_did_not() -> None:
     cluster = Cluster("abc", seed=40)
-    leader = cluster.wait_for_leader()
-    cluster.run(1.0)
-    wiped = next(name for name in "abc" if name != leader.me.name)
-    cluster.initial_voters = ()
-    cluster.wipe(wiped)
-    replica = cluster.replicas[wiped]
-    replica.join_peers = ("a", "b", "c")
+    leader, replica = wipe_follower(cluster)
     cluster.run(1.5)
     cluster.isolate(leader.me.name)
     cluster.run(0.1)
