--- a/review/13/case.py
+++ b/review/13/case.py
@@ -31,7 +31,8 @@
 
 async def main(trouble):
     lab = Lab(FOLDER / "record.txt", entries=3)
-    lab.backends = [Backend(lab, "book", n + 1, ZONES[n % 3]) for n in range(6)]
+    # As many backends as a small deployment has; the frozen node's calls wait unread.
+    lab.backends = [Backend(lab, "book", n + 1, ZONES[n % 3]) for n in range(36)]
     try:
         await lab.start()
         rules = [("r1", "safe", "/b/", "book", {})]
@@ -52,6 +53,10 @@
         await send_until_accepted(lab, "end", [frozen, *awake])
         # The zone is still not well, so it is evacuated again.
         accepted = await send_until_accepted(lab, "start", awake)
+        for version in (7, 9, 11):
+            config = json.dumps(make_config(version, {"book": {}}, rules)).encode()
+            base = {PREFIX + "Base-Version": f"r{version - 2}"}
+            await call(leader.control, "POST", "/-/config/put", config, base)
         await asyncio.sleep(max(0.0, since + FREEZE_SECONDS - lab.now()))
         frozen.signal(signal.SIGCONT)
         woken = lab.now()
