--- a/review/lab3.py
+++ b/review/lab3.py
@@ -496,9 +496,16 @@
 def run(main, limit=110):
     """Run a case: ``main(trouble)`` returns why the rule was broken, or nothing."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def bound():
+        # A case that is ended from outside ends its processes too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(main(trouble), limit)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(main(trouble), limit))
-    except (Cannot, OSError, TimeoutError) as error:
+        broken = asyncio.run(bound())
+    except (Cannot, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     print(f"broken: {broken}" if broken else "held")
