--- a/review/lab3.py
+++ b/review/lab3.py
@@ -92,6 +92,8 @@
         self.lab, self.role, self.number = lab, role, number
         self.name = f"{role}-{number}"
         self.ip = f"127.{lab.net}.{1 if role == 'control' else 2}.{number}"
+        # Differs from ``ip``, which others use, where a proxy stands before the node.
+        self.listen_ip = self.ip
         self.zone = ZONES[(number - 1) % 3]
         self.folder = lab.folder / self.name
         self.process = None
@@ -105,17 +107,18 @@
         text += f'availability_zone = "{self.zone}"\nforming = {str(forming).lower()}\n'
         if self.role == "control":
             text += f'data_folder = "{self.folder}"\n'
-        text += f'[listen]\nlink = "{self.ip}:{LINK}"\n'
+        text += f'[listen]\nlink = "{self.listen_ip}:{LINK}"\n'
         if self.role == "control":
             text += f'control = "{self.ip}:{CONTROL}"\n'
         else:
-            text += f'callers = "{self.ip}:{CALLERS}"\nrelay = "{self.ip}:{RELAY}"\n'
+            text += f'callers = "{self.listen_ip}:{CALLERS}"\n'
+            text += f'relay = "{self.ip}:{RELAY}"\n'
             text += f'ready = "{self.ip}:{READY}"\n'
         text += "[bounds]\nhold_max_ms = 10000\nstop_grace_s = 6\nretry_ratio = 0.2\n"
         text += "retry_window_s = 10\nretry_slack = 62\nlost_machines = 1\n"
         text += f"announce_ms = {lab.beat_ms}\nevacuation_ms = {lab.evacuation_ms}\n"
         text += '[ownership]\ngranted_by = "call"\n'
-        text += "[machine]\nmemory_mb = 300\nmax_fds = 4100\nlink_mbps = 1000.0\n"
+        text += f"[machine]\nmemory_mb = 300\nmax_fds = 4100\nlink_mbps = {lab.link_mbps}\n"
         path = lab.folder / f"{self.name}.toml"
         path.write_text(text)
         return path
@@ -264,6 +267,7 @@
         self.seeds = [f"{node.ip}:{CONTROL}" for node in self.controls]
         self.backends, self.events, self.began = [], [], time.monotonic()
         self.record = Path(record)
+        self.link_mbps = 1000.0
 
     def is_free(self):
         for net, port in ((1, CONTROL), (2, CALLERS), (3, SERVER)):
